--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools pins the development tools of the workspace.
+package tools
