--- /dev/null
+++ b/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is a placeholder.
+package cmd
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,2 @@
+// Package node is a placeholder.
+package node
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is a placeholder.
+package standin
