Add gateway: callers' HTTP listener that streams to endpoints

Requests are forwarded with net/http's transport; an endpoint answer that breaks aborts the caller's connection.

--- /dev/null
+++ b/node/gateway/attempt.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// client sends single attempts to endpoints.
+type client struct {
+	transport  *http.Transport
+	tracer     trace.Tracer
+	propagator propagation.TextMapPropagator
+}
+
+func newClient(connectTimeout time.Duration, tracer trace.Tracer) *client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &client{
+		tracer:     tracer,
+		propagator: propagation.TraceContext{},
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countedConn{Conn: conn}, nil
+			},
+			// The answer's encoding is the caller's business.
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    64,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: MaxHeaderBytes,
+		},
+	}
+}
+
+// attempt is one request to one endpoint. mu guards the fields that the trace hooks write.
+type attempt struct {
+	mu       sync.Mutex
+	conn     *countedConn
+	baseline int64
+	times    attemptTimes
+}
+
+// attemptTimes are the monotonic times of one attempt; zero if the step was not reached.
+type attemptTimes struct {
+	started, dialed, connected, wrote, firstByte time.Time
+	// newConn is true if a connection was set up for the attempt.
+	newConn bool
+}
+
+// split divides the attempt's time. The endpoint's own time is used if it was reported; without it, one round
+// trip, estimated by connectRTT, is taken off the time between request and answer.
+func (t attemptTimes) split(reported time.Duration, isReported bool, connectRTT time.Duration) Split {
+	var s Split
+	if t.connected.IsZero() || t.firstByte.IsZero() {
+		return s
+	}
+	network := time.Duration(0)
+	if t.newConn && !t.dialed.IsZero() {
+		network = t.connected.Sub(t.dialed)
+	}
+	s.Wait = t.connected.Sub(t.started) - network
+	exchange := t.firstByte.Sub(t.connected)
+	s.Endpoint = max(0, exchange-connectRTT)
+	if isReported {
+		s.Endpoint = min(reported, exchange)
+	}
+	s.Network = network + exchange - s.Endpoint
+	return s
+}
+
+func (a *attempt) hooks() *httptrace.ClientTrace {
+	set := func(f func(now time.Time)) {
+		now := time.Now()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		f(now)
+	}
+	return &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { set(func(now time.Time) { a.times.dialed = now }) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			set(func(now time.Time) {
+				a.times.connected, a.times.newConn = now, !info.Reused
+				if conn, ok := info.Conn.(*countedConn); ok {
+					a.conn, a.baseline = conn, conn.writes()
+				}
+			})
+		},
+		WroteRequest:         func(httptrace.WroteRequestInfo) { set(func(now time.Time) { a.times.wrote = now }) },
+		GotFirstResponseByte: func() { set(func(now time.Time) { a.times.firstByte = now }) },
+	}
+}
+
+// sent reports whether a byte of a failed attempt may have left this process, and prevents it from now on.
+func (a *attempt) sent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil && a.conn.freeze() > a.baseline
+}
+
+func (a *attempt) timing() attemptTimes {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.times
+}
+
+// do sends the call to address. The error is a *NotSentError or a *SentError. The answer's body must be closed.
+func (cl *client) do(ctx context.Context, c *call, address string) (*answer, attemptTimes, error) {
+	ctx, span := cl.tracer.Start(ctx, "endpoint request", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("service", c.service.Name), attribute.String("endpoint", address)))
+	defer span.End()
+	a := &attempt{}
+	a.times.started = time.Now()
+	req, err := cl.request(httptrace.WithClientTrace(ctx, a.hooks()), c, address)
+	if err != nil {
+		return nil, a.timing(), &NotSentError{Step: "endpoint request", Peer: address, Err: err}
+	}
+	resp, err := cl.transport.RoundTrip(req)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		if a.sent() {
+			return nil, a.timing(), &SentError{Step: "endpoint request", Peer: address, Err: err}
+		}
+		return nil, a.timing(), &NotSentError{Step: "endpoint request", Peer: address, Err: err}
+	}
+	span.SetAttributes(attribute.Int("status", resp.StatusCode))
+	return fromResponse(resp), a.timing(), nil
+}
+
+// request builds the endpoint's request. Its body is never nil and has no GetBody: the transport would repeat a
+// request with an Idempotency-Key on its own after a connection broke, even if the endpoint had received it.
+func (cl *client) request(ctx context.Context, c *call, address string) (*http.Request, error) {
+	target, err := url.Parse("http://" + address + c.path)
+	if err != nil {
+		return nil, errors.Wrap(err, "endpoint address or path")
+	}
+	body, err := c.body.open()
+	if err != nil {
+		return nil, err
+	}
+	header := c.header.Clone()
+	cl.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+	if _, set := header["User-Agent"]; !set {
+		header["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	req := &http.Request{Method: c.method, URL: target, Host: address, Header: header, Body: body,
+		ContentLength: c.contentLength, Trailer: c.trailer, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	return req.WithContext(ctx), nil
+}
+
+// fromResponse turns an endpoint's answer into ours. Reading its body fails unless it is complete.
+func fromResponse(resp *http.Response) *answer {
+	var announced []string
+	for name := range resp.Trailer {
+		announced = append(announced, name)
+	}
+	a := &answer{
+		status: resp.StatusCode, header: endToEnd(resp.Header), body: resp.Body,
+		contentLength: resp.ContentLength, announced: announced,
+		trailer: func() http.Header { return resp.Trailer }, outcome: OutcomeAnswered,
+		closing: resp.Close,
+	}
+	a.header.Del(HeaderOutcome)
+	return a
+}
+
+// discard closes an answer that nobody will read.
+func discard(a *answer) {
+	if a != nil && a.body != nil {
+		_ = a.body.Close()
+	}
+}
--- /dev/null
+++ b/node/gateway/call.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// call is one request of a caller inside this daemon. Its fields do not change after it was parsed, except
+// those of body and stats.
+type call struct {
+	service Service
+	method  string
+	// path is the escaped path with the query that the endpoint receives.
+	path          string
+	header        http.Header
+	trailer       http.Header
+	body          *body
+	contentLength int64
+	caller        string
+	// key is empty for requests without one.
+	key string
+	// deadline is zero if none applies.
+	deadline time.Time
+	// wholeAnswer is true if the deadline covers the body of the answer, not only its header.
+	wholeAnswer bool
+	idempotent  bool
+	// mayForward is false for requests that a peer sent with PurposeRoute.
+	mayForward bool
+	arrived    time.Time
+	stats      callStats
+}
+
+// callStats is written by the goroutine that routes the call.
+type callStats struct {
+	endpoint Endpoint
+	zone     string
+	split    Split
+	reported bool
+	attempts int
+	hedged   bool
+}
+
+// answer is what the caller gets. body is closed by whoever writes the answer out.
+type answer struct {
+	status        int
+	header        http.Header
+	body          io.ReadCloser
+	contentLength int64
+	trailer       func() http.Header
+	// announced lists the trailer fields that the endpoint announced.
+	announced []string
+	outcome   Outcome
+	// closing is true if the endpoint closes the connection after the answer.
+	closing bool
+}
+
+// failure returns an answer of this daemon itself.
+func failure(status int, outcome Outcome, message string) *answer {
+	text := message + "\n"
+	h := http.Header{}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	return &answer{status: status, header: h, outcome: outcome, contentLength: int64(len(text)),
+		body: io.NopCloser(strings.NewReader(text))}
+}
+
+// isIdempotent reports whether a request may be repeated.
+func isIdempotent(s Service, method, path string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for _, prefix := range s.IdempotentPaths {
+		if underPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// underPrefix matches whole path segments, so that "/pay" does not cover "/payments". A path with dot
+// segments never matches, because the endpoint may resolve it to another path.
+func underPrefix(path, prefix string) bool {
+	if strings.Contains(path, "/.") || strings.Contains(path, "%") {
+		return false
+	}
+	prefix = strings.TrimSuffix(prefix, "/")
+	return prefix != "" && (path == prefix || strings.HasPrefix(path, prefix+"/"))
+}
