Add at-most-once claims of request keys

A key is granted by a majority of the zone's view. A change of the view seals a set of members that meets every majority and installs the union of their claims before the record is appended. An attempt that won and then sends nothing keeps its claim and finishes it as not-run, so that no delayed earlier attempt can run the key after the caller was told so.

--- /dev/null
+++ b/core/claim/change.go
@@ -0,0 +1,132 @@
+package claim
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Change moves a zone from one view to the next: seal, install, record. It is used by one proposer; when another
+// proposer's record comes first in the log, it is dropped.
+type Change struct {
+	old     View
+	next    View
+	sealed  map[string]bool
+	stopped map[string]bool
+	union   map[Key]Entry
+	floor   int64
+
+	prepared  bool
+	installed map[string]bool
+}
+
+// NewChange starts a change from old to a view of members.
+func NewChange(old View, members []string) (*Change, error) {
+	members = slices.Compact(slices.Sorted(slices.Values(members)))
+	if len(members) == 0 {
+		return nil, errors.Errorf("claim view %d: no members", old.Number+1)
+	}
+	return &Change{old: old, next: View{Number: old.Number + 1, Members: members}, sealed: map[string]bool{},
+		stopped: map[string]bool{}, union: map[Key]Entry{}, installed: map[string]bool{}}, nil
+}
+
+// Sealed adds a page that a member of the old view handed over. Pages of one member must be added in order, the
+// last one has Next 0. It returns an error if the member has read a newer view, which ends the change.
+func (c *Change) Sealed(member string, a SealAnswer) error {
+	if !a.Sealed {
+		if a.View > c.old.Number {
+			return errors.Errorf("claim view %d: member %s has read view %d", c.next.Number, member, a.View)
+		}
+		return nil
+	}
+	c.floor = max(c.floor, a.FloorUnixMs)
+	for _, e := range a.Entries {
+		if held, ok := c.union[e.Key]; ok {
+			e = merge(held, e)
+		}
+		c.union[e.Key] = e
+	}
+	if a.Next == 0 && c.old.Has(member) {
+		c.sealed[member] = true
+	}
+	return nil
+}
+
+// Stopped states that a member of the old view has left gracefully, or that its authority to grant has passed.
+func (c *Change) Stopped(member string) {
+	if c.old.Has(member) {
+		c.stopped[member] = true
+	}
+}
+
+// Ready reports whether no majority can be formed in the old view any more, and whether the next view must be
+// fresh because claims of the old one may be missing from the hand-over.
+func (c *Change) Ready() (ready, fresh bool) {
+	if len(c.sealed) >= c.old.SealCount() {
+		return true, false
+	}
+	silent := len(c.sealed)
+	for member := range c.stopped {
+		if !c.sealed[member] {
+			silent++
+		}
+	}
+	return silent >= c.old.SealCount(), true
+}
+
+// Prepare ends the sealing and returns the pages that each member of the next view must install, in order.
+func (c *Change) Prepare(now Now) ([]InstallRequest, error) {
+	ready, fresh := c.Ready()
+	if !ready {
+		return nil, errors.Errorf("claim view %d: %d of %d members sealed", c.next.Number, len(c.sealed),
+			c.old.SealCount())
+	}
+	c.next.Fresh, c.next.FloorUnixMs = fresh, c.old.FloorUnixMs
+	if fresh {
+		// No claim of the old view has a later time: members refuse keys that are further ahead.
+		limit := now.UnixMs + (BlockAhead + ClockSkew).Milliseconds()
+		c.next.FloorUnixMs = max(c.next.FloorUnixMs, limit)
+	}
+	c.prepared = true
+	return c.pages(), nil
+}
+
+func (c *Change) pages() []InstallRequest {
+	entries := make([]Entry, 0, len(c.union))
+	for _, e := range c.union {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	var pages []InstallRequest
+	page, size := InstallRequest{View: c.next.Number, FloorUnixMs: c.floor}, 0
+	for _, e := range entries {
+		if len(page.Entries) == pageEntries || size+int(e.bytes()) > pageBytes {
+			pages = append(pages, page)
+			page, size = InstallRequest{View: c.next.Number, FloorUnixMs: c.floor}, 0
+		}
+		page.Entries = append(page.Entries, e)
+		size += int(e.bytes())
+	}
+	page.Last = true
+	return append(pages, page)
+}
+
+// Members returns the members of the next view.
+func (c *Change) Members() []string { return c.next.Members }
+
+// Installed states that a member of the next view has answered every page of Prepare.
+func (c *Change) Installed(member string) { c.installed[member] = true }
+
+// View returns the view to append to the log, or an error while members have not installed the claims.
+func (c *Change) View() (View, error) {
+	if !c.prepared {
+		return View{}, errors.Errorf("claim view %d: not prepared", c.next.Number)
+	}
+	for _, member := range c.next.Members {
+		if !c.installed[member] {
+			return View{}, errors.Errorf("claim view %d: member %s has not installed the claims", c.next.Number, member)
+		}
+	}
+	return c.next, nil
+}
--- /dev/null
+++ b/core/claim/round.go
@@ -0,0 +1,97 @@
+package claim
+
+// Decision is the state of a round.
+type Decision uint8
+
+// Decisions of a round. Won and Lost are final.
+const (
+	Pending Decision = 0
+	// Won means that no other attempt can ever run the key.
+	Won Decision = 1
+	// Lost means that this round will not count any further grant; it must be withdrawn.
+	Lost Decision = 2
+)
+
+// Round collects the grants of one attempt from the members of one view. A new round uses a new Attempt, so that
+// grants that arrive late are never counted.
+type Round struct {
+	request  GrantRequest
+	view     View
+	answered map[string]bool
+	granted  int
+	refused  int
+	decision Decision
+	verdicts map[Verdict]int
+	held     *Entry
+}
+
+// NewRound starts a round. With block, the key is claimed only to keep it from running.
+func NewRound(view View, key Key, attempt Attempt, block bool) *Round {
+	r := &Round{request: GrantRequest{View: view.Number, Key: key, Attempt: attempt, Block: block}, view: view,
+		answered: map[string]bool{}, verdicts: map[Verdict]int{}}
+	if len(view.Members) == 0 {
+		r.decision = Lost
+	}
+	return r
+}
+
+// Request is what each member of the view is asked.
+func (r *Round) Request() GrantRequest { return r.request }
+
+// Decision returns the state of the round.
+func (r *Round) Decision() Decision { return r.decision }
+
+// Answer counts a member's answer. Second answers and answers after the decision are ignored.
+func (r *Round) Answer(member string, a GrantAnswer) {
+	if !r.count(member) {
+		return
+	}
+	r.verdicts[a.Verdict]++
+	if a.Verdict == Claimed && a.Entry != nil && (r.held == nil || a.Entry.State == StateFinished) {
+		r.held = a.Entry
+	}
+	if a.Verdict == Granted && a.View == r.view.Number {
+		r.granted++
+	} else {
+		r.refused++
+	}
+	r.decide()
+}
+
+// Failed counts a member that cannot be asked, or whose answer was lost.
+func (r *Round) Failed(member string) {
+	if r.count(member) {
+		r.refused++
+		r.decide()
+	}
+}
+
+// Abandon ends a round that is still pending, for instance at the request's deadline.
+func (r *Round) Abandon() {
+	if r.decision == Pending {
+		r.decision = Lost
+	}
+}
+
+func (r *Round) count(member string) bool {
+	if r.decision != Pending || r.answered[member] || !r.view.Has(member) {
+		return false
+	}
+	r.answered[member] = true
+	return true
+}
+
+func (r *Round) decide() {
+	switch {
+	case r.granted >= r.view.Majority():
+		r.decision = Won
+	case len(r.view.Members)-r.refused < r.view.Majority(), r.held != nil && r.held.State == StateFinished:
+		r.decision = Lost
+	}
+}
+
+// Held returns the entry of another attempt that a member reported, if any; a finished one if there is one.
+func (r *Round) Held() *Entry { return r.held }
+
+// Count returns how many members gave a verdict.
+func (r *Round) Count(v Verdict) int { return r.verdicts[v] }
--- /dev/null
+++ b/core/claim/tableview.go
@@ -0,0 +1,104 @@
+package claim
+
+import (
+	"bytes"
+	"slices"
+)
+
+// Limits of one page of a hand-over: together they stay below a peer frame of 1 MiB.
+const (
+	pageEntries = 1024
+	pageBytes   = 512 << 10
+)
+
+// ReadView makes a view current that was read from the log. Older views are ignored.
+func (t *Table) ReadView(v View) {
+	if v.Number <= t.view.Number {
+		return
+	}
+	t.view = v
+	for number := range t.installed {
+		if number < v.Number {
+			delete(t.installed, number)
+		}
+	}
+	if t.handoverView < v.Number {
+		t.handover, t.handoverView = nil, 0
+	}
+}
+
+// Seal stops granting in a view and in all earlier ones, and hands over a page of the claims. The claims handed
+// over include every grant that was given in the view.
+func (t *Table) Seal(now Now, r SealRequest) SealAnswer {
+	t.Forget(now)
+	answer := SealAnswer{View: t.view.Number}
+	if t.view.Number > r.View || !t.installed[r.View] || r.From < 0 {
+		return answer
+	}
+	t.sealed = max(t.sealed, r.View)
+	if t.handoverView != r.View {
+		t.handover, t.handoverView = t.sortedKeys(), r.View
+	}
+	answer.Sealed = true
+	answer.Entries, answer.Next = t.page(r.From)
+	answer.FloorUnixMs = max(t.floor, t.view.FloorUnixMs-1)
+	return answer
+}
+
+// page returns the entries of the hand-over from an index on, and the index after them, 0 at the end. An entry that
+// is missing was forgotten, which raised the floor.
+func (t *Table) page(from int) (entries []Entry, next int) {
+	size := 0
+	for i := from; i < len(t.handover); i++ {
+		e := t.entries[t.handover[i]]
+		if e == nil || e.State == StateWithdrawn {
+			continue
+		}
+		size += int(e.bytes())
+		if len(entries) == pageEntries || size > pageBytes {
+			return entries, i
+		}
+		entries = append(entries, *e)
+	}
+	return entries, 0
+}
+
+func (t *Table) sortedKeys() []Key {
+	keys := make([]Key, 0, len(t.entries))
+	for k := range t.entries {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Key) int { return bytes.Compare(a[:], b[:]) })
+	return keys
+}
+
+// Install adds claims that the member must know before it grants in a proposed view. Installing more than needed
+// only refuses more.
+func (t *Table) Install(now Now, r InstallRequest) InstallAnswer {
+	t.Forget(now)
+	for _, e := range r.Entries {
+		if !t.installEntry(now, e) {
+			return InstallAnswer{}
+		}
+	}
+	t.floor = max(t.floor, r.FloorUnixMs)
+	if r.Last && r.View > t.view.Number {
+		t.installed[r.View] = true
+	}
+	return InstallAnswer{Installed: true}
+}
+
+// installEntry returns false if there is no memory for the entry.
+func (t *Table) installEntry(now Now, e Entry) bool {
+	held := t.entries[e.Key]
+	if held != nil {
+		e = merge(*held, e)
+	} else if len(t.entries) >= t.limits.MaxClaims {
+		return false
+	}
+	if len(e.Answer) > MaxAnswerBytes || t.bytes+e.bytes() > t.limits.MaxBytes {
+		e.Answer = nil
+	}
+	t.put(e)
+	return true
+}
