--- /dev/null
+++ b/core/routing/pool.go
@@ -0,0 +1,244 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Target is one endpoint that a Pool may choose.
+type Target struct {
+	// ID is unique in the pool; an endpoint that restarted has a new one.
+	ID string
+	// Leaving targets get no new requests.
+	Leaving bool
+}
+
+// Settings of a Pool.
+type Settings struct {
+	// Samples is the number of endpoints that are compared for each choice.
+	Samples int
+	// MaxInFlight limits the requests in flight from this daemon to one endpoint.
+	MaxInFlight int
+	// LatencyHalfLife is the time after which a latency counts half, in the absence of new ones.
+	LatencyHalfLife time.Duration
+	// MaxEjectedPercent limits the ejected share of the endpoints.
+	MaxEjectedPercent int
+	// FailuresToEject is the number of consecutive failures after which an endpoint is ejected.
+	FailuresToEject int
+	// SlowFactor ejects an endpoint whose recent latency exceeds that of the median endpoint by this factor,
+	// and by at least SlowMinimum.
+	SlowFactor  float64
+	SlowMinimum time.Duration
+	// EjectBase is the first ejection time; it doubles with each further ejection up to EjectMax.
+	EjectBase, EjectMax time.Duration
+	// ReturnTime is how long an endpoint takes from its return to its full share.
+	ReturnTime time.Duration
+}
+
+// DefaultSettings are those of the daemon.
+func DefaultSettings() Settings {
+	return Settings{Samples: 3, MaxInFlight: 64, LatencyHalfLife: 2 * time.Second, MaxEjectedPercent: 20,
+		FailuresToEject: 5, SlowFactor: 4, SlowMinimum: 20 * time.Millisecond, EjectBase: 5 * time.Second,
+		EjectMax: time.Minute, ReturnTime: 10 * time.Second}
+}
+
+// member is the state of one endpoint.
+type member struct {
+	Target
+	// inFlight counts requests of this daemon that have not ended.
+	inFlight int
+	// latencySeconds is the moving average; 0 until the first request has ended.
+	latencySeconds float64
+	updated        time.Duration
+	samples        int
+	failures       int
+	ejections      int
+	// ejected until ejectedUntil; afterwards its share grows for ReturnTime.
+	ejected      bool
+	ejectedUntil time.Duration
+	returning    bool
+	gone         bool
+}
+
+// Ref refers to a chosen endpoint until its request has ended.
+type Ref struct{ m *member }
+
+// ID returns the endpoint's id, or "" for the zero Ref.
+func (r Ref) ID() string {
+	if r.m == nil {
+		return ""
+	}
+	return r.m.ID
+}
+
+// Pool is the set of endpoints of one service in one zone.
+type Pool struct {
+	settings Settings
+	members  []*member
+	// usable are the members that may be chosen: not leaving and not ejected.
+	usable   []*member
+	ejected  int
+	nextBack time.Duration
+	scratch  []float64
+	// ejections counts all ejections.
+	ejections int64
+	inFlight  int
+	// slowLimitSeconds is the latency above which endpoints are slow, as of lastSlowCheck.
+	slowLimitSeconds float64
+	lastSlowCheck    time.Duration
+}
+
+// NewPool returns an empty pool.
+func NewPool(s Settings) *Pool { return &Pool{settings: s} }
+
+// Update replaces the targets and keeps the state of those that stay.
+func (p *Pool) Update(targets []Target) {
+	old := make(map[string]*member, len(p.members))
+	for _, m := range p.members {
+		old[m.ID] = m
+		m.gone = true
+	}
+	p.members = p.members[:0:0]
+	for _, t := range targets {
+		m := old[t.ID]
+		if m == nil {
+			m = &member{}
+		} else if !m.gone {
+			continue // listed twice
+		}
+		leaving := t.Leaving || m.Leaving // an endpoint that said that it leaves does not come back
+		m.Target, m.gone = t, false
+		m.Leaving = leaving
+		p.members = append(p.members, m)
+		old[t.ID] = m
+	}
+	p.refresh()
+}
+
+// MarkLeaving stops new requests to an endpoint that said that it is leaving.
+func (p *Pool) MarkLeaving(r Ref) {
+	if r.m != nil {
+		r.m.Leaving = true
+		p.refresh()
+	}
+}
+
+// refresh recomputes the usable members and keeps the cap of ejections after the set has changed.
+func (p *Pool) refresh() {
+	p.usable, p.ejected, p.nextBack = p.usable[:0], 0, 0
+	for _, m := range p.members {
+		if m.Leaving {
+			continue
+		}
+		if m.ejected && p.ejected < p.maxEjected() {
+			p.ejected++
+			if p.nextBack == 0 || m.ejectedUntil < p.nextBack {
+				p.nextBack = m.ejectedUntil
+			}
+			continue
+		}
+		m.ejected = false
+		p.usable = append(p.usable, m)
+	}
+}
+
+// maxEjected is the cap for the members that are not leaving. It never covers all of them.
+func (p *Pool) maxEjected() int {
+	n := 0
+	for _, m := range p.members {
+		if !m.Leaving {
+			n++
+		}
+	}
+	return min(n*p.settings.MaxEjectedPercent/100, max(0, n-1))
+}
+
+// Len returns the number of endpoints, Usable of those that may be chosen.
+func (p *Pool) Len() int { return len(p.members) }
+
+// Usable returns the number of endpoints that may be chosen.
+func (p *Pool) Usable() int { return len(p.usable) }
+
+// Ejected returns the number of endpoints that are ejected now.
+func (p *Pool) Ejected() int { return p.ejected }
+
+// Ejections returns the number of ejections so far.
+func (p *Pool) Ejections() int64 { return p.ejections }
+
+// InFlight returns the requests in flight to all endpoints.
+func (p *Pool) InFlight() int { return p.inFlight }
+
+// Slots returns how many requests may be in flight to the usable endpoints.
+func (p *Pool) Slots() int { return len(p.usable) * p.settings.MaxInFlight }
+
+// Pick chooses the least loaded of a few sampled endpoints and counts a request in flight to it. Endpoints in
+// avoid are not chosen. It returns false if none has room.
+func (p *Pool) Pick(now time.Duration, random *rand.Rand, avoid ...Ref) (Ref, bool) {
+	if p.nextBack != 0 && now >= p.nextBack {
+		p.bringBack(now)
+	}
+	n := len(p.usable)
+	if n == 0 {
+		return Ref{}, false
+	}
+	var best *member
+	bestScore := 0.0
+	for range p.settings.Samples {
+		best, bestScore = p.better(best, bestScore, p.usable[random.IntN(n)], now, avoid)
+	}
+	if best == nil {
+		best = p.scan(now, random.IntN(n), avoid)
+	}
+	if best == nil {
+		return Ref{}, false
+	}
+	best.inFlight++
+	p.inFlight++
+	return Ref{best}, true
+}
+
+// scan looks at all endpoints, for the case that no sampled one has room.
+func (p *Pool) scan(now time.Duration, start int, avoid []Ref) *member {
+	var best *member
+	score := 0.0
+	for i := range p.usable {
+		best, score = p.better(best, score, p.usable[(start+i)%len(p.usable)], now, avoid)
+	}
+	return best
+}
+
+func (p *Pool) better(best *member, bestScore float64, m *member, now time.Duration, avoid []Ref) (*member, float64) {
+	if m == best || m.inFlight >= p.settings.MaxInFlight {
+		return best, bestScore
+	}
+	for _, r := range avoid {
+		if r.m == m {
+			return best, bestScore
+		}
+	}
+	if score := p.score(m, now); best == nil || score < bestScore {
+		return m, score
+	}
+	return best, bestScore
+}
+
+// score is the expected time until a further request would end, enlarged while an endpoint returns.
+func (p *Pool) score(m *member, now time.Duration) float64 {
+	latency := m.latencySeconds
+	if age := now - m.updated; latency > 0 && age > p.settings.LatencyHalfLife {
+		// An old latency says less and less; without this an endpoint that was once slow would never be tried.
+		latency *= float64(p.settings.LatencyHalfLife) / float64(age)
+	}
+	// Failures raise the score, so that an endpoint that fails fast does not attract requests.
+	score := float64(m.inFlight+1) * (latency + minLatencySeconds) * float64(1+m.failures)
+	if m.returning {
+		progress := float64(now-m.ejectedUntil) / float64(p.settings.ReturnTime)
+		if progress < 1 {
+			score /= max(progress, 0.05)
+		}
+	}
+	return score
+}
+
+// minLatencySeconds keeps requests in flight decisive between endpoints without a latency.
+const minLatencySeconds = 50e-6
