Wire claims, routing, hedging and forwarding into the gateway

Keyed requests that are not idempotent are claimed in the key's home zone before they are routed. Retries, hedges, queue, caller rates and the link's byte budget follow core/routing. Attempts count the writes on their connection, so that not-run is said only if none has started.

--- a/core/routing/outlier.go
+++ b/core/routing/outlier.go
@@ -25,12 +25,24 @@
 
 // Done ends a request that Pick started. latency is the time to the answer's header.
 func (p *Pool) Done(r Ref, now, latency time.Duration, result Result) {
+	p.Release(r)
+	p.Observe(r, now, latency, result)
+}
+
+// Release ends a request that Pick started, without a result.
+func (p *Pool) Release(r Ref) {
+	if r.m != nil {
+		r.m.inFlight--
+		p.inFlight--
+	}
+}
+
+// Observe learns from one result; the request may still be in flight while its answer is streamed.
+func (p *Pool) Observe(r Ref, now, latency time.Duration, result Result) {
 	m := r.m
 	if m == nil {
 		return
 	}
-	m.inFlight--
-	p.inFlight--
 	seconds := latency.Seconds()
 	switch result {
 	case ResultOK:
--- a/core/routing/queue.go
+++ b/core/routing/queue.go
@@ -27,9 +27,9 @@
 type Waiting struct {
 	// Deadline is 0 if there is none.
 	Deadline time.Duration
-	// Wake is called by the owner of the queue when the request leaves it by Next.
-	Wake func()
-	left bool
+	// Owner is the caller's own value for the request.
+	Owner any
+	left  bool
 }
 
 // NewQueue returns a queue of at most limit requests.
--- a/node/gateway/api.go
+++ b/node/gateway/api.go
@@ -82,8 +82,10 @@
 	Body io.Reader
 	// ContentLength is the length of Body in bytes, or -1 if it is not known.
 	ContentLength int64
-	// Timeout is the time left for the whole request; 0 is unlimited.
+	// Timeout is the time left; 0 is unlimited.
 	Timeout time.Duration
+	// WholeAnswer is true if Timeout covers the answer's body, not only its header.
+	WholeAnswer bool
 }
 
 // ForwardAnswer is the answer of a peer daemon.
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -182,3 +183,17 @@
 		_ = a.body.Close()
 	}
 }
+
+// closeFunc is a body with an additional step at its end.
+type closeFunc struct {
+	io.ReadCloser
+	once  sync.Once
+	after func()
+}
+
+// Close implements io.Closer.
+func (c *closeFunc) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.after)
+	return err
+}
--- a/node/gateway/body.go
+++ b/node/gateway/body.go
@@ -27,6 +27,8 @@
 	src    io.Reader
 	used   bool
 	opened *streamedBody
+	// failed is set when the caller's connection broke or stalled while the body was read.
+	failed bool
 }
 
 // newBody reads small bodies of known length at once.
@@ -44,6 +46,19 @@
 	return &body{kept: kept, small: true}, nil
 }
 
+// reusable reports whether another attempt may read the body.
+func (b *body) reusable() bool {
+	if b.small {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.used
+}
+
+// concurrent reports whether two attempts may read the body at a time.
+func (b *body) concurrent() bool { return b.small }
+
 // open returns the body for one attempt and ends the previous attempt's access to a streamed body.
 func (b *body) open() (io.ReadCloser, error) {
 	if b.small {
@@ -71,7 +86,20 @@
 	}
 	b.used = true
 	b.mu.Unlock()
-	return b.src.Read(p)
+	n, err := b.src.Read(p)
+	if err != nil && err != io.EOF {
+		b.mu.Lock()
+		b.failed = true
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+// sourceFailed reports whether the caller's side of the body failed.
+func (b *body) sourceFailed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
 }
 
 // Close ends this attempt's access. The source is closed by the server that owns it.
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -28,18 +28,25 @@
 	idempotent  bool
 	// mayForward is false for requests that a peer sent with PurposeRoute.
 	mayForward bool
-	arrived    time.Time
-	stats      callStats
+	// forwarded is true for requests that came from a peer.
+	forwarded bool
+	arrived   time.Time
+	stats     callStats
 }
 
 // callStats is written by the goroutine that routes the call.
 type callStats struct {
-	endpoint Endpoint
-	zone     string
-	split    Split
-	reported bool
 	attempts int
 	hedged   bool
+	// sent is true if an attempt failed after an endpoint may have received a byte.
+	sent bool
+}
+
+// noteSent remembers a failed attempt.
+func (c *call) noteSent(err error) {
+	if err != nil && !notSent(err) {
+		c.stats.sent = true
+	}
 }
 
 // answer is what the caller gets. body is closed by whoever writes the answer out.
@@ -52,8 +59,15 @@
 	// announced lists the trailer fields that the endpoint announced.
 	announced []string
 	outcome   Outcome
+	// endpoint and zone served the request; split is where its time went.
+	endpoint Endpoint
+	zone     string
+	split    Split
+	reported bool
 	// closing is true if the endpoint closes the connection after the answer.
 	closing bool
+	// leaving is true if the endpoint said that it is leaving.
+	leaving bool
 }
 
 // failure returns an answer of this daemon itself.
@@ -89,3 +103,11 @@
 	prefix = strings.TrimSuffix(prefix, "/")
 	return prefix != "" && (path == prefix || strings.HasPrefix(path, prefix+"/"))
 }
+
+// left returns the time to the deadline at now, 0 if there is no deadline.
+func (c *call) left(now time.Time) time.Duration {
+	if c.deadline.IsZero() {
+		return 0
+	}
+	return max(c.deadline.Sub(now), time.Microsecond)
+}
--- /dev/null
+++ b/node/gateway/claims/coordinator.go
@@ -0,0 +1,269 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"waxwingslip.example/core/claim"
+)
+
+// Times of the coordinator.
+const (
+	// callTimeout limits one call to one member.
+	callTimeout = time.Second
+	// patience is how long a claim waits for a usable view or for a majority.
+	patience = 2 * time.Second
+	// holdPatience is how long a repeat waits for the end of the attempt that holds the key.
+	holdPatience = 30 * time.Second
+	// retryPause is the mean pause between two rounds; it is spread at random, so that racing attempts part.
+	retryPause = 40 * time.Millisecond
+)
+
+// Kind is the result of a claim.
+type Kind uint8
+
+// Results of a claim.
+const (
+	// Won means that this attempt, and no other, may send the request.
+	Won Kind = 1
+	// Finished means that an earlier attempt has ended; Result.Entry says how.
+	Finished Kind = 2
+	// Blocked means that the key will never run, though this attempt may not send it either.
+	Blocked Kind = 3
+	// Undecided means that nothing was sent by this attempt, and that others may have sent or may yet send it.
+	Undecided Kind = 4
+)
+
+// Result is the result of a claim.
+type Result struct {
+	Kind Kind
+	// Attempt holds the key if Kind is Won or Blocked.
+	Attempt claim.Attempt
+	// Entry is set if Kind is Finished.
+	Entry claim.Entry
+	// Reason explains Blocked and Undecided.
+	Reason error
+}
+
+// Reasons of results that are not Won.
+var (
+	ErrHeld       = errors.New("another attempt with this key has not ended")
+	ErrOld        = errors.New("the key is older than the time for which claims are kept")
+	ErrFuture     = errors.New("the key's time is in the future")
+	ErrFull       = errors.New("no memory for another claim")
+	ErrNoMajority = errors.New("no majority of the zone's members grants the key")
+)
+
+// Coordinator claims keys for the requests of this daemon. It is safe for concurrent use.
+type Coordinator struct {
+	voter *Voter
+	peers Peers
+	// newAttempt makes the id of a round.
+	newAttempt func() claim.Attempt
+	background sync.WaitGroup
+	// needView is signalled when members say that their view was sealed.
+	needView chan struct{}
+}
+
+// NewCoordinator returns a coordinator that asks its own voter directly and the others through peers.
+func NewCoordinator(voter *Voter, peers Peers) *Coordinator {
+	return &Coordinator{voter: voter, peers: withLocal{voter, peers},
+		newAttempt: func() claim.Attempt { return claim.Attempt(uuid.New()) },
+		needView:   make(chan struct{}, 1)}
+}
+
+// Wait returns when no message is under way any more. Call it after the last claim has ended.
+func (c *Coordinator) Wait() { c.background.Wait() }
+
+// Claim claims a key. It returns when the key is decided, ctx is done or its patience has ended.
+func (c *Coordinator) Claim(ctx context.Context, key claim.Key) Result {
+	started := time.Now()
+	block := key.UnixMs() > c.voter.clock().UnixMs+claim.Ahead.Milliseconds()
+	blockReason := ErrFuture
+	for {
+		round := c.runRound(ctx, key, block)
+		if round.Decision() == claim.Won {
+			result := Result{Kind: Won, Attempt: round.Request().Attempt}
+			if block {
+				result.Kind, result.Reason = Blocked, blockReason
+			}
+			return result
+		}
+		c.withdraw(round)
+		if result, decided := c.lost(ctx, round, key, started, block); decided {
+			return result
+		}
+		if !block && round.Count(claim.Future)+round.Count(claim.Full) > 0 {
+			if block = true; round.Count(claim.Full) > 0 {
+				blockReason = ErrFull
+			}
+		}
+		if time.Since(started) > holdPatience || !pause(ctx, retryPause) {
+			return Result{Kind: Undecided, Reason: ErrNoMajority}
+		}
+	}
+}
+
+// lost decides what a lost round means; without a decision another round is tried.
+func (c *Coordinator) lost(ctx context.Context, round *claim.Round, key claim.Key, started time.Time,
+	block bool) (Result, bool) {
+	held := round.Held()
+	switch {
+	case held != nil && held.State == claim.StateFinished:
+		return Result{Kind: Finished, Entry: *held}, true
+	case held != nil:
+		return c.waitForHolder(ctx, key, started)
+	case round.Count(claim.Old) > 0:
+		return Result{Kind: Undecided, Reason: ErrOld}, true
+	case block && round.Count(claim.Full) > 0:
+		return Result{Kind: Undecided, Reason: ErrFull}, true
+	case block && round.Count(claim.Future) > 0:
+		return Result{Kind: Undecided, Reason: ErrFuture}, true
+	case time.Since(started) > patience || ctx.Err() != nil:
+		return Result{Kind: Undecided, Reason: ErrNoMajority}, true
+	}
+	return Result{}, false
+}
+
+// waitForHolder waits until the attempt that holds the key has ended. It returns undecided if no member knows the
+// attempt any more, so that another round is tried.
+func (c *Coordinator) waitForHolder(ctx context.Context, key claim.Key, started time.Time) (Result, bool) {
+	for wait := 10 * time.Millisecond; ; wait = min(2*wait, 250*time.Millisecond) {
+		if !pause(ctx, wait) || time.Since(started) > holdPatience {
+			return Result{Kind: Undecided, Reason: ErrHeld}, true
+		}
+		switch entry, err := c.lookup(ctx, key); {
+		case err != nil:
+			return Result{Kind: Undecided, Reason: err}, true
+		case entry == nil:
+			return Result{}, false
+		case entry.State == claim.StateFinished:
+			return Result{Kind: Finished, Entry: *entry}, true
+		}
+	}
+}
+
+// lookup asks all members and returns a finished entry, else any entry, else nil.
+func (c *Coordinator) lookup(ctx context.Context, key claim.Key) (*claim.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	members := c.voter.View().Members
+	answers := make(chan claim.LookupAnswer, len(members))
+	for _, member := range members {
+		c.background.Go(func() {
+			a, err := c.peers.Lookup(ctx, member, claim.LookupRequest{Key: key})
+			if err != nil {
+				a.Entry = nil // another round is safe, whatever this member holds
+			}
+			answers <- a
+		})
+	}
+	var found *claim.Entry
+	for range members {
+		select {
+		case a := <-answers:
+			if a.Entry != nil && (found == nil || a.Entry.State == claim.StateFinished) {
+				found = a.Entry
+			}
+			if found != nil && found.State == claim.StateFinished {
+				return found, nil
+			}
+		case <-ctx.Done():
+			return nil, errors.Wrap(ErrHeld, "look up claim")
+		}
+	}
+	return found, nil
+}
+
+// memberAnswer is one member's answer to a grant request; err is set if there is none.
+type memberAnswer struct {
+	member string
+	answer claim.GrantAnswer
+	err    error
+}
+
+// runRound asks all members for a grant at once and returns when the round is decided. Calls that are still under
+// way end on their own; their answers are not counted.
+func (c *Coordinator) runRound(ctx context.Context, key claim.Key, block bool) *claim.Round {
+	view := c.voter.View()
+	round := claim.NewRound(view, key, c.newAttempt(), block)
+	answers := make(chan memberAnswer, len(view.Members))
+	for _, member := range view.Members {
+		c.background.Go(func() {
+			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			a, err := c.peers.Grant(callCtx, member, round.Request())
+			answers <- memberAnswer{member, a, err}
+		})
+	}
+	for round.Decision() == claim.Pending {
+		select {
+		case a := <-answers:
+			c.count(round, a)
+		case <-ctx.Done():
+			round.Abandon()
+		}
+	}
+	return round
+}
+
+func (c *Coordinator) count(round *claim.Round, a memberAnswer) {
+	if a.err != nil {
+		round.Failed(a.member)
+		return
+	}
+	if a.answer.Sealed {
+		c.signalView()
+	}
+	round.Answer(a.member, a.answer)
+}
+
+// signalView tells the Changer that the view was sealed.
+func (c *Coordinator) signalView() {
+	select {
+	case c.needView <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw gives up the grants of a lost round. If a message is lost, repeats of the key are undecided until the
+// key is too old, which is safe.
+func (c *Coordinator) withdraw(round *claim.Round) {
+	r := claim.WithdrawRequest{Key: round.Request().Key, Attempt: round.Request().Attempt}
+	c.broadcast(func(ctx context.Context, member string) error { return c.peers.Withdraw(ctx, member, r) })
+}
+
+// Finish states how the attempt that won a key has ended.
+func (c *Coordinator) Finish(entry claim.Entry) {
+	entry.State = claim.StateFinished
+	c.broadcast(func(ctx context.Context, member string) error {
+		return c.peers.Finish(ctx, member, claim.FinishRequest{Entry: entry})
+	})
+}
+
+// broadcast sends a message to all members of the view, without waiting for the answers.
+func (c *Coordinator) broadcast(send func(ctx context.Context, member string) error) {
+	for _, member := range c.voter.View().Members {
+		c.background.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			_ = send(ctx, member)
+		})
+	}
+}
+
+// pause waits for about d, or returns false when ctx is done.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/gateway/claims/voter.go
@@ -0,0 +1,126 @@
+// Package claims runs the at-most-once claims of core/claim among the daemons of one zone.
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"waxwingslip.example/core/claim"
+)
+
+// Peers asks the voter of another daemon of the zone. An error means that the answer is not known; the request may
+// have taken effect.
+type Peers interface {
+	Grant(ctx context.Context, member string, r claim.GrantRequest) (claim.GrantAnswer, error)
+	Withdraw(ctx context.Context, member string, r claim.WithdrawRequest) error
+	Finish(ctx context.Context, member string, r claim.FinishRequest) error
+	Lookup(ctx context.Context, member string, r claim.LookupRequest) (claim.LookupAnswer, error)
+	Seal(ctx context.Context, member string, r claim.SealRequest) (claim.SealAnswer, error)
+	Install(ctx context.Context, member string, r claim.InstallRequest) (claim.InstallAnswer, error)
+}
+
+// Clock reads both clocks of the process.
+type Clock func() claim.Now
+
+// SystemClock returns a Clock whose monotonic time counts from now.
+func SystemClock() Clock {
+	start := time.Now()
+	return func() claim.Now {
+		return claim.Now{Monotonic: time.Since(start), UnixMs: time.Now().UnixMilli()}
+	}
+}
+
+// Voter is this daemon's own claim table. It answers the requests that peers send. It is safe for concurrent use.
+type Voter struct {
+	member string
+	clock  Clock
+	mu     sync.Mutex
+	table  *claim.Table // guarded by mu
+}
+
+// NewVoter returns the voter of a member, which must be a new one for each start of the process.
+func NewVoter(member string, limits claim.Limits, clock Clock) *Voter {
+	return &Voter{member: member, clock: clock, table: claim.NewTable(member, limits)}
+}
+
+// Member returns the voter's member id.
+func (v *Voter) Member() string { return v.member }
+
+// ReadView states a view that was read from the zone's log.
+func (v *Voter) ReadView(view claim.View) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.ReadView(view)
+}
+
+// View returns the newest view that was read.
+func (v *Voter) View() claim.View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.View()
+}
+
+// ConfirmHeartbeat states that a heartbeat of this member was read back from the log. sent is the clock's monotonic
+// time before it was appended.
+func (v *Voter) ConfirmHeartbeat(sent time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.ConfirmHeartbeat(sent)
+}
+
+// Stop ends all granting. It is called before the member's Leave is appended.
+func (v *Voter) Stop() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.Stop()
+}
+
+// Size returns the number of claims and their estimated memory in bytes.
+func (v *Voter) Size() (count int, bytes int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Len(), v.table.Bytes()
+}
+
+// Grant answers a claimant.
+func (v *Voter) Grant(r claim.GrantRequest) claim.GrantAnswer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Grant(v.clock(), r)
+}
+
+// Withdraw removes the grant of an attempt.
+func (v *Voter) Withdraw(r claim.WithdrawRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.Withdraw(v.clock(), r)
+}
+
+// Finish records the end of the attempt that won a key.
+func (v *Voter) Finish(r claim.FinishRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.Finish(v.clock(), r)
+}
+
+// Lookup returns what is known about a key.
+func (v *Voter) Lookup(r claim.LookupRequest) claim.LookupAnswer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Lookup(r)
+}
+
+// Seal stops granting in a view and hands over claims.
+func (v *Voter) Seal(r claim.SealRequest) claim.SealAnswer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Seal(v.clock(), r)
+}
+
+// Install adds claims for a proposed view.
+func (v *Voter) Install(r claim.InstallRequest) claim.InstallAnswer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Install(v.clock(), r)
+}
--- /dev/null
+++ b/node/gateway/forward.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"waxwingslip.example/core/routing"
+)
+
+// errLinkBudget says that the byte budget of the link between regions is used up. Nothing was sent.
+var errLinkBudget = errors.New("the byte budget of the link between regions is used up")
+
+// headerWaitUs tells a peer daemon how long this one held the request, in microseconds.
+const headerWaitUs = "Waxwingslip-Wait-Us"
+
+// forward sends the call to a peer daemon of another zone.
+func (g *Gateway) forward(ctx context.Context, c *call, choice routing.Choice, purpose Purpose) (*answer, error) {
+	overLink := choice.Distance == routing.DistanceLink
+	if overLink && !g.takeLink(int64(headerBytes(c.header))+max(0, c.contentLength)) {
+		g.metrics.add(metricLinkDenied, 1)
+		return nil, errLinkBudget
+	}
+	ctx, span := g.opts.Tracer.Start(ctx, "forward to zone", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("zone", choice.Zone)))
+	defer span.End()
+	body, err := c.body.open()
+	if err != nil {
+		return nil, &NotSentError{Step: "forward", Peer: choice.Zone, Err: err}
+	}
+	if overLink && c.contentLength < 0 {
+		body = &meteredBody{body, g}
+	}
+	header := c.header.Clone()
+	g.client.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+	started := time.Now()
+	c.stats.attempts++
+	g.metrics.add(metricForwarded, 1)
+	fa, err := g.opts.Forwarder.Forward(ctx, choice.Zone, &ForwardRequest{Purpose: purpose, Service: c.service.Name,
+		Method: c.method, Path: c.path, Header: header, Body: body, ContentLength: c.contentLength,
+		Timeout: c.left(started), WholeAnswer: c.wholeAnswer})
+	if err != nil {
+		_ = body.Close()
+		c.noteSent(err)
+		return nil, err
+	}
+	a := fromPeer(fa, choice.Zone, time.Since(started))
+	if overLink {
+		g.chargeLink(int64(headerBytes(a.header)))
+		a.body = &meteredBody{a.body, g}
+	}
+	if a.outcome == OutcomeUnknown && purpose == PurposeRoute && c.idempotent {
+		discard(a)
+		c.stats.sent = true
+		return nil, &SentError{Step: "forward", Peer: choice.Zone, Err: errors.Errorf("status %d", a.status)}
+	}
+	if a.outcome == OutcomeNotRun && purpose == PurposeRoute {
+		// The peer proved that nothing was sent, so another zone may be tried.
+		discard(a)
+		return nil, &NotSentError{Step: "forward", Peer: choice.Zone, Err: errors.Errorf("status %d", a.status)}
+	}
+	return a, nil
+}
+
+// fromPeer turns a peer's answer into ours. An answer without a valid outcome counts as unknown.
+func fromPeer(fa *ForwardAnswer, zone string, total time.Duration) *answer {
+	a := &answer{status: fa.Status, header: endToEnd(fa.Header), body: fa.Body, contentLength: -1, trailer: fa.Trailer,
+		outcome: Outcome(fa.Header.Get(HeaderOutcome)), zone: zone}
+	if a.body == nil {
+		a.body = http.NoBody
+	}
+	if n, err := strconv.ParseInt(fa.Header.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
+		a.contentLength = n
+	}
+	switch a.outcome {
+	case OutcomeAnswered, OutcomeNotRun, OutcomeUnknown:
+	default:
+		a.outcome = OutcomeUnknown
+	}
+	waitUs, _ := strconv.ParseInt(a.header.Get(headerWaitUs), 10, 64)
+	wait := min(max(0, time.Duration(waitUs)*time.Microsecond), total)
+	own, reported := parseEndpointTime(a.header)
+	own = min(own, total-wait)
+	a.split, a.reported = Split{Network: total - wait - own, Endpoint: own}, reported
+	a.header.Del(headerWaitUs)
+	a.header.Del(HeaderOutcome)
+	return a
+}
+
+// ServeForward handles a request that a peer daemon forwarded. The answer's body must be closed. The body of req is
+// not read after the answer's body was closed.
+func (g *Gateway) ServeForward(ctx context.Context, req *ForwardRequest) *ForwardAnswer {
+	c, refused := g.parseForward(req)
+	if refused == nil && !g.enter() {
+		refused = failure(http.StatusServiceUnavailable, forwardRefusal(req), "daemon is shutting down")
+	}
+	if refused != nil {
+		return g.toPeer(refused, func() {})
+	}
+	g.metrics.add(metricAccepted, 1)
+	g.metrics.add(metricInFlight, 1)
+	ctx = g.client.propagator.Extract(ctx, propagation.HeaderCarrier(c.header))
+	ctx, span := g.opts.Tracer.Start(ctx, "forwarded request", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, stopDeadline, cancel := c.begin(ctx)
+	a := g.handle(ctx, c, req.Purpose == PurposeClaim)
+	if !c.wholeAnswer {
+		stopDeadline()
+	}
+	g.observe(c, a)
+	return g.toPeer(a, func() {
+		cancel()
+		span.End()
+		g.metrics.add(metricInFlight, -1)
+		g.background.Done()
+	})
+}
+
+// toPeer makes the answer for a peer; done is called when its body is closed.
+func (g *Gateway) toPeer(a *answer, done func()) *ForwardAnswer {
+	h := a.header
+	h.Set(HeaderOutcome, string(a.outcome))
+	h.Set(headerWaitUs, strconv.FormatInt(a.split.Wait.Microseconds(), 10))
+	if a.outcome == OutcomeAnswered && !a.reported {
+		h.Set(HeaderEndpointUs, strconv.FormatInt(a.split.Endpoint.Microseconds(), 10))
+	}
+	if a.contentLength >= 0 && h.Get("Content-Length") == "" {
+		h.Set("Content-Length", strconv.FormatInt(a.contentLength, 10))
+	}
+	g.metrics.add(metricOutcome+string(a.outcome), 1)
+	return &ForwardAnswer{Status: a.status, Header: h, Trailer: a.trailer,
+		Body: &closeFunc{ReadCloser: a.body, after: done}}
+}
+
+// enter counts a forwarded request in flight; false after the drain has ended.
+func (g *Gateway) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.background.Add(1)
+	return true
+}
+
+// forwardRefusal is the outcome of a forwarded request that is refused unseen: with a key to claim, only the claims
+// would say whether an earlier attempt has run.
+func forwardRefusal(req *ForwardRequest) Outcome {
+	if req.Purpose == PurposeClaim {
+		return OutcomeUnknown
+	}
+	return OutcomeNotRun
+}
+
+// parseForward checks a forwarded request.
+func (g *Gateway) parseForward(req *ForwardRequest) (*call, *answer) {
+	refuse := func(status int, message string) (*call, *answer) {
+		g.metrics.add(metricRefused, 1)
+		return nil, failure(status, forwardRefusal(req), message)
+	}
+	if headerBytes(req.Header) > 2*MaxHeaderBytes {
+		return refuse(http.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+	}
+	service, ok := g.opts.Catalog.Service(req.Service)
+	if !ok {
+		return refuse(http.StatusNotFound, "unknown service "+req.Service)
+	}
+	c := &call{service: service, method: req.Method, path: req.Path, header: endToEnd(req.Header),
+		contentLength: req.ContentLength, key: req.Header.Get(HeaderKey), mayForward: req.Purpose == PurposeClaim,
+		forwarded: true, arrived: time.Now(), wholeAnswer: req.WholeAnswer}
+	c.idempotent = isIdempotent(service, req.Method, req.Path)
+	if req.Timeout > 0 {
+		c.deadline = c.arrived.Add(req.Timeout)
+	}
+	var err error
+	if c.body, err = newBody(req.Body, req.ContentLength); err != nil {
+		return refuse(http.StatusBadRequest, err.Error())
+	}
+	return c, nil
+}
+
+// meteredBody charges the link's byte budget for what is read.
+type meteredBody struct {
+	io.ReadCloser
+	g *Gateway
+}
+
+// Read implements io.Reader.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.g.chargeLink(int64(n))
+	return n, err
+}
+
+// takeLink takes the bytes of a request from the link's budget.
+func (g *Gateway) takeLink(n int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rate := g.opts.Catalog.LinkRate()
+	if rate <= 0 {
+		return false
+	}
+	now := g.now()
+	// One second's worth: a request that is larger is allowed when nothing else was sent in the last second.
+	g.link.SetRate(rate, rate, now)
+	if !g.link.Take(now, min(float64(n), rate)) {
+		return false
+	}
+	g.link.Charge(now, max(0, float64(n)-rate))
+	return true
+}
+
+// chargeLink takes bytes that were carried already.
+func (g *Gateway) chargeLink(n int64) {
+	if n <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link.Charge(g.now(), float64(n))
+}
--- /dev/null
+++ b/node/gateway/route.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"waxwingslip.example/core/routing"
+)
+
+// maxUnsentRetries bounds the attempts that fail without a byte sent, for instance because the connection was
+// refused. They cost the endpoints nothing and are not taken from the retry budget.
+const maxUnsentRetries = 3
+
+// errBudget says that the retry budget forbids another attempt.
+var errBudget = errors.New("the retry budget is used up")
+
+// route sends the call to an endpoint of this zone, or to another zone.
+func (g *Gateway) route(ctx context.Context, c *call) *answer {
+	b := g.backend(c.service.Name)
+	b.earn()
+	var last error = errNoEndpoint
+	for _, choice := range g.zones(c) {
+		a, err := g.routeTo(ctx, c, b, choice)
+		if err == nil {
+			return g.accounted(c, a)
+		}
+		if !errors.Is(err, errNoEndpoint) || errors.Is(last, errNoEndpoint) {
+			last = err
+		}
+		if ctx.Err() != nil || !g.mayTryNext(c, b, err) {
+			break
+		}
+	}
+	return g.failed(ctx, c, last)
+}
+
+// mayTryNext reports whether the call may go to another zone after err. Attempts that sent something are repeated
+// at the cost of the retry budget.
+func (g *Gateway) mayTryNext(c *call, b *backend, err error) bool {
+	if !routing.MayRepeat(c.idempotent, c.stats.sent, c.body.reusable()) {
+		return false
+	}
+	return notSent(err) || isUnsentReason(err) || b.spend(b.retries)
+}
+
+// isUnsentReason reports whether err arose before an endpoint was chosen.
+func isUnsentReason(err error) bool {
+	return errors.Is(err, errNoEndpoint) || errors.Is(err, errQueueFull) || errors.Is(err, errTooLate) ||
+		errors.Is(err, errLinkBudget)
+}
+
+// zones returns the zones to try, the nearest first.
+func (g *Gateway) zones(c *call) []routing.Choice {
+	if !c.mayForward || g.opts.Forwarder == nil {
+		return []routing.Choice{{Zone: g.opts.Zone}}
+	}
+	var zones []routing.Zone
+	for _, z := range g.opts.Catalog.Zones() {
+		if z.Name == g.opts.Zone || !z.OutOfService && c.service.inZone(z.Name) {
+			zones = append(zones, routing.Zone{Name: z.Name, Region: z.Region})
+		}
+	}
+	order := routing.Order(g.opts.Zone, zones, int(g.turn.Add(1)&0xffff))
+	if len(order) == 0 || order[0].Distance != routing.DistanceLocal {
+		order = append([]routing.Choice{{Zone: g.opts.Zone}}, order...)
+	}
+	return order
+}
+
+// inZone reports whether the service has replicas in a zone; a service that lists no zones may be in any.
+func (s Service) inZone(zone string) bool {
+	for _, z := range s.Zones {
+		if z == zone {
+			return true
+		}
+	}
+	return len(s.Zones) == 0
+}
+
+func (g *Gateway) routeTo(ctx context.Context, c *call, b *backend, choice routing.Choice) (*answer, error) {
+	if choice.Distance == routing.DistanceLocal {
+		return g.routeLocal(ctx, c, b)
+	}
+	return g.forward(ctx, c, choice, PurposeRoute)
+}
+
+// routeLocal sends the call to an endpoint of this zone, and to others if that fails and may be repeated.
+func (g *Gateway) routeLocal(ctx context.Context, c *call, b *backend) (*answer, error) {
+	deadline := time.Duration(0)
+	if !c.deadline.IsZero() {
+		deadline = c.deadline.Sub(g.started)
+	}
+	l, err := b.acquire(ctx, deadline)
+	if err != nil {
+		if errors.Is(err, errQueueFull) || errors.Is(err, errTooLate) {
+			g.metrics.add(metricShed, 1)
+		}
+		return nil, err
+	}
+	var avoid []routing.Ref
+	for unsent := 0; ; {
+		a, used, err := g.tryHedged(ctx, c, l)
+		avoid = append(avoid, used...)
+		retryAnswer := err == nil && isGatewayError(a.status) && c.idempotent
+		if err == nil && !retryAnswer {
+			return a, nil
+		}
+		if notSent(err) {
+			unsent++
+		}
+		next, nextErr := g.nextEndpoint(ctx, c, b, avoid, notSent(err), unsent)
+		if nextErr != nil {
+			return a, err // the endpoint's own error answer, if there is one
+		}
+		if a != nil {
+			c.stats.sent = true
+			discard(a)
+		}
+		g.metrics.add(metricRetried, 1)
+		l = next
+	}
+}
+
+// nextEndpoint returns an endpoint for another attempt, or the reason why there is none.
+func (g *Gateway) nextEndpoint(ctx context.Context, c *call, b *backend, avoid []routing.Ref, free bool,
+	unsent int) (*lease, error) {
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	if !routing.MayRepeat(c.idempotent, c.stats.sent, c.body.reusable()) || unsent > maxUnsentRetries {
+		return nil, errors.New("the request may not be repeated")
+	}
+	l := b.another(avoid)
+	if l == nil {
+		return nil, errNoEndpoint
+	}
+	if !free && !b.spend(b.retries) {
+		l.release()
+		return nil, errBudget
+	}
+	return l, nil
+}
+
+// accounted completes the split: what was neither network nor endpoint was spent in this daemon.
+func (g *Gateway) accounted(c *call, a *answer) *answer {
+	a.split.Wait = max(0, time.Since(c.arrived)-a.split.Network-a.split.Endpoint)
+	return a
+}
+
+// failed turns the last error into the caller's answer.
+func (g *Gateway) failed(ctx context.Context, c *call, err error) *answer {
+	outcome := OutcomeNotRun
+	if c.stats.sent {
+		outcome = OutcomeUnknown
+	}
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(context.Cause(ctx), errDeadline), errors.Is(err, errDeadline):
+		status = http.StatusGatewayTimeout
+	case c.stats.sent:
+		status = http.StatusBadGateway
+	}
+	a := failure(status, outcome, "service "+c.service.Name+": "+err.Error())
+	if status == http.StatusServiceUnavailable {
+		a.header.Set("Retry-After", "1")
+	}
+	return g.accounted(c, a)
+}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -9,25 +9,58 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // serveCaller handles one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	// Lets an endpoint answer while the caller still sends.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	c, refused := g.parse(r)
+	c, refused := g.parse(w, r)
 	if refused != nil {
-		writeAnswer(w, r.Method, refused)
+		g.metrics.add(metricRefused, 1)
+		g.write(w, r.Method, refused)
 		return
 	}
-	ctx, stopDeadline, cancel := c.begin(r.Context())
+	g.metrics.add(metricAccepted, 1)
+	g.metrics.add(metricInFlight, 1)
+	defer g.metrics.add(metricInFlight, -1)
+	ctx := g.client.propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := g.opts.Tracer.Start(ctx, "caller request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("service", c.service.Name)))
+	defer span.End()
+	ctx, stopDeadline, cancel := c.begin(ctx)
 	defer cancel()
-	a := g.route(ctx, c)
+	a := g.handle(ctx, c, true)
 	if !c.wholeAnswer {
 		stopDeadline()
 	}
+	span.SetAttributes(attribute.String("outcome", string(a.outcome)), attribute.Int("status", a.status))
 	g.observe(c, a)
-	writeAnswer(w, r.Method, a)
+	g.write(w, r.Method, a)
+}
+
+// handle claims the call's key if it needs to be claimed, and routes the call.
+func (g *Gateway) handle(ctx context.Context, c *call, mayClaim bool) *answer {
+	if c.key == "" || c.idempotent || !mayClaim {
+		return g.route(ctx, c)
+	}
+	return g.handleKeyed(ctx, c)
+}
+
+// write sends the answer to the caller and counts its outcome. During a shutdown the caller is asked to use another
+// connection.
+func (g *Gateway) write(w http.ResponseWriter, method string, a *answer) {
+	g.metrics.add(metricOutcome+string(a.outcome), 1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := writeAnswer(w, method, a); err != nil {
+		g.metrics.add(metricBroken, 1)
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // observe hands the finished routing of a call to the observer.
@@ -35,13 +68,12 @@
 	if g.opts.Observer == nil {
 		return
 	}
-	s := c.stats
-	g.opts.Observer.Observe(Observation{Service: c.service.Name, Endpoint: s.endpoint, Zone: s.zone, Status: a.status,
-		Outcome: a.outcome, Split: s.split, Reported: s.reported, Attempts: s.attempts, Hedged: s.hedged})
+	g.opts.Observer.Observe(Observation{Service: c.service.Name, Endpoint: a.endpoint, Zone: a.zone, Status: a.status,
+		Outcome: a.outcome, Split: a.split, Reported: a.reported, Attempts: c.stats.attempts, Hedged: c.stats.hedged})
 }
 
 // parse checks a caller's request and returns either a call or the refusal.
-func (g *Gateway) parse(r *http.Request) (*call, *answer) {
+func (g *Gateway) parse(w http.ResponseWriter, r *http.Request) (*call, *answer) {
 	outcome := refusalOutcome(r)
 	bad := func(err error) (*call, *answer) {
 		return nil, failure(http.StatusBadRequest, outcome, err.Error())
@@ -76,15 +108,42 @@
 	if !stated {
 		timeout = service.Timeout
 	}
+	if !g.allow(c.caller) {
+		a := failure(http.StatusTooManyRequests, outcome, "caller "+c.caller+" is over its request rate")
+		a.header.Set("Retry-After", "1")
+		return nil, a
+	}
 	if timeout > 0 {
 		c.deadline = c.arrived.Add(timeout)
 	}
+	// A caller that stops to send must not hold a request beyond its deadline.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.bodyDeadline())
 	if c.body, err = newBody(r.Body, r.ContentLength); err != nil {
 		return bad(err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return c, nil
 }
 
+// maxBodyTime limits the reading of a small request body if the request has no deadline.
+const maxBodyTime = 30 * time.Second
+
+func (c *call) bodyDeadline() time.Time {
+	if c.deadline.IsZero() {
+		return c.arrived.Add(maxBodyTime)
+	}
+	return c.deadline
+}
+
+// allow counts a request against its caller's rate.
+func (g *Gateway) allow(caller string) bool {
+	rate := g.opts.Catalog.CallerRate()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.callers.Allow(g.now(), caller, rate)
+}
+
 // refusalOutcome is the outcome of a request that is refused before its key was claimed: an earlier attempt with
 // the same key may have run.
 func refusalOutcome(r *http.Request) Outcome {
@@ -117,24 +176,3 @@
 	timer := time.AfterFunc(time.Until(c.deadline), func() { cancelCause(errDeadline) })
 	return ctx, func() { timer.Stop() }, func() { timer.Stop(); cancelCause(nil) }
 }
-
-// route sends the call to the first endpoint that is not leaving.
-func (g *Gateway) route(ctx context.Context, c *call) *answer {
-	for _, e := range g.opts.Endpoints.Endpoints(c.service.Name) {
-		if e.Leaving {
-			continue
-		}
-		a, times, err := g.client.do(ctx, c, e.Address)
-		c.stats.attempts++
-		if err == nil {
-			endpointTime, reported := parseEndpointTime(a.header)
-			c.stats.endpoint, c.stats.zone, c.stats.reported = e, g.opts.Zone, reported
-			c.stats.split = times.split(endpointTime, reported, 0)
-			return a
-		}
-		if !notSent(err) {
-			return failure(http.StatusBadGateway, OutcomeUnknown, err.Error())
-		}
-	}
-	return failure(http.StatusServiceUnavailable, OutcomeNotRun, "no endpoint of "+c.service.Name)
-}
--- /dev/null
+++ b/node/gateway/try.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"waxwingslip.example/core/routing"
+)
+
+// try sends the call to the endpoint of a lease. The lease ends with the answer's body, or with the error.
+func (g *Gateway) try(ctx context.Context, c *call, l *lease) (*answer, error) {
+	started := time.Now()
+	a, times, err := g.client.do(ctx, c, l.endpoint.Address)
+	latency := time.Since(started)
+	if err != nil {
+		l.observe(latency, resultOf(ctx, c, latency))
+		l.release()
+		return nil, err
+	}
+	if a.header.Get(HeaderLeaving) == "1" || a.status == http.StatusServiceUnavailable && a.closing {
+		a.leaving = true
+		l.leaving()
+		g.metrics.add(metricLeaving, 1)
+	}
+	a.header.Del(HeaderLeaving)
+	result := routing.ResultOK
+	if isGatewayError(a.status) && !a.leaving {
+		result = routing.ResultFailed
+	}
+	l.observe(latency, result)
+	connect := time.Duration(0)
+	if times.newConn && !times.dialed.IsZero() {
+		connect = times.connected.Sub(times.dialed)
+	}
+	own, reported := parseEndpointTime(a.header)
+	a.split = times.split(own, reported, l.roundTrip(connect))
+	a.endpoint, a.zone, a.reported = l.endpoint.Endpoint, g.opts.Zone, reported
+	a.body = &leasedBody{ReadCloser: a.body, lease: l}
+	return a, nil
+}
+
+// isGatewayError reports whether a status says that the endpoint could not serve, whatever the request was.
+func isGatewayError(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable ||
+		status == http.StatusGatewayTimeout
+}
+
+// minTimeout is the least duration for which a missed deadline counts as the endpoint's failure; otherwise a
+// caller with very short deadlines could have endpoints ejected.
+const minTimeout = 100 * time.Millisecond
+
+// resultOf tells an endpoint's failure from one of the caller, and from a cancellation by the winner of a hedge.
+func resultOf(ctx context.Context, c *call, latency time.Duration) routing.Result {
+	switch {
+	case c.body.sourceFailed():
+		return routing.ResultCancelled
+	case ctx.Err() != nil && !(errors.Is(context.Cause(ctx), errDeadline) && latency >= minTimeout):
+		return routing.ResultCancelled
+	}
+	return routing.ResultFailed
+}
+
+// leasedBody ends the lease with the body, and counts a broken answer as a failure.
+type leasedBody struct {
+	io.ReadCloser
+	lease *lease
+}
+
+// Read implements io.Reader.
+func (b *leasedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF && !errors.Is(err, context.Canceled) {
+		b.lease.observe(0, routing.ResultFailed)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *leasedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.lease.release()
+	return err
+}
--- a/node/gateway/write.go
+++ b/node/gateway/write.go
@@ -11,9 +11,9 @@
 // copyBuffers holds the buffers of streamed answers.
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
-// writeAnswer sends an answer to the caller and closes its body. An answer that breaks is never completed: the
-// caller's connection is aborted by the panic that net/http defines for it.
-func writeAnswer(w http.ResponseWriter, method string, a *answer) {
+// writeAnswer sends an answer to the caller and closes its body. After an error the handler must abort the
+// connection, so that the caller does not take the answer for a whole one.
+func writeAnswer(w http.ResponseWriter, method string, a *answer) error {
 	defer discard(a)
 	h := w.Header()
 	for name, values := range a.header {
@@ -25,11 +25,12 @@
 	}
 	w.WriteHeader(a.status)
 	if err := copyBody(w, a); err != nil {
-		panic(http.ErrAbortHandler)
+		return err
 	}
 	if method != http.MethodHead {
 		writeTrailer(h, a)
 	}
+	return nil
 }
 
 // copyBody streams the body. Answers of unknown length are flushed after each read, because a watcher waits for
