--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -1,48 +1,163 @@
 package gateway
 
 import (
+	"context"
+	"crypto/sha256"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-type fixedEndpoints []Endpoint
-
-func (f fixedEndpoints) Endpoints(string) []Endpoint { return f }
-func (f fixedEndpoints) Changed() <-chan struct{}    { return nil }
+// Guards against an answer cut short by the endpoint that reaches the caller as a complete one, for answers
+// without a stated length.
+func TestTruncatedStreamIsBroken(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
+		panic(http.ErrAbortHandler)
+	})
+	c := newCluster(t)
+	near := c.addZone("a", 1, catalog{}, newSource(e.address()))[0]
+	far := c.addZone("b", 1, catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}, newSource())[0]
+	for _, d := range []*daemon{near, far} {
+		r := ask(d, "GET", "/", "", "")
+		is.Equal(r.outcome, "answered")
+		is.True(r.err != nil)
+	}
+}
 
-type fixedCatalog struct {
-	service Service
-	zones   []Zone
+// Guards against bodies that are cut, changed or held back, and against lost trailers and leaked hop-by-hop fields,
+// directly and over another zone.
+func TestLargeStreams(t *testing.T) {
+	const size = 8 << 20
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Trailer", "X-Sum")
+		w.Header().Set("X-Hop", fmt.Sprint(r.Header["X-Hop"], r.Header["Proxy-Authorization"]))
+		sum := sha256.New()
+		_, _ = io.Copy(io.MultiWriter(w, sum), r.Body)
+		w.Header().Set("X-Sum", fmt.Sprintf("%x", sum.Sum(nil)))
+		w.Header().Set(http.TrailerPrefix+"X-Late", r.Trailer.Get("X-Request-Trailer"))
+	})
+	c := newCluster(t)
+	near := c.addZone("a", 1, catalog{}, newSource(e.address()))[0]
+	far := c.addZone("b", 1, catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}, newSource())[0]
+	for i, d := range []*daemon{near, far} {
+		is := is.New(t)
+		sum := sha256.New()
+		body := io.TeeReader(io.LimitReader(zeroes{}, size), sum)
+		req, err := http.NewRequest("POST", d.front.URL+"/services/s/echo?q=1", body)
+		is.NoErr(err)
+		req.Trailer = http.Header{"X-Request-Trailer": {"t"}}
+		req.Header.Set("Connection", "X-Hop")
+		req.Header.Set("X-Hop", "1")
+		req.Header.Set("Proxy-Authorization", "secret")
+		resp, err := testClient.Do(req)
+		is.NoErr(err)
+		got := sha256.New()
+		n, err := io.Copy(got, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(n, int64(size))
+		is.Equal(got.Sum(nil), sum.Sum(nil))
+		is.Equal(resp.Trailer.Get("X-Sum"), fmt.Sprintf("%x", sum.Sum(nil)))
+		is.Equal(resp.Header.Get("X-Hop"), "[] []")
+		if i == 0 { // trailers of requests are not forwarded between zones
+			is.Equal(resp.Trailer.Get("X-Late"), "t")
+		}
+	}
 }
 
-func (f fixedCatalog) Service(name string) (Service, bool) { return f.service, name == f.service.Name }
-func (f fixedCatalog) Zones() []Zone                       { return f.zones }
-func (f fixedCatalog) CallerRate() float64                 { return 0 }
-func (f fixedCatalog) LinkRate() float64                   { return 0 }
+type zeroes struct{}
 
-// Guards against an answer cut short by the endpoint that reaches the caller as a complete one.
-func TestTruncatedAnswerIsBroken(t *testing.T) {
+func (zeroes) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against a watcher that sees nothing until its stream ends.
+func TestStreamIsFlushed(t *testing.T) {
 	is := is.New(t)
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain")
-		_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
-		panic(http.ErrAbortHandler)
-	}))
-	defer endpoint.Close()
-	g, err := New(Options{Zone: "a", Endpoints: fixedEndpoints{{Address: endpoint.Listener.Addr().String()}},
-		Catalog: fixedCatalog{service: Service{Name: "s"}}})
-	is.NoErr(err)
-	front := httptest.NewServer(g.Handler())
-	defer front.Close()
-	resp, err := http.Get(front.URL + "/services/s/x")
+	gate := make(chan struct{})
+	e := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first")
+		w.(http.Flusher).Flush()
+		<-gate
+	})
+	d := newCluster(t).addZone("a", 1, catalog{}, newSource(e.address()))[0]
+	resp, err := testClient.Get(d.front.URL + "/services/s/watch")
 	is.NoErr(err)
 	defer resp.Body.Close()
-	is.Equal(resp.Header.Get(HeaderOutcome), "answered")
+	part := make([]byte, 5)
+	_, err = io.ReadFull(resp.Body, part)
+	is.NoErr(err)
+	is.Equal(string(part), "first")
+	close(gate)
 	_, err = io.ReadAll(resp.Body)
-	is.True(err != nil)
+	is.NoErr(err)
+}
+
+// Guards against a shutdown that cuts off a request in flight, or that accepts callers for ever.
+func TestShutdownDrains(t *testing.T) {
+	is := is.New(t)
+	arrived, gate := make(chan struct{}), make(chan struct{})
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-gate
+		serveOK(w, r)
+	})
+	g, err := New(Options{Zone: "a", Endpoints: newSource(e.address()), Catalog: catalog{}})
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(l) }()
+	answered := make(chan string, 1)
+	go func() {
+		resp, err := testClient.Get("http://" + l.Addr().String() + "/services/s/x")
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		answered <- fmt.Sprint(string(text), err)
+	}()
+	<-arrived
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- g.Shutdown(ctx) }()
+	is.NoErr(<-served) // the listener is closed while the request is still in flight
+	is.True(!g.Ready())
+	close(gate)
+	is.Equal(<-answered, "done<nil>")
+	is.NoErr(<-done)
+}
+
+// Guards against times that are attributed to the wrong part.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderEndpointUs, "150")
+		serveOK(w, r)
+	})
+	c := newCluster(t)
+	near := c.addZone("a", 1, catalog{}, newSource(e.address()))[0]
+	far := c.addZone("b", 1, catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}, newSource())[0]
+	for _, d := range []*daemon{near, far} {
+		started := time.Now()
+		is.Equal(ask(d, "POST", "/", "", "").outcome, "answered")
+		total := time.Since(started)
+		o := <-d.seen
+		is.True(o.Reported)
+		is.Equal(o.Zone, "a")
+		is.True(o.Split.Endpoint > 0 && o.Split.Endpoint <= 150*time.Microsecond)
+		is.True(o.Split.Network > 0 && o.Split.Wait >= 0)
+		is.True(o.Split.Wait+o.Split.Network+o.Split.Endpoint <= total)
+		is.Equal(o.Attempts, 1)
+	}
 }
--- /dev/null
+++ b/node/gateway/keyed_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"waxwingslip.example/core/claim"
+)
+
+// Guards against a request that runs twice because its caller repeats it through two daemons of two zones at a time.
+func TestDoubledRequestsRunOnce(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, r.Header.Get(HeaderKey))
+	})
+	c := newCluster(t)
+	cat := catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}
+	src := newSource(e.address())
+	all := append(c.addZone("a", 3, cat, src), c.addZone("b", 2, cat, src)...)
+	const keys = 20
+	replies := make(chan reply, keys*len(all))
+	for range keys {
+		key := newKey()
+		for _, d := range all {
+			go func() {
+				r := ask(d, "POST", "/charge", key, "amount")
+				if r.body != key {
+					r.err = fmt.Errorf("status %d, %s: body %q, want %q", r.status, r.outcome, r.body, key)
+				}
+				replies <- r
+			}()
+		}
+	}
+	for range keys * len(all) {
+		r := <-replies
+		is.NoErr(r.err)
+		is.Equal(r.status, http.StatusCreated)
+		is.Equal(r.outcome, "answered")
+	}
+	is.Equal(len(e.byKey), keys)
+	is.Equal(e.runs.Load(), int64(keys))
+}
+
+// Guards against a second execution after the daemon that claimed the key has died, and against not-run for a
+// request that it may have sent.
+func TestDaemonDiesAfterClaim(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, serveOK)
+	all := newCluster(t).addZone("a", 3, catalog{}, newSource(e.address()))
+	key := newKey()
+	_, parsed, err := claim.ParseKey(key)
+	is.NoErr(err)
+	result := all[0].coord.Claim(context.Background(), parsed)
+	is.NoErr(result.Reason)
+	all[0].coord.Wait()
+	all[0].dead.Store(true)
+	for _, d := range all[1:] {
+		r := ask(d, "POST", "/", key, "", HeaderTimeout, "200")
+		is.Equal(r.outcome, "unknown")
+	}
+	is.Equal(ask(all[1], "POST", "/", newKey(), "").outcome, "answered") // two of three are a majority
+	is.Equal(e.runs.Load(), int64(1))
+}
+
+// Guards against not-run that a later or delayed attempt with the same key proves wrong.
+func TestNotRunIsFinal(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, serveOK)
+	src := newSource()
+	all := newCluster(t).addZone("a", 3, catalog{}, src)
+	key := newKey()
+	is.Equal(ask(all[0], "POST", "/", key, "").outcome, "not-run")
+	src.set(e.address())
+	is.Equal(ask(all[1], "POST", "/", key, "").outcome, "not-run")
+	is.Equal(e.runs.Load(), int64(0))
+	is.Equal(ask(all[1], "POST", "/", newKey(), "").outcome, "answered")
+}
+
+// Guards against not-run without a majority, and against old keys and future keys that run.
+func TestUndecidedKeys(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, serveOK)
+	all := newCluster(t).addZone("a", 3, catalog{}, newSource(e.address()))
+	at := func(offsetMs int64) string {
+		id := uuid.Must(uuid.NewV7())
+		_, k, _ := claim.ParseKey(id.String())
+		ms := k.UnixMs() + offsetMs
+		for i := range 6 {
+			id[5-i] = byte(ms >> (8 * i))
+		}
+		return id.String()
+	}
+	is.Equal(ask(all[0], "POST", "/", at(-601_000), "").outcome, "unknown")
+	is.Equal(ask(all[0], "POST", "/", at(30_000), "").outcome, "not-run")
+	is.Equal(ask(all[0], "POST", "/", at(300_000), "").outcome, "unknown")
+	is.Equal(ask(all[0], "POST", "/", "elsewhere/"+newKey(), "").outcome, "unknown")
+	all[1].dead.Store(true)
+	all[2].dead.Store(true)
+	is.Equal(ask(all[0], "POST", "/", newKey(), "", HeaderTimeout, "200").outcome, "unknown")
+	is.Equal(e.runs.Load(), int64(0))
+}
+
+// Guards against a repeat that gets another answer than the first attempt, or part of a large one as if it were
+// whole.
+func TestRepeatGetsTheSameAnswer(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Receipt", "r1")
+		w.WriteHeader(http.StatusCreated)
+		size := map[string]int{"/small": 100, "/large": claim.MaxAnswerBytes + 1}[r.URL.Path]
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})
+	all := newCluster(t).addZone("a", 2, catalog{}, newSource(e.address()))
+	for path, wantStatus := range map[string]int{"/small": http.StatusCreated, "/large": http.StatusConflict} {
+		key := newKey()
+		first := ask(all[0], "POST", path, key, "")
+		is.NoErr(first.err)
+		is.Equal(first.status, http.StatusCreated)
+		again := ask(all[1], "POST", path, key, "")
+		is.NoErr(again.err)
+		is.Equal(again.outcome, "answered")
+		is.Equal(again.status, wantStatus)
+		if wantStatus == http.StatusCreated {
+			is.Equal(again.body, first.body)
+			is.Equal(again.header.Get("X-Receipt"), "r1")
+		} else {
+			is.Equal(again.header.Get(HeaderStoredStatus), "201")
+		}
+	}
+	is.Equal(e.runs.Load(), int64(2))
+}
+
+// Guards against requests that cross the link beyond its budget, or to a zone that is out of service.
+func TestOtherZones(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, serveOK)
+	c := newCluster(t)
+	zones := func(out bool) []Zone { return []Zone{{"a", "Luzon", false}, {"b", "Visayas", out}} }
+	c.addZone("b", 1, catalog{zones: zones(false)}, newSource(e.address()))
+	inBudget := c.addZone("a", 1, catalog{zones: zones(false), link: 1000}, newSource())[0]
+	is.Equal(ask(inBudget, "POST", "/", "", strings.Repeat("x", 700)).outcome, "answered")
+	is.Equal(ask(inBudget, "POST", "/", "", strings.Repeat("x", 700)).outcome, "not-run")
+	out := c.addZone("a", 1, catalog{zones: zones(true), link: 1e6}, newSource())[0]
+	is.Equal(ask(out, "POST", "/", "", "").outcome, "not-run")
+	is.Equal(e.runs.Load(), int64(1))
+}
