Withdraw a lost grant only after its member has answered

A withdrawal that overtook its grant left the key held by an attempt that had ended, and racing attempts then waited for it until they gave up.

--- a/node/gateway/claims/coordinator.go
+++ b/node/gateway/claims/coordinator.go
@@ -93,7 +93,6 @@
 			}
 			return result
 		}
-		c.withdraw(round)
 		if result, decided := c.lost(ctx, round, key, started, block); decided {
 			return result
 		}
@@ -187,17 +186,23 @@
 }
 
 // runRound asks all members for a grant at once and returns when the round is decided. Calls that are still under
-// way end on their own; their answers are not counted.
+// way end on their own; their answers are not counted, and their grants are withdrawn if the round was lost.
 func (c *Coordinator) runRound(ctx context.Context, key claim.Key, block bool) *claim.Round {
 	view := c.voter.View()
 	round := claim.NewRound(view, key, c.newAttempt(), block)
 	answers := make(chan memberAnswer, len(view.Members))
+	decided := make(chan struct{})
+	defer close(decided)
 	for _, member := range view.Members {
 		c.background.Go(func() {
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			defer cancel()
 			a, err := c.peers.Grant(callCtx, member, round.Request())
+			cancel()
 			answers <- memberAnswer{member, a, err}
+			<-decided
+			if round.Decision() == claim.Lost && (err != nil || a.Verdict == claim.Granted) {
+				c.withdraw(member, round)
+			}
 		})
 	}
 	for round.Decision() == claim.Pending {
@@ -211,6 +216,15 @@
 	return round
 }
 
+// withdraw gives up a grant of a lost round. It follows the member's answer, because a grant that comes after its
+// withdrawal stays. If the message is lost, repeats of the key are undecided until it is too old, which is safe.
+func (c *Coordinator) withdraw(member string, round *claim.Round) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	r := claim.WithdrawRequest{Key: round.Request().Key, Attempt: round.Request().Attempt}
+	_ = c.peers.Withdraw(ctx, member, r)
+}
+
 func (c *Coordinator) count(round *claim.Round, a memberAnswer) {
 	if a.err != nil {
 		round.Failed(a.member)
@@ -230,13 +244,6 @@
 	}
 }
 
-// withdraw gives up the grants of a lost round. If a message is lost, repeats of the key are undecided until the
-// key is too old, which is safe.
-func (c *Coordinator) withdraw(round *claim.Round) {
-	r := claim.WithdrawRequest{Key: round.Request().Key, Attempt: round.Request().Attempt}
-	c.broadcast(func(ctx context.Context, member string) error { return c.peers.Withdraw(ctx, member, r) })
-}
-
 // Finish states how the attempt that won a key has ended.
 func (c *Coordinator) Finish(entry claim.Entry) {
 	entry.State = claim.StateFinished
