Keep net/http's transport from repeating keyed requests

The transport repeats a request without a body on its own if it has an Idempotency-Key and its kept connection breaks, although the endpoint may have received it. The added test counts 3 executions instead of 2 without the change.

--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -17,7 +17,8 @@
 type Settings struct {
 	// Samples is the number of endpoints that are compared for each choice.
 	Samples int
-	// MaxInFlight limits the requests in flight from this daemon to one endpoint.
+	// MaxInFlight limits the requests in flight from this daemon to one endpoint. The three daemons of a zone share
+	// the 64 connections of a worker.
 	MaxInFlight int
 	// LatencyHalfLife is the time after which a latency counts half, in the absence of new ones.
 	LatencyHalfLife time.Duration
@@ -37,7 +38,7 @@
 
 // DefaultSettings are those of the daemon.
 func DefaultSettings() Settings {
-	return Settings{Samples: 3, MaxInFlight: 64, LatencyHalfLife: 2 * time.Second, MaxEjectedPercent: 20,
+	return Settings{Samples: 3, MaxInFlight: 20, LatencyHalfLife: 2 * time.Second, MaxEjectedPercent: 20,
 		FailuresToEject: 5, SlowFactor: 4, SlowMinimum: 20 * time.Millisecond, EjectBase: 5 * time.Second,
 		EjectMax: time.Minute, ReturnTime: 10 * time.Second}
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 	propagator propagation.TextMapPropagator
 }
 
-func newClient(connectTimeout time.Duration, tracer trace.Tracer) *client {
+func newClient(connectTimeout time.Duration, idlePerEndpoint int, tracer trace.Tracer) *client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &client{
 		tracer:     tracer,
@@ -39,7 +40,7 @@
 			},
 			// The answer's encoding is the caller's business.
 			DisableCompression:     true,
-			MaxIdleConnsPerHost:    64,
+			MaxIdleConnsPerHost:    idlePerEndpoint,
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: MaxHeaderBytes,
 		},
@@ -140,8 +141,12 @@
 	return fromResponse(resp), a.timing(), nil
 }
 
-// request builds the endpoint's request. Its body is never nil and has no GetBody: the transport would repeat a
-// request with an Idempotency-Key on its own after a connection broke, even if the endpoint had received it.
+// replayHeaders make net/http's transport repeat a request without a body on its own after a kept connection
+// broke, even if the endpoint had received it.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// request builds the endpoint's request so that the transport never repeats one that is not idempotent: bodies have
+// no GetBody, and the transport finds the replay headers only under their canonical names.
 func (cl *client) request(ctx context.Context, c *call, address string) (*http.Request, error) {
 	target, err := url.Parse("http://" + address + c.path)
 	if err != nil {
@@ -153,6 +158,14 @@
 	}
 	header := c.header.Clone()
 	cl.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+	if !c.idempotent {
+		for _, name := range replayHeaders {
+			if values, set := header[name]; set {
+				delete(header, name)
+				header[strings.ToLower(name)] = values
+			}
+		}
+	}
 	if _, set := header["User-Agent"]; !set {
 		header["User-Agent"] = nil // keeps the transport from adding its own
 	}
--- a/node/gateway/body.go
+++ b/node/gateway/body.go
@@ -61,6 +61,9 @@
 
 // open returns the body for one attempt and ends the previous attempt's access to a streamed body.
 func (b *body) open() (io.ReadCloser, error) {
+	if b.small && len(b.kept) == 0 {
+		return http.NoBody, nil
+	}
 	if b.small {
 		return io.NopCloser(bytes.NewReader(b.kept)), nil
 	}
--- a/node/gateway/failure_test.go
+++ b/node/gateway/failure_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+	"waxwingslip.example/core/claim"
 )
 
 // Guards against an execution that happens twice, and against a wrong outcome, for each way in which an endpoint
@@ -73,6 +76,23 @@
 	}
 }
 
+// Guards against net/http's transport, which repeats a request with an idempotency key on its own when a kept
+// connection breaks.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	for _, header := range []string{HeaderKey, "X-Idempotency-Key"} {
+		is := is.New(t)
+		var serve atomic.Pointer[http.HandlerFunc]
+		handler := func(f http.HandlerFunc) { serve.Store(&f) }
+		e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) { (*serve.Load())(w, r) })
+		d := newCluster(t).addZone("a", 1, catalog{}, newSource(e.address()))[0]
+		handler(serveOK)
+		is.Equal(ask(d, "POST", "/", "", "", header, newKey()).outcome, "answered")
+		handler(serveReset)
+		is.Equal(ask(d, "POST", "/", "", "", header, newKey()).outcome, "unknown")
+		is.Equal(e.runs.Load(), int64(2))
+	}
+}
+
 // Guards against new work for an endpoint that said in an answer that it is leaving.
 func TestLeavingHeaderStopsNewWork(t *testing.T) {
 	is := is.New(t)
@@ -150,19 +170,35 @@
 	is := is.New(t)
 	e := newEndpoint(t, serveOK)
 	d := newCluster(t).addZone("a", 1, catalog{rate: 1}, newSource(e.address()))[0]
-	long := string(make([]byte, MaxKeyBytes+1))
-	for i := range long {
-		long = long[:i] + "k" + long[i+1:]
-	}
-	is.Equal(ask(d, "POST", "/", long, "").status, http.StatusBadRequest)
+	is.Equal(ask(d, "POST", "/", strings.Repeat("k", MaxKeyBytes+1), "").status, http.StatusBadRequest)
 	is.Equal(ask(d, "POST", "/", "not-a-uuid", "", HeaderCaller, "b").outcome, "not-run")
 	is.Equal(ask(d, "POST", "/", "", "", HeaderTimeout, "0").status, http.StatusBadRequest)
-	big := make([]byte, MaxHeaderBytes)
-	for i := range big {
-		big[i] = 'x'
-	}
-	is.Equal(ask(d, "POST", "/", "", "", "X-Big", string(big)).status, http.StatusRequestHeaderFieldsTooLarge)
+	big := strings.Repeat("x", MaxHeaderBytes)
+	is.Equal(ask(d, "POST", "/", "", "", "X-Big", big).status, http.StatusRequestHeaderFieldsTooLarge)
 	is.Equal(ask(d, "GET", "/", "", "", HeaderCaller, "a").status, http.StatusOK)
 	is.Equal(ask(d, "GET", "/", "", "", HeaderCaller, "a").status, http.StatusTooManyRequests)
 	is.Equal(e.runs.Load(), int64(1))
 }
+
+// Guards against a request header that crashes the daemon, or passes a limit or a hop-by-hop field on.
+func FuzzRequestHeader(f *testing.F) {
+	f.Add("Connection", "X-Hop, close", "018bcfe5-6800-7000-8000-000000000001", "100", "a")
+	f.Add("Te", "trailers", "lima-a/018bcfe5", "-1", "")
+	f.Fuzz(func(t *testing.T, name, value, key, timeout, caller string) {
+		h := http.Header{HeaderKey: {key}, HeaderTimeout: {timeout}, HeaderCaller: {caller}}
+		h.Add(name, value)
+		if d, stated, err := parseTimeout(h); err == nil && stated && (d <= 0 || d > MaxTimeout) {
+			t.Fatalf("timeout %v", d)
+		}
+		if text, err := singleValue(h, HeaderKey, MaxKeyBytes); err == nil && len(text) > MaxKeyBytes {
+			t.Fatalf("key of %d bytes", len(text))
+		}
+		_, _, _ = claim.ParseKey(key)
+		out := endToEnd(h)
+		for _, hop := range hopByHop {
+			if len(out.Values(hop)) > 0 {
+				t.Fatalf("%s was passed on", hop)
+			}
+		}
+	})
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -84,7 +84,7 @@
 	if opts.QueueLimit == 0 {
 		opts.QueueLimit = 512
 	}
-	g := &Gateway{opts: opts, client: newClient(opts.ConnectTimeout, opts.Tracer), started: time.Now(),
+	g := &Gateway{opts: opts, client: newClient(opts.ConnectTimeout, opts.Routing.MaxInFlight, opts.Tracer), started: time.Now(),
 		metrics: newMetrics(), backends: map[string]*backend{}, callers: routing.NewCallers(4096)}
 	g.link = routing.NewBucket(opts.Catalog.LinkRate(), opts.Catalog.LinkRate(), 0)
 	g.server = &http.Server{
