Rate endpoints without a latency as average, and compare four samples

An endpoint without an answer counted as the fastest, so that slow ones were flooded until their first answer. A slow endpoint's latency now fades to below the mean, so that it is tried again at low load.

--- a/core/routing/outlier.go
+++ b/core/routing/outlier.go
@@ -48,6 +48,10 @@
 	case ResultOK:
 		m.failures = 0
 		p.learn(m, now, seconds)
+		if p.meanSeconds == 0 {
+			p.meanSeconds = seconds
+		}
+		p.meanSeconds += (seconds - p.meanSeconds) / 64
 	case ResultFailed:
 		m.failures++
 		p.learn(m, now, max(seconds, m.latencySeconds))
--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -38,7 +38,7 @@
 
 // DefaultSettings are those of the daemon.
 func DefaultSettings() Settings {
-	return Settings{Samples: 3, MaxInFlight: 20, LatencyHalfLife: 2 * time.Second, MaxEjectedPercent: 20,
+	return Settings{Samples: 4, MaxInFlight: 20, LatencyHalfLife: 2 * time.Second, MaxEjectedPercent: 20,
 		FailuresToEject: 5, SlowFactor: 4, SlowMinimum: 20 * time.Millisecond, EjectBase: 5 * time.Second,
 		EjectMax: time.Minute, ReturnTime: 10 * time.Second}
 }
@@ -84,6 +84,8 @@
 	// ejections counts all ejections.
 	ejections int64
 	inFlight  int
+	// meanSeconds is the moving average of all endpoints' latencies.
+	meanSeconds float64
 	// slowLimitSeconds is the latency above which endpoints are slow, as of lastSlowCheck.
 	slowLimitSeconds float64
 	lastSlowCheck    time.Duration
@@ -225,10 +227,17 @@
 
 // score is the expected time until a further request would end, enlarged while an endpoint returns.
 func (p *Pool) score(m *member, now time.Duration) float64 {
-	latency := m.latencySeconds
-	if age := now - m.updated; latency > 0 && age > p.settings.LatencyHalfLife {
-		// An old latency says less and less; without this an endpoint that was once slow would never be tried.
-		latency *= float64(p.settings.LatencyHalfLife) / float64(age)
+	// An endpoint without a latency counts as an average one: it would be flooded until its first answer if it
+	// counted as fast.
+	latency := p.meanSeconds
+	if m.samples > 0 {
+		latency = m.latencySeconds
+		// An old latency says less and less. It ends below the mean, because an endpoint that was once slow would
+		// otherwise not be tried again while the load is low.
+		if age := now - m.updated; age > p.settings.LatencyHalfLife {
+			end := p.meanSeconds / 2
+			latency = end + (latency-end)*float64(p.settings.LatencyHalfLife)/float64(age)
+		}
 	}
 	// Failures raise the score, so that an endpoint that fails fast does not attract requests.
 	score := float64(m.inFlight+1) * (latency + minLatencySeconds) * float64(1+m.failures)
