Add the zone state machine and lease arithmetic

Cause: placement, ownership and membership need one deterministic rule by which every daemon of a zone accepts or rejects the same records. Conclusion: reservations change only by Bind, End, Evict and Lost.

--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,105 @@
+// Package lease computes when authority and leases have certainly lapsed, from monotonic readings.
+//
+// Times of the local clock are time.Duration readings of one monotonic clock of the process. Times of a
+// worker are milliseconds on the worker's own clock.
+package lease
+
+import "time"
+
+// Timing constants of the design's timing table.
+const (
+	// WorkerLease is how far ahead a renewal sets a worker's lease.
+	WorkerLease = 15 * time.Second
+	// RenewInterval is the time between renewals; two may be lost within one WorkerLease.
+	RenewInterval = 5 * time.Second
+	// StartNotAfter is how long a command may be under way to a worker.
+	StartNotAfter = time.Second
+	// ControlFreshness is how old the newest proof of being current on the control stream may be for a start.
+	ControlFreshness = 3 * time.Second
+	// HeartbeatInterval is the time between heartbeat records of a member.
+	HeartbeatInterval = 2 * time.Second
+	// ExpireAfter is how long a heartbeat may be missing before another member expires it.
+	ExpireAfter = 6 * time.Second
+	// RenewalAuthority is how long an owner may renew leases after its last confirmed heartbeat. Regions are
+	// disconnected for an hour now and then; a shorter time would stop all their tasks.
+	RenewalAuthority = 75 * time.Minute
+	// LapseMargin is added before a lease or authority counts as lapsed.
+	LapseMargin = time.Second
+	// DriftPercent is the assumed bound on the rate difference of two clocks.
+	DriftPercent = 1
+)
+
+// WorkerClock estimates a worker's clock from its newest report. The zero value knows nothing.
+type WorkerClock struct {
+	known bool
+	// sent and received enclose the moment at which the worker read its clock.
+	sent, received time.Duration
+	workerMs       int64
+}
+
+// Observe records that a request sent and answered at the given local times carried the worker's time. A
+// worker whose clock went back has restarted, so the older observation is always replaced.
+func (c *WorkerClock) Observe(sent, received time.Duration, workerMs int64) {
+	*c = WorkerClock{known: true, sent: sent, received: received, workerMs: workerMs}
+}
+
+// Known reports whether there was an observation.
+func (c *WorkerClock) Known() bool { return c.known }
+
+// AtLeast returns a lower bound of the worker's clock at the local time now.
+func (c *WorkerClock) AtLeast(now time.Duration) int64 {
+	elapsed := now - c.received
+	return c.workerMs + (elapsed * (100 - DriftPercent) / 100).Milliseconds()
+}
+
+// AtMost returns an upper bound of the worker's clock at the local time now.
+func (c *WorkerClock) AtMost(now time.Duration) int64 {
+	elapsed := now - c.sent
+	return c.workerMs + (elapsed*(100+DriftPercent)/100).Milliseconds() + 1
+}
+
+// Deadline returns the worker time d from now for use in NotAfterMs. It starts from the lower bound, so the
+// command is refused at the latest d after now.
+func (c *WorkerClock) Deadline(now, d time.Duration) int64 {
+	return c.AtLeast(now) + d.Milliseconds()
+}
+
+// Grant tracks the furthest lease that was ever sent to a worker, answered or not.
+type Grant struct {
+	untilMs int64
+}
+
+// Sent records a renewal that was sent.
+func (g *Grant) Sent(untilMs int64) { g.untilMs = max(g.untilMs, untilMs) }
+
+// Lapsed reports whether every lease granted has certainly lapsed on the worker's clock.
+func (g *Grant) Lapsed(c *WorkerClock, now time.Duration) bool {
+	return c.Known() && c.AtLeast(now) > g.untilMs+LapseMargin.Milliseconds()
+}
+
+// Authority is the right to renew leases, extended by each heartbeat that was read back from the log.
+type Authority struct {
+	granted bool
+	// from is the local time at which the newest confirmed heartbeat was sent for appending. Counting from
+	// the time it was sent makes the holder's view end before any other's.
+	from time.Duration
+}
+
+// Confirm extends the authority by a heartbeat that was sent at the local time sent.
+func (a *Authority) Confirm(sent time.Duration) {
+	if !a.granted || sent > a.from {
+		a.granted, a.from = true, sent
+	}
+}
+
+// Holds reports whether leases may be renewed at the local time now.
+func (a *Authority) Holds(now time.Duration) bool {
+	return a.granted && now-a.from < RenewalAuthority
+}
+
+// AuthorityLapsed reports whether the authority of another member, whose last heartbeat was read from the
+// log at the local time readAt, and every lease that it could have granted have certainly lapsed at now.
+func AuthorityLapsed(readAt, now time.Duration) bool {
+	total := RenewalAuthority + WorkerLease + LapseMargin
+	return now-readAt > total*(100+2*DriftPercent)/100
+}
--- /dev/null
+++ b/core/zone/members.go
@@ -0,0 +1,144 @@
+package zone
+
+import (
+	"slices"
+
+	"waxwingslip.example/core/record"
+)
+
+func (s *State) applyJoin(b *record.Join) Verdict {
+	if b.Member == "" {
+		return rejected("member id is empty")
+	}
+	if _, left := s.Left[b.Member]; left || s.Members[b.Member] != nil {
+		return rejected("member id %q was used before", b.Member)
+	}
+	s.Members[b.Member] = &Member{PeerAddress: b.PeerAddress, Joined: s.Offset, Heartbeat: s.Offset}
+	s.changed(Change{Kind: ChangeMember})
+	return accepted
+}
+
+func (s *State) applyHeartbeat(b *record.Heartbeat) Verdict {
+	m := s.Members[b.Member]
+	if m == nil {
+		return rejected("%q is not a member", b.Member)
+	}
+	m.Heartbeat = s.Offset
+	return accepted
+}
+
+func (s *State) applyLeave(b *record.Leave) Verdict {
+	if s.Members[b.Member] == nil {
+		return rejected("%q is not a member", b.Member)
+	}
+	s.depart(b.Member, true)
+	return accepted
+}
+
+func (s *State) applyExpire(b *record.Expire) Verdict {
+	m := s.Members[b.Member]
+	switch {
+	case m == nil:
+		return rejected("%q is not a member", b.Member)
+	case m.Heartbeat != b.LastHeartbeat:
+		return rejected("%q has a newer heartbeat at %d", b.Member, m.Heartbeat)
+	}
+	s.depart(b.Member, false)
+	return accepted
+}
+
+func (s *State) depart(member string, graceful bool) {
+	s.Left[member] = Departure{Graceful: graceful, Heartbeat: s.Members[member].Heartbeat}
+	delete(s.Members, member)
+	for i := range s.Shard {
+		if s.Shard[i].Owner != member {
+			continue
+		}
+		s.Shard[i].Owner = ""
+		if !graceful {
+			s.Shard[i].Previous = member
+		}
+		s.changed(Change{Kind: ChangeShard, Shard: i})
+	}
+	s.pruneLeft()
+	s.changed(Change{Kind: ChangeMember})
+}
+
+// pruneLeft drops departures that decide nothing any more.
+func (s *State) pruneLeft() {
+	for id := range s.Left {
+		if !slices.Contains(s.View.Members, id) && !s.isPreviousOwner(id) {
+			delete(s.Left, id)
+		}
+	}
+}
+
+func (s *State) isPreviousOwner(member string) bool {
+	for _, o := range s.Shard {
+		if o.Previous == member {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) applyClaim(b *record.Claim) Verdict {
+	if b.Shard < 0 || b.Shard >= Shards {
+		return rejected("shard %d does not exist", b.Shard)
+	}
+	o := &s.Shard[b.Shard]
+	switch {
+	case s.Members[b.Member] == nil:
+		return rejected("%q is not a member", b.Member)
+	case o.Owner != "":
+		return rejected("shard %d is owned by %q", b.Shard, o.Owner)
+	case b.Epoch != o.Epoch+1:
+		return rejected("shard %d has epoch %d, claim has %d", b.Shard, o.Epoch, b.Epoch)
+	}
+	o.Owner, o.Epoch = b.Member, b.Epoch
+	s.changed(Change{Kind: ChangeShard, Shard: b.Shard})
+	return accepted
+}
+
+func (s *State) applyReleaseShard(b *record.ReleaseShard) Verdict {
+	if b.Shard < 0 || b.Shard >= Shards {
+		return rejected("shard %d does not exist", b.Shard)
+	}
+	o := &s.Shard[b.Shard]
+	if o.Owner != b.Member || o.Epoch != b.Epoch {
+		return rejected("shard %d is owned by %q under epoch %d", b.Shard, o.Owner, o.Epoch)
+	}
+	o.Owner = ""
+	s.changed(Change{Kind: ChangeShard, Shard: b.Shard})
+	return accepted
+}
+
+// checkOwner verifies that a record about a worker comes from the worker's current owner.
+func (s *State) checkOwner(o record.Owner, worker string) (Verdict, bool) {
+	owner, epoch := s.OwnerOf(worker)
+	if owner == "" || o.Member != owner || o.Epoch != epoch {
+		return rejected("worker %q is owned by %q under epoch %d, not by %q under epoch %d",
+			worker, owner, epoch, o.Member, o.Epoch), false
+	}
+	return Verdict{}, true
+}
+
+func (s *State) applyClaimView(b *record.ClaimView) Verdict {
+	if b.Number != s.View.Number+1 {
+		return rejected("claim view is %d, record has %d", s.View.Number, b.Number)
+	}
+	if len(b.Members) == 0 || !slices.IsSorted(b.Members) {
+		return rejected("claim view %d has no sorted list of members", b.Number)
+	}
+	for _, m := range b.Members {
+		if s.Members[m] == nil {
+			return rejected("%q is not a member", m)
+		}
+	}
+	floor := s.View.FloorUnixMs
+	s.View = *b
+	s.View.FloorUnixMs = max(floor, b.FloorUnixMs)
+	s.pruneLeft()
+	s.changed(Change{Kind: ChangeView})
+	return accepted
+}
--- /dev/null
+++ b/core/zone/state.go
@@ -0,0 +1,252 @@
+// Package zone is the state machine of one zone's stream.
+//
+// State is a pure function of the records in log order: every daemon of the zone accepts and rejects the
+// same records. Reservations are made only by accepted Bind records and released only by accepted End,
+// Evict and Lost records, so no interleaving of writers commits a worker beyond its capacity.
+package zone
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+// Shards is the number of shards of a zone. It never changes, since owner epochs are kept for each shard.
+const Shards = 16
+
+// ShardOf returns the shard of a worker.
+func ShardOf(worker string) int { return int(xxhash.Sum64String(worker) % Shards) }
+
+// Limits of the state.
+const (
+	// recentIDs is how many record ids are remembered to drop repeats. A writer repeats a record only while it
+	// waits for it, so the window needs to cover seconds of the highest append rate.
+	recentIDs = 8192
+	// MaxJobTasks limits the tasks of one job.
+	MaxJobTasks = 20000
+	// defaultMaxAttempts limits failed runs of a task whose spec states no limit.
+	defaultMaxAttempts = 3
+	// parkAfterWorkers is the number of different workers on which tasks of a batch job may fail.
+	parkAfterWorkers = 3
+)
+
+// State is the state of one zone. It is not safe for concurrent use.
+type State struct {
+	// Zone is the name of the zone; it is set by New and not part of the stream.
+	Zone string `cbor:"-"`
+
+	Offset  int64                `cbor:"1,keyasint"`
+	Members map[string]*Member   `cbor:"2,keyasint"`
+	Shard   [Shards]ShardOwner   `cbor:"3,keyasint"`
+	Workers map[string]*Worker   `cbor:"4,keyasint"`
+	Jobs    map[string]*Job      `cbor:"5,keyasint"`
+	Policy  record.Policy        `cbor:"6,keyasint"`
+	View    record.ClaimView     `cbor:"7,keyasint"`
+	Recent  [][]byte             `cbor:"8,keyasint"`
+	Left    map[string]Departure `cbor:"9,keyasint"`
+
+	seen     map[uuid.UUID]struct{}
+	onChange func(Change)
+}
+
+// Member is a daemon of the zone.
+type Member struct {
+	PeerAddress string `cbor:"1,keyasint"`
+	// Joined and Heartbeat are offsets.
+	Joined    int64 `cbor:"2,keyasint"`
+	Heartbeat int64 `cbor:"3,keyasint"`
+}
+
+// Departure says how a former member ended. It is kept while the claim view names the member or while the
+// member is the previous owner of a shard.
+type Departure struct {
+	// Graceful members gave up all authority before they left.
+	Graceful bool `cbor:"1,keyasint,omitempty"`
+	// Heartbeat is the offset of the last heartbeat.
+	Heartbeat int64 `cbor:"2,keyasint"`
+}
+
+// ShardOwner is the owner of a shard. Owner is empty if nobody owns it.
+type ShardOwner struct {
+	Owner string `cbor:"1,keyasint,omitempty"`
+	Epoch int64  `cbor:"2,keyasint"`
+	// Previous is the last owner that did not release the shard, and may still renew leases.
+	Previous string `cbor:"3,keyasint,omitempty"`
+}
+
+// Worker is a registered worker.
+type Worker struct {
+	Info     record.WorkerInfo  `cbor:"1,keyasint"`
+	State    record.WorkerState `cbor:"2,keyasint,omitempty"`
+	Reason   string             `cbor:"3,keyasint,omitempty"`
+	Reserved resource.Vector    `cbor:"-"`
+	// Tasks holds the tasks that are bound to the worker. It is derived from Jobs.
+	Tasks map[record.TaskID]*Task `cbor:"-"`
+	// classes counts the bound tasks of each class. It is derived from Jobs.
+	classes map[string]int
+}
+
+// Free returns the capacity that is not reserved.
+func (w *Worker) Free() resource.Vector { return w.Info.Capacity.Sub(w.Reserved) }
+
+// ClassCount returns the number of bound tasks of a class.
+func (w *Worker) ClassCount(class string) int { return w.classes[class] }
+
+// TaskState is the state of a task in the zone.
+type TaskState uint8
+
+// States of a task.
+const (
+	TaskPending  TaskState = 1
+	TaskBound    TaskState = 2
+	TaskEnded    TaskState = 3
+	TaskReleased TaskState = 4
+)
+
+// String returns the state's name.
+func (s TaskState) String() string {
+	switch s {
+	case TaskPending:
+		return "pending"
+	case TaskBound:
+		return "bound"
+	case TaskEnded:
+		return "ended"
+	case TaskReleased:
+		return "released"
+	}
+	return "invalid"
+}
+
+// Job is a job of which at least one task is or was in the zone.
+type Job struct {
+	Spec      record.JobSpec `cbor:"1,keyasint"`
+	Cancelled bool           `cbor:"2,keyasint,omitempty"`
+	// Parked is the reason why no further task of the job is placed, empty if none.
+	Parked string        `cbor:"3,keyasint,omitempty"`
+	Tasks  map[int]*Task `cbor:"4,keyasint"`
+	// FailedOn lists the workers on which tasks of the job failed.
+	FailedOn []string `cbor:"5,keyasint,omitempty"`
+	// Unfinished counts pending and bound tasks. It is derived.
+	Unfinished int `cbor:"-"`
+}
+
+// IsService reports whether the tasks are replicas of a service.
+func (j *Job) IsService() bool { return j.Spec.Service != "" }
+
+// Task is one task.
+type Task struct {
+	Job   *Job `cbor:"-"`
+	Index int  `cbor:"1,keyasint"`
+	// Epoch rises with every run; a run is named by the task and its epoch.
+	Epoch      int64          `cbor:"2,keyasint"`
+	State      TaskState      `cbor:"3,keyasint"`
+	Worker     string         `cbor:"4,keyasint,omitempty"`
+	Checkpoint string         `cbor:"5,keyasint,omitempty"`
+	Address    string         `cbor:"6,keyasint,omitempty"`
+	Attempts   int            `cbor:"7,keyasint,omitempty"`
+	Outcome    record.Outcome `cbor:"8,keyasint,omitempty"`
+	Reason     string         `cbor:"9,keyasint,omitempty"`
+	// ReleasedTo is the target zone of a released task.
+	ReleasedTo string `cbor:"10,keyasint,omitempty"`
+	// Size is what the bound run reserves; a new revision of a service may ask for another size.
+	Size resource.Vector `cbor:"11,keyasint"`
+	// Revision is the revision of the spec under which the task was bound.
+	Revision int64 `cbor:"12,keyasint,omitempty"`
+	// Evictions counts runs that were stopped before their end or lost.
+	Evictions int `cbor:"13,keyasint,omitempty"`
+	// Changed is the offset of the record that last changed the task.
+	Changed int64 `cbor:"14,keyasint"`
+}
+
+// ID returns the task's id.
+func (t *Task) ID() record.TaskID { return record.TaskID{Job: t.Job.Spec.ID, Index: t.Index} }
+
+// Run returns the name of the bound run.
+func (t *Task) Run() record.Run { return record.Run{Task: t.ID(), Epoch: t.Epoch, Worker: t.Worker} }
+
+// StopWanted reports whether a bound task should be stopped because its job was cancelled or a service was
+// scaled down.
+func (t *Task) StopWanted() bool {
+	return t.State == TaskBound && (t.Job.Cancelled || t.Job.IsService() && t.Index >= t.Job.Spec.Tasks)
+}
+
+// ChangeKind says what a Change is about.
+type ChangeKind uint8
+
+// Kinds of changes.
+const (
+	ChangeMember ChangeKind = iota + 1
+	ChangeShard
+	ChangeWorker
+	ChangeTask
+	ChangeJob
+	ChangePolicy
+	ChangeView
+)
+
+// Change is one effect of a record.
+type Change struct {
+	Kind   ChangeKind
+	Task   record.TaskID
+	Job    string
+	Worker string
+	Shard  int
+}
+
+// New returns the state of a zone before the first record.
+func New(zone string) *State {
+	s := &State{
+		Zone:    zone,
+		Members: map[string]*Member{},
+		Workers: map[string]*Worker{},
+		Jobs:    map[string]*Job{},
+		Left:    map[string]Departure{},
+	}
+	s.seen = map[uuid.UUID]struct{}{}
+	return s
+}
+
+// OnChange sets a function that is called for every change, during Apply. It must not call back into the
+// State's Apply.
+func (s *State) OnChange(f func(Change)) { s.onChange = f }
+
+func (s *State) changed(c Change) {
+	if s.onChange != nil {
+		s.onChange(c)
+	}
+}
+
+func (s *State) taskChanged(t *Task) {
+	t.Changed = s.Offset
+	s.changed(Change{Kind: ChangeTask, Task: t.ID(), Job: t.Job.Spec.ID, Worker: t.Worker})
+}
+
+// MemberIDs returns the ids of the members in order.
+func (s *State) MemberIDs() []string {
+	ids := make([]string, 0, len(s.Members))
+	for id := range s.Members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Task returns a task, or nil.
+func (s *State) Task(id record.TaskID) *Task {
+	j := s.Jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.Tasks[id.Index]
+}
+
+// OwnerOf returns the member that owns a worker's shard and the owner epoch.
+func (s *State) OwnerOf(worker string) (member string, epoch int64) {
+	o := s.Shard[ShardOf(worker)]
+	return o.Owner, o.Epoch
+}
--- /dev/null
+++ b/core/zone/tasks.go
@@ -0,0 +1,276 @@
+package zone
+
+import "waxwingslip.example/core/record"
+
+func (s *State) applyAdmit(b *record.Admit) Verdict {
+	if b.Job.ID == "" || b.Job.Tasks < 0 || b.Job.Tasks > MaxJobTasks {
+		return rejected("job %q has %d tasks, allowed are 0 to %d", b.Job.ID, b.Job.Tasks, MaxJobTasks)
+	}
+	if !b.Job.Size.Valid() || b.Job.Size.Slots < 1 {
+		return rejected("job %q has an invalid size %s", b.Job.ID, b.Job.Size)
+	}
+	j := s.Jobs[b.Job.ID]
+	switch {
+	case j == nil:
+		j = &Job{Spec: b.Job, Tasks: make(map[int]*Task, b.Job.Tasks)}
+		s.Jobs[b.Job.ID] = j
+	case !j.IsService() || b.Job.Revision <= j.Spec.Revision:
+		return rejected("job %q is known with revision %d", b.Job.ID, j.Spec.Revision)
+	case b.Job.Class != j.Spec.Class || b.Job.Service != j.Spec.Service:
+		return rejected("job %q may not change its class or service", b.Job.ID)
+	default:
+		j.Spec, j.Parked, j.FailedOn = b.Job, "", nil
+	}
+	s.fill(j)
+	s.changed(Change{Kind: ChangeJob, Job: j.Spec.ID})
+	return accepted
+}
+
+// fill makes all tasks of the spec exist and ends surplus ones that do not run.
+func (s *State) fill(j *Job) {
+	for i := range j.Spec.Tasks {
+		t := j.Tasks[i]
+		if t == nil {
+			t = &Task{Job: j, Index: i}
+			j.Tasks[i] = t
+		} else if t.State != TaskEnded {
+			continue
+		}
+		s.makePending(t)
+	}
+	if !j.IsService() {
+		return
+	}
+	for i, t := range j.Tasks {
+		if i >= j.Spec.Tasks && t.State == TaskPending {
+			s.endTask(t, record.OutcomeCancelled, "service was scaled down")
+		}
+	}
+}
+
+// makePending makes a task that is not bound pending under the next epoch.
+func (s *State) makePending(t *Task) {
+	if t.State != TaskPending && t.State != TaskBound {
+		t.Job.Unfinished++
+	}
+	t.Epoch++
+	t.State, t.Worker, t.Address, t.ReleasedTo = TaskPending, "", "", ""
+	s.taskChanged(t)
+}
+
+func (s *State) endTask(t *Task, outcome record.Outcome, reason string) {
+	if t.State == TaskPending || t.State == TaskBound {
+		t.Job.Unfinished--
+	}
+	t.State, t.Outcome, t.Reason, t.Address = TaskEnded, outcome, reason, ""
+	s.taskChanged(t)
+	if t.Job.Unfinished == 0 {
+		s.changed(Change{Kind: ChangeJob, Job: t.Job.Spec.ID})
+	}
+}
+
+func (s *State) applyAdopt(b *record.Adopt) Verdict {
+	j := s.Jobs[b.Job.ID]
+	if j == nil {
+		j = &Job{Spec: b.Job, Tasks: map[int]*Task{}}
+		s.Jobs[b.Job.ID] = j
+	}
+	t := j.Tasks[b.Index]
+	if t != nil && (t.Epoch > b.Epoch || t.State == TaskPending || t.State == TaskBound) {
+		return rejected("task %s/%d is known with epoch %d", b.Job.ID, b.Index, t.Epoch)
+	}
+	if t == nil {
+		t = &Task{Job: j, Index: b.Index}
+		j.Tasks[b.Index] = t
+	}
+	t.Epoch, t.Checkpoint = b.Epoch, b.Checkpoint
+	s.makePending(t)
+	if j.Cancelled {
+		s.endTask(t, record.OutcomeCancelled, "job was cancelled")
+	}
+	return accepted
+}
+
+func (s *State) applyBind(b *record.Bind) Verdict {
+	t := s.Task(b.Task)
+	if t == nil || t.State != TaskPending || t.Epoch != b.Epoch {
+		return rejected("task %s/%d is not pending with epoch %d", b.Task.Job, b.Task.Index, b.Epoch)
+	}
+	if t.Job.Cancelled || t.Job.Parked != "" {
+		return rejected("job %q is cancelled or parked", b.Task.Job)
+	}
+	if !s.Policy.InService {
+		return rejected("zone is out of service by configuration %d", s.Policy.Version)
+	}
+	w := s.Workers[b.Worker]
+	if w == nil || w.State != record.WorkerUsable {
+		return rejected("worker %q is not usable", b.Worker)
+	}
+	if over := t.Job.Spec.Size.Limiting(w.Free()); over != "" {
+		return rejected("worker %q has too little %s", b.Worker, over)
+	}
+	if class := s.Excluded(w, t.Job.Spec.Class); class != "" {
+		return rejected("class %q may not share worker %q with class %q", t.Job.Spec.Class, b.Worker, class)
+	}
+	t.State, t.Worker = TaskBound, b.Worker
+	t.Size, t.Revision = t.Job.Spec.Size, t.Job.Spec.Revision
+	s.reserve(t, w)
+	s.taskChanged(t)
+	return accepted
+}
+
+// boundRun returns the bound task of a run that its worker's owner reports on.
+func (s *State) boundRun(o record.Owner, r record.Run) (*Task, Verdict) {
+	t := s.Task(r.Task)
+	if t == nil || t.State != TaskBound || t.Epoch != r.Epoch || t.Worker != r.Worker {
+		return nil, rejected("task %s/%d is not bound to %q with epoch %d", r.Task.Job, r.Task.Index, r.Worker, r.Epoch)
+	}
+	if v, ok := s.checkOwner(o, r.Worker); !ok {
+		return nil, v
+	}
+	return t, Verdict{}
+}
+
+func (s *State) applyStarted(b *record.Started) Verdict {
+	t, v := s.boundRun(b.Owner, b.Run)
+	if t == nil {
+		return v
+	}
+	t.Address = b.Address
+	s.taskChanged(t)
+	return accepted
+}
+
+func (s *State) applyEnd(b *record.End) Verdict {
+	t, v := s.boundRun(b.Owner, b.Run)
+	if t == nil {
+		return v
+	}
+	s.free(t)
+	if b.Outcome == record.OutcomeFailed {
+		t.Attempts++
+		t.Job.FailedOn = addOnce(t.Job.FailedOn, t.Worker)
+	}
+	switch {
+	case t.StopWanted():
+		s.endTask(t, record.OutcomeCancelled, b.Reason)
+	case t.Job.IsService():
+		s.makePending(t)
+	case b.Outcome != record.OutcomeFailed:
+		s.endTask(t, b.Outcome, b.Reason)
+	default:
+		s.retryFailed(t, b.Reason)
+	}
+	return accepted
+}
+
+func (s *State) retryFailed(t *Task, reason string) {
+	limit := t.Job.Spec.MaxAttempts
+	if limit <= 0 {
+		limit = defaultMaxAttempts
+	}
+	if s.failedWorkers(t.Job) >= parkAfterWorkers {
+		s.endTask(t, record.OutcomeFailed, reason)
+		s.park(t.Job, "tasks failed on three different workers, last: "+reason)
+		return
+	}
+	if t.Attempts >= limit {
+		s.endTask(t, record.OutcomeFailed, reason)
+		return
+	}
+	s.makePending(t)
+}
+
+// park ends the pending tasks of a job; bound ones run to their end.
+func (s *State) park(j *Job, reason string) {
+	if j.Parked != "" {
+		return
+	}
+	j.Parked = reason
+	for i := range j.Spec.Tasks {
+		if t := j.Tasks[i]; t != nil && t.State == TaskPending {
+			s.endTask(t, record.OutcomeFailed, reason)
+		}
+	}
+	s.changed(Change{Kind: ChangeJob, Job: j.Spec.ID})
+}
+
+func (s *State) applyEvict(b *record.Evict) Verdict {
+	t, v := s.boundRun(b.Owner, b.Run)
+	if t == nil {
+		return v
+	}
+	s.requeue(t, b.Checkpoint)
+	return accepted
+}
+
+func (s *State) applyLost(b *record.Lost) Verdict {
+	t, v := s.boundRun(b.Owner, b.Run)
+	if t == nil {
+		return v
+	}
+	s.requeue(t, "")
+	return accepted
+}
+
+// requeue makes a bound task pending again, or ends it if it should not run any more.
+func (s *State) requeue(t *Task, checkpoint string) {
+	s.free(t)
+	t.Evictions++
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	switch {
+	case t.StopWanted():
+		s.endTask(t, record.OutcomeCancelled, "stopped")
+	case t.Job.Parked != "":
+		s.endTask(t, record.OutcomeFailed, t.Job.Parked)
+	default:
+		s.makePending(t)
+	}
+}
+
+func (s *State) applyCancel(b *record.Cancel) Verdict {
+	j := s.Jobs[b.Job]
+	if j == nil || j.Cancelled {
+		return rejected("job %q is not known or already cancelled", b.Job)
+	}
+	j.Cancelled = true
+	for _, t := range j.Tasks {
+		if t.State == TaskPending {
+			s.endTask(t, record.OutcomeCancelled, "job was cancelled")
+		} else if t.State == TaskBound {
+			s.taskChanged(t)
+		}
+	}
+	s.changed(Change{Kind: ChangeJob, Job: b.Job})
+	return accepted
+}
+
+func (s *State) applyRelease(b *record.Release) Verdict {
+	t := s.Task(b.Task)
+	if t == nil || t.State != TaskPending || t.Epoch != b.Epoch {
+		return rejected("task %s/%d is not pending with epoch %d", b.Task.Job, b.Task.Index, b.Epoch)
+	}
+	if t.Job.IsService() {
+		return rejected("task %s/%d is a replica of a service and stays in its zone", b.Task.Job, b.Task.Index)
+	}
+	t.State, t.ReleasedTo = TaskReleased, b.To
+	t.Job.Unfinished--
+	s.taskChanged(t)
+	s.changed(Change{Kind: ChangeJob, Job: b.Task.Job})
+	return accepted
+}
+
+func (s *State) applyForget(b *record.Forget) Verdict {
+	j := s.Jobs[b.Job]
+	switch {
+	case j == nil:
+		return rejected("job %q is not known", b.Job)
+	case j.Unfinished > 0:
+		return rejected("job %q has %d unfinished tasks", b.Job, j.Unfinished)
+	}
+	delete(s.Jobs, b.Job)
+	s.changed(Change{Kind: ChangeJob, Job: b.Job})
+	return accepted
+}
--- /dev/null
+++ b/core/zone/workers.go
@@ -0,0 +1,113 @@
+package zone
+
+import (
+	"slices"
+
+	"waxwingslip.example/core/record"
+)
+
+func (s *State) applyRegisterWorker(b *record.RegisterWorker) Verdict {
+	if v, ok := s.checkOwner(b.Owner, b.Worker.ID); !ok {
+		return v
+	}
+	if !b.Worker.Capacity.Valid() {
+		return rejected("worker %q has a negative capacity", b.Worker.ID)
+	}
+	w := s.Workers[b.Worker.ID]
+	if w == nil {
+		w = newWorker()
+		s.Workers[b.Worker.ID] = w
+	}
+	w.Info = b.Worker
+	s.changed(Change{Kind: ChangeWorker, Worker: b.Worker.ID})
+	return accepted
+}
+
+func newWorker() *Worker {
+	return &Worker{Tasks: map[record.TaskID]*Task{}, classes: map[string]int{}}
+}
+
+func (s *State) applySetWorker(b *record.SetWorker) Verdict {
+	if v, ok := s.checkOwner(b.Owner, b.Worker); !ok {
+		return v
+	}
+	w := s.Workers[b.Worker]
+	if w == nil {
+		return rejected("worker %q is not registered", b.Worker)
+	}
+	w.State, w.Reason = b.State, b.Reason
+	s.changed(Change{Kind: ChangeWorker, Worker: b.Worker})
+	return accepted
+}
+
+func (s *State) applyRemoveWorker(b *record.RemoveWorker) Verdict {
+	if v, ok := s.checkOwner(b.Owner, b.Worker); !ok {
+		return v
+	}
+	w := s.Workers[b.Worker]
+	switch {
+	case w == nil:
+		return rejected("worker %q is not registered", b.Worker)
+	case len(w.Tasks) > 0:
+		return rejected("worker %q still has %d reservations", b.Worker, len(w.Tasks))
+	}
+	delete(s.Workers, b.Worker)
+	s.changed(Change{Kind: ChangeWorker, Worker: b.Worker})
+	return accepted
+}
+
+func (s *State) applyPolicy(b *record.Policy) Verdict {
+	if b.Version <= s.Policy.Version {
+		return rejected("policy version %d is not newer than %d", b.Version, s.Policy.Version)
+	}
+	s.Policy = *b
+	s.changed(Change{Kind: ChangePolicy})
+	return accepted
+}
+
+// Excluded returns the class on the worker with which a task of the given class may not share it, or "".
+func (s *State) Excluded(w *Worker, class string) string {
+	for _, e := range s.Policy.Exclusions {
+		if e.A == class && w.classes[e.B] > 0 {
+			return e.B
+		}
+		if e.B == class && w.classes[e.A] > 0 {
+			return e.A
+		}
+	}
+	return ""
+}
+
+func (s *State) reserve(t *Task, w *Worker) {
+	w.Reserved = w.Reserved.Add(t.Size)
+	w.Tasks[t.ID()] = t
+	w.classes[t.Job.Spec.Class]++
+}
+
+func (s *State) free(t *Task) {
+	w := s.Workers[t.Worker]
+	w.Reserved = w.Reserved.Sub(t.Size)
+	delete(w.Tasks, t.ID())
+	class := t.Job.Spec.Class
+	if w.classes[class]--; w.classes[class] == 0 {
+		delete(w.classes, class)
+	}
+}
+
+// failedWorkers counts the workers on which the job failed and that are not themselves under suspicion.
+func (s *State) failedWorkers(j *Job) int {
+	n := 0
+	for _, id := range j.FailedOn {
+		if w := s.Workers[id]; w == nil || w.State != record.WorkerQuarantined {
+			n++
+		}
+	}
+	return n
+}
+
+func addOnce(list []string, s string) []string {
+	if slices.Contains(list, s) {
+		return list
+	}
+	return append(list, s)
+}
