--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -55,7 +55,7 @@
 // AtMost returns an upper bound of the worker's clock at the local time now.
 func (c *WorkerClock) AtMost(now time.Duration) int64 {
 	elapsed := now - c.sent
-	return c.workerMs + (elapsed*(100+DriftPercent)/100).Milliseconds() + 1
+	return c.workerMs + (elapsed * (100 + DriftPercent) / 100).Milliseconds() + 1
 }
 
 // Deadline returns the worker time d from now for use in NotAfterMs. It starts from the lower bound, so the
--- a/core/zone/members.go
+++ b/core/zone/members.go
@@ -54,10 +54,7 @@
 		if s.Shard[i].Owner != member {
 			continue
 		}
-		s.Shard[i].Owner = ""
-		if !graceful {
-			s.Shard[i].Previous = member
-		}
+		s.Shard[i].Owner, s.Shard[i].Previous = "", member
 		s.changed(Change{Kind: ChangeShard, Shard: i})
 	}
 	s.pruneLeft()
@@ -108,7 +105,8 @@
 	if o.Owner != b.Member || o.Epoch != b.Epoch {
 		return rejected("shard %d is owned by %q under epoch %d", b.Shard, o.Owner, o.Epoch)
 	}
-	o.Owner = ""
+	// The releaser may go on renewing leases until it has read this record.
+	o.Owner, o.Previous = "", b.Member
 	s.changed(Change{Kind: ChangeShard, Shard: b.Shard})
 	return accepted
 }
--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -74,7 +74,7 @@
 type ShardOwner struct {
 	Owner string `cbor:"1,keyasint,omitempty"`
 	Epoch int64  `cbor:"2,keyasint"`
-	// Previous is the last owner that did not release the shard, and may still renew leases.
+	// Previous is the owner before, which may renew leases until it reads that it lost the shard.
 	Previous string `cbor:"3,keyasint,omitempty"`
 }
 
