--- a/core/record/zone.go
+++ b/core/record/zone.go
@@ -26,6 +26,7 @@
 	KindClaimView      Kind = 51
 	KindZoneSnapshot   Kind = 52
 	KindStarted        Kind = 53
+	KindStop           Kind = 54
 )
 
 // Join makes a daemon a member of its zone. Every process start uses a new member id.
@@ -188,6 +189,13 @@
 	Reason  string  `cbor:"7,keyasint,omitempty"`
 }
 
+// Stop asks the owner to checkpoint and stop a bound run, so that its task is placed again. It is written to
+// the log, rather than sent to the owner, so that it survives a change of owner.
+type Stop struct {
+	Run    Run    `cbor:"5,keyasint"`
+	Reason string `cbor:"7,keyasint,omitempty"`
+}
+
 // Evict records that a run was stopped before its end; the task is pending again.
 type Evict struct {
 	Owner      Owner  `cbor:"4,keyasint"`
@@ -300,6 +308,9 @@
 // Kind implements Body.
 func (*Started) Kind() Kind { return KindStarted }
 
+// Kind implements Body.
+func (*Stop) Kind() Kind { return KindStop }
+
 // Kind implements Body.
 func (*End) Kind() Kind { return KindEnd }
 
@@ -327,5 +338,6 @@
 func init() {
 	register(&Join{}, &Heartbeat{}, &Leave{}, &Expire{}, &Claim{}, &ReleaseShard{}, &RegisterWorker{},
 		&SetWorker{}, &RemoveWorker{}, &Policy{}, &Admit{}, &Adopt{}, &Bind{}, &End{}, &Evict{}, &Lost{},
-		&Cancel{}, &Release{}, &Forget{}, &ClaimView{}, &ZoneSnapshot{}, &Started{})
+		&Cancel{}, &Release{}, &Forget{}, &ClaimView{}, &ZoneSnapshot{}, &Started{},
+		&Stop{})
 }
--- a/core/zone/apply.go
+++ b/core/zone/apply.go
@@ -79,6 +79,8 @@
 		return s.applyBind(b)
 	case *record.Started:
 		return s.applyStarted(b)
+	case *record.Stop:
+		return s.applyStop(b)
 	case *record.End:
 		return s.applyEnd(b)
 	case *record.Evict:
--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -159,6 +159,8 @@
 	Revision int64 `cbor:"12,keyasint,omitempty"`
 	// Evictions counts runs that were stopped before their end or lost.
 	Evictions int `cbor:"13,keyasint,omitempty"`
+	// Stopping is the reason why the bound run is to be stopped, empty if it is not.
+	Stopping string `cbor:"15,keyasint,omitempty"`
 	// Changed is the offset of the record that last changed the task.
 	Changed int64 `cbor:"14,keyasint"`
 }
@@ -169,10 +171,15 @@
 // Run returns the name of the bound run.
 func (t *Task) Run() record.Run { return record.Run{Task: t.ID(), Epoch: t.Epoch, Worker: t.Worker} }
 
-// StopWanted reports whether a bound task should be stopped because its job was cancelled or a service was
+// Unwanted reports whether the task should not run at all, because its job was cancelled or a service was
 // scaled down.
+func (t *Task) Unwanted() bool {
+	return t.Job.Cancelled || t.Job.IsService() && t.Index >= t.Job.Spec.Tasks
+}
+
+// StopWanted reports whether the bound run should be stopped.
 func (t *Task) StopWanted() bool {
-	return t.State == TaskBound && (t.Job.Cancelled || t.Job.IsService() && t.Index >= t.Job.Spec.Tasks)
+	return t.State == TaskBound && (t.Stopping != "" || t.Unwanted())
 }
 
 // ChangeKind says what a Change is about.
--- a/core/zone/tasks.go
+++ b/core/zone/tasks.go
@@ -1,6 +1,10 @@
 package zone
 
-import "waxwingslip.example/core/record"
+import (
+	"cmp"
+
+	"waxwingslip.example/core/record"
+)
 
 func (s *State) applyAdmit(b *record.Admit) Verdict {
 	if b.Job.ID == "" || b.Job.Tasks < 0 || b.Job.Tasks > MaxJobTasks {
@@ -54,7 +58,7 @@
 		t.Job.Unfinished++
 	}
 	t.Epoch++
-	t.State, t.Worker, t.Address, t.ReleasedTo = TaskPending, "", "", ""
+	t.State, t.Worker, t.Address, t.ReleasedTo, t.Stopping = TaskPending, "", "", "", ""
 	s.taskChanged(t)
 }
 
@@ -62,7 +66,7 @@
 	if t.State == TaskPending || t.State == TaskBound {
 		t.Job.Unfinished--
 	}
-	t.State, t.Outcome, t.Reason, t.Address = TaskEnded, outcome, reason, ""
+	t.State, t.Outcome, t.Reason, t.Address, t.Stopping = TaskEnded, outcome, reason, "", ""
 	s.taskChanged(t)
 	if t.Job.Unfinished == 0 {
 		s.changed(Change{Kind: ChangeJob, Job: t.Job.Spec.ID})
@@ -141,6 +145,20 @@
 	return accepted
 }
 
+func (s *State) applyStop(b *record.Stop) Verdict {
+	t := s.Task(b.Run.Task)
+	if t == nil || t.State != TaskBound || t.Epoch != b.Run.Epoch || t.Worker != b.Run.Worker {
+		return rejected("task %s/%d is not bound to %q with epoch %d",
+			b.Run.Task.Job, b.Run.Task.Index, b.Run.Worker, b.Run.Epoch)
+	}
+	if t.Stopping != "" {
+		return rejected("task %s/%d is being stopped already", b.Run.Task.Job, b.Run.Task.Index)
+	}
+	t.Stopping = cmp.Or(b.Reason, "requested")
+	s.taskChanged(t)
+	return accepted
+}
+
 func (s *State) applyEnd(b *record.End) Verdict {
 	t, v := s.boundRun(b.Owner, b.Run)
 	if t == nil {
@@ -152,7 +170,7 @@
 		t.Job.FailedOn = addOnce(t.Job.FailedOn, t.Worker)
 	}
 	switch {
-	case t.StopWanted():
+	case t.Unwanted():
 		s.endTask(t, record.OutcomeCancelled, b.Reason)
 	case t.Job.IsService():
 		s.makePending(t)
@@ -221,7 +239,7 @@
 		t.Checkpoint = checkpoint
 	}
 	switch {
-	case t.StopWanted():
+	case t.Unwanted():
 		s.endTask(t, record.OutcomeCancelled, "stopped")
 	case t.Job.Parked != "":
 		s.endTask(t, record.OutcomeFailed, t.Job.Parked)
--- a/node/executor/decide.go
+++ b/node/executor/decide.go
@@ -29,9 +29,11 @@
 	Kind ActionKind
 	Key  worker.RunKey
 	Run  record.Run
-	// Task is the bound task; it is nil for Ack and for stops of runs that are not bound.
-	Task   *zone.Task
+	// Start is set for ActStart, but for its Fence. It holds copies, so that it may be used without the
+	// lock of the zone state.
+	Start  worker.StartRequest
 	Status worker.RunStatus
+	Reason string
 }
 
 // Decide compares the tasks bound to a worker with a report that the worker gave under the current owner
@@ -56,7 +58,7 @@
 			// The stop makes the worker refuse a start of this run that may still be under way.
 			kind = ActStop
 		}
-		out = append(out, Action{Kind: kind, Key: key, Run: t.Run(), Task: t})
+		out = append(out, Action{Kind: kind, Key: key, Run: t.Run(), Start: startOf(t), Reason: t.Stopping})
 	}
 	slices.SortFunc(out, compareActions)
 	return out
@@ -83,6 +85,17 @@
 	return worker.RunKey{Job: t.Job.Spec.ID, Index: t.Index, Epoch: t.Epoch}
 }
 
+func startOf(t *zone.Task) worker.StartRequest {
+	return worker.StartRequest{
+		RunKey:     KeyOf(t),
+		Class:      t.Job.Spec.Class,
+		Service:    t.Job.Spec.Service,
+		Size:       t.Size,
+		Payload:    t.Job.Spec.Payload,
+		Checkpoint: t.Checkpoint,
+	}
+}
+
 func decideReported(w *zone.Worker, lookup func(record.TaskID) *zone.Task, rs worker.RunStatus) (Action, bool) {
 	a := Action{Key: rs.RunKey, Status: rs}
 	t := lookup(record.TaskID{Job: rs.Job, Index: rs.Index})
@@ -94,7 +107,7 @@
 		}
 		return a, true
 	}
-	a.Task, a.Run = t, t.Run()
+	a.Run, a.Reason = t.Run(), t.Stopping
 	switch {
 	case rs.State == worker.RunEnded:
 		a.Kind = ActEnd
