--- /dev/null
+++ b/node/executor/agent.go
@@ -0,0 +1,220 @@
+package executor
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/lease"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/platform/worker"
+)
+
+// Timing of an agent.
+const (
+	// callTimeout limits one command. It is at least lease.StartNotAfter, after which the worker refuses it.
+	callTimeout = 2 * time.Second
+	// repostAfter is how long a record's effect is waited for before it is posted again.
+	repostAfter = 2 * time.Second
+	// followUp is the delay of the report after commands were sent, so that the end of short runs and the
+	// address of new endpoints are seen soon.
+	followUp = 300 * time.Millisecond
+	// retryContact is the delay after a failed contact.
+	retryContact = time.Second
+)
+
+// agent is the owner of one worker under one owner epoch. All fields but wakeup, attested and cancel belong
+// to the goroutine of run.
+type agent struct {
+	cfg    *Config
+	target target
+	// address may change while the agent keeps what it knows about granted leases.
+	address atomic.Pointer[string]
+	cancel context.CancelFunc
+	wakeup chan struct{}
+
+	attested atomic.Bool
+
+	clock knownWorker
+	// heard is set once the worker accepted a command under this epoch, which fences earlier owners.
+	heard bool
+	// lastRenew is when the last successful renewal was sent.
+	lastRenew time.Duration
+	posted    map[string]time.Duration
+}
+
+// knownWorker is what the agent knows about the worker's clock and leases.
+type knownWorker struct {
+	lease.WorkerClock
+	grant       lease.Grant
+	incarnation string
+}
+
+func newAgent(cfg *Config, t target, cancel context.CancelFunc) *agent {
+	a := &agent{
+		cfg:    cfg,
+		target: t,
+		cancel: cancel,
+		wakeup: make(chan struct{}, 1),
+		posted: map[string]time.Duration{},
+	}
+	a.address.Store(&t.address)
+	return a
+}
+
+func (a *agent) addr() string { return *a.address.Load() }
+
+func (a *agent) wake() {
+	select {
+	case a.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+func (a *agent) attest() {
+	a.attested.Store(true)
+	a.wake()
+}
+
+func (a *agent) stop() { a.cancel() }
+
+func (a *agent) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wakeup:
+		case <-timer.C:
+		}
+		timer.Reset(a.step(ctx))
+	}
+}
+
+// step contacts the worker once and returns when to do so again.
+func (a *agent) step(ctx context.Context) time.Duration {
+	report, err := a.contact(ctx)
+	if ctx.Err() != nil {
+		return lease.RenewInterval
+	}
+	if err != nil {
+		a.cfg.Metrics.Count("executor_contact_errors")
+		a.considerLost()
+		return retryContact
+	}
+	a.attested.Store(false)
+	if a.cfg.OnReport != nil {
+		a.cfg.OnReport(report)
+	}
+	a.register(report)
+	if a.act(ctx, report) {
+		return followUp
+	}
+	return lease.RenewInterval
+}
+
+// contact renews the lease and returns the worker's report. Without authority to renew, it only reads the
+// report.
+func (a *agent) contact(ctx context.Context) (worker.Report, error) {
+	if !a.clock.Known() || a.clock.incarnation == "" {
+		if err := a.readClock(ctx); err != nil {
+			return worker.Report{}, err
+		}
+	}
+	now := a.cfg.Now()
+	until := a.cfg.Authority.RenewUntil(now)
+	if until <= 0 {
+		return worker.Report{}, errors.Errorf("renew lease of worker %s: no authority", a.target.id)
+	}
+	req := worker.RenewRequest{Fence: a.fence(now), LeaseUntilMs: a.clock.Deadline(now, until)}
+	a.clock.grant.Sent(req.LeaseUntilMs)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := a.cfg.Client.Renew(ctx, a.addr(), req)
+	if err != nil {
+		// The clock may have moved, for instance after a pause; it is read again before the next try.
+		a.clock.incarnation = ""
+		return report, errors.Wrapf(err, "renew lease of worker %s at %s", a.target.id, a.addr())
+	}
+	a.heard, a.lastRenew = true, now
+	a.clock.Observe(now, a.cfg.Now(), report.NowMs)
+	a.clock.grant.Sent(report.LeaseUntilMs)
+	return report, nil
+}
+
+func (a *agent) readClock(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := a.cfg.Now()
+	report, err := a.cfg.Client.Report(ctx, a.addr())
+	if err != nil {
+		return errors.Wrapf(err, "read report of worker %s at %s", a.target.id, a.addr())
+	}
+	if report.Worker != a.target.id {
+		return errors.Errorf("address %s answers as worker %q, not %q", a.addr(), report.Worker, a.target.id)
+	}
+	if a.clock.incarnation != "" && a.clock.incarnation != report.Incarnation {
+		a.clock.grant = lease.Grant{}
+	}
+	a.clock.incarnation = report.Incarnation
+	a.clock.Observe(sent, a.cfg.Now(), report.NowMs)
+	return nil
+}
+
+func (a *agent) fence(now time.Duration) worker.Fence {
+	return worker.Fence{
+		Incarnation: a.clock.incarnation,
+		OwnerEpoch:  a.target.epoch,
+		NotAfterMs:  a.clock.Deadline(now, lease.StartNotAfter),
+	}
+}
+
+func (a *agent) owner() record.Owner {
+	return record.Owner{Member: a.cfg.Authority.Member(), Epoch: a.target.epoch}
+}
+
+// once posts a record unless the same one was posted a moment ago.
+func (a *agent) once(purpose string, body record.Body) {
+	now := a.cfg.Now()
+	if last, ok := a.posted[purpose]; ok && now-last < repostAfter {
+		return
+	}
+	for k, at := range a.posted {
+		if now-at > 10*repostAfter {
+			delete(a.posted, k)
+		}
+	}
+	a.posted[purpose] = now
+	a.cfg.Journal.Post(body)
+}
+
+// register keeps the zone state's entry of the worker equal to what the worker reports.
+func (a *agent) register(report worker.Report) {
+	want := record.WorkerInfo{ID: a.target.id, Address: a.addr(), Rack: a.target.rack, Capacity: report.Capacity}
+	known, state := false, record.WorkerUsable
+	a.cfg.Zone.View(func(s *zone.State) {
+		if w := s.Workers[a.target.id]; w != nil {
+			known, state = w.Info == want, w.State
+		}
+	})
+	if !known {
+		a.once("register", &record.RegisterWorker{Owner: a.owner(), Worker: want})
+		return
+	}
+	switch {
+	case report.Leaving && state == record.WorkerUsable:
+		a.setState(record.WorkerLeaving, "worker says that it is leaving")
+	case !report.Leaving && state == record.WorkerLeaving, state == record.WorkerUnreachable:
+		a.setState(record.WorkerUsable, "worker reports again")
+	}
+}
+
+func (a *agent) setState(state record.WorkerState, reason string) {
+	a.once("state/"+state.String(), &record.SetWorker{
+		Owner: a.owner(), Worker: a.target.id, State: state, Reason: reason,
+	})
+}
