Add stand-ins for the platform, workers and endpoints

Trials and separate-process tests need the outside systems as servers. platformd serves the log and the list of VMs; workerd serves fake workers and an echo endpoint for each service replica, which closes when the run ends or the lease lapses; devenv runs all of them for an environment document. Faults are set through admin paths, and the endpoints' journals show whether a request was executed twice.

--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is a placeholder.
-package standin
--- /dev/null
+++ b/standin/endpointd/endpoint.go
@@ -0,0 +1,219 @@
+// Package endpointd is a stand-in for the endpoint of a service: it echoes requests and keeps a journal of
+// what it executed.
+package endpointd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers of the users' and the endpoints' interface.
+const (
+	HeaderRequestID = "Idempotency-Key"
+	HeaderLeaving   = "Waxwingslip-Leaving"
+	// HeaderReplica names the replica in each answer.
+	HeaderReplica = "Echo-Replica"
+)
+
+const (
+	maxBodyBytes = 64 << 20
+	maxSizeBytes = 256 << 20
+	// maxJournal bounds the memory of long trials; the oldest entries are dropped.
+	maxJournal = 200_000
+)
+
+// Options describes an endpoint.
+type Options struct {
+	// Name names the replica in answers and in the journal.
+	Name string
+	// Delay is the time that a request takes in addition to what it asks for; nil means none.
+	Delay func() time.Duration
+	// Wait blocks a request before it is executed, for a frozen VM; nil means not at all.
+	Wait func(ctx context.Context) error
+}
+
+// Execution is a journal entry: one request that was executed.
+type Execution struct {
+	RequestID string    `json:"requestId"`
+	Replica   string    `json:"replica"`
+	Method    string    `json:"method"`
+	Path      string    `json:"path"`
+	BodyBytes int       `json:"bodyBytes"`
+	At        time.Time `json:"at"`
+}
+
+// Echo is the answer to a request that asks for no size.
+type Echo struct {
+	Replica   string `json:"replica"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	RequestID string `json:"requestId,omitempty"`
+	Body      string `json:"body"`
+}
+
+// Endpoint is an http.Handler that answers every path with an Echo. The query changes the answer:
+//
+//	delay=20ms   the request takes at least this long
+//	size=1000    the body has so many bytes of Pattern instead of the Echo
+//	status=503   the answer has this status
+//
+// A request counts as executed, and stands in the journal, as soon as its whole body has arrived.
+type Endpoint struct {
+	opts    Options
+	leaving atomic.Bool
+
+	mu      sync.Mutex
+	journal []Execution
+	dropped int
+}
+
+// New returns an endpoint.
+func New(opts Options) *Endpoint { return &Endpoint{opts: opts} }
+
+// SetLeaving makes the endpoint say that it is leaving.
+func (e *Endpoint) SetLeaving(leaving bool) { e.leaving.Store(leaving) }
+
+// Journal returns the executed requests in order.
+func (e *Endpoint) Journal() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.journal)
+}
+
+// Dropped returns how many of the oldest journal entries were dropped.
+func (e *Endpoint) Dropped() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dropped
+}
+
+// Pattern is the byte at a position of a body that was asked for with size.
+func Pattern(position int) byte { return byte('a' + position%23) }
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.opts.Wait != nil && e.opts.Wait(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.record(r, len(body))
+	q, err := parseQuery(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.opts.Delay != nil {
+		q.delay += e.opts.Delay()
+	}
+	if !pause(r.Context(), q.delay) {
+		return
+	}
+	e.answer(w, r, q, body)
+}
+
+func (e *Endpoint) record(r *http.Request, bodyBytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.journal) >= maxJournal {
+		half := len(e.journal) / 2
+		e.journal = append([]Execution(nil), e.journal[half:]...)
+		e.dropped += half
+	}
+	e.journal = append(e.journal, Execution{
+		RequestID: r.Header.Get(HeaderRequestID), Replica: e.opts.Name, Method: r.Method, Path: r.URL.Path,
+		BodyBytes: bodyBytes, At: time.Now(),
+	})
+}
+
+type query struct {
+	delay  time.Duration
+	size   int // -1 if not asked for
+	status int
+}
+
+func parseQuery(r *http.Request) (q query, err error) {
+	q = query{size: -1, status: http.StatusOK}
+	values := r.URL.Query()
+	if v := values.Get("delay"); v != "" {
+		if q.delay, err = time.ParseDuration(v); err != nil {
+			return q, err
+		}
+	}
+	if v := values.Get("size"); v != "" {
+		if q.size, err = strconv.Atoi(v); err != nil {
+			return q, err
+		}
+		q.size = min(max(q.size, 0), maxSizeBytes)
+	}
+	if v := values.Get("status"); v != "" {
+		if q.status, err = strconv.Atoi(v); err != nil {
+			return q, err
+		}
+		q.status = min(max(q.status, 200), 599)
+	}
+	return q, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, q query, body []byte) {
+	h := w.Header()
+	h.Set(HeaderReplica, e.opts.Name)
+	if e.leaving.Load() {
+		h.Set(HeaderLeaving, "1")
+	}
+	if q.size >= 0 {
+		h.Set("Content-Type", "application/octet-stream")
+		h.Set("Content-Length", strconv.Itoa(q.size))
+		w.WriteHeader(q.status)
+		writePattern(w, q.size)
+		return
+	}
+	out, err := json.Marshal(Echo{Replica: e.opts.Name, Method: r.Method, Path: r.URL.RequestURI(),
+		RequestID: r.Header.Get(HeaderRequestID), Body: string(body)})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h.Set("Content-Type", "application/json")
+	w.WriteHeader(q.status)
+	_, _ = w.Write(out)
+}
+
+func writePattern(w io.Writer, size int) {
+	const chunk = 23 * 1024 // a multiple of the pattern's period
+	buf := make([]byte, chunk)
+	for i := range buf {
+		buf[i] = Pattern(i)
+	}
+	for size > 0 {
+		n, err := w.Write(buf[:min(size, chunk)])
+		if err != nil {
+			return
+		}
+		size -= n
+	}
+}
--- /dev/null
+++ b/standin/platformd/platformd.go
@@ -0,0 +1,115 @@
+// Package platformd is a stand-in for the platform: one HTTP server with the log and the list of VMs, and an
+// admin path through which VMs register and tests set faults.
+package platformd
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/gorilla/mux"
+
+	"waxwingslip.example/platform/directory"
+	dirfake "waxwingslip.example/platform/directory/fake"
+	"waxwingslip.example/platform/fault"
+	"waxwingslip.example/platform/logstore"
+	logfake "waxwingslip.example/platform/logstore/fake"
+	"waxwingslip.example/standin/internal/listen"
+)
+
+const maxAdminBytes = 1 << 20
+
+// Server is a running platform.
+type Server struct {
+	// Log and Directory are the fakes behind the HTTP interface.
+	Log       *logfake.Store
+	Directory *dirfake.Directory
+
+	server *listen.Server
+}
+
+// Start runs a platform at an IP:port address; port 0 picks a free port.
+func Start(address string) (*Server, error) {
+	s := &Server{Log: logfake.New(nil), Directory: dirfake.New(nil)}
+	server, err := listen.Serve(address, s.handler())
+	if err != nil {
+		return nil, err
+	}
+	s.server = server
+	return s, nil
+}
+
+// Address returns the bound IP:port.
+func (s *Server) Address() string { return s.server.Address }
+
+// URL returns the base URL for the clients of the log and the directory.
+func (s *Server) URL() string { return "http://" + s.server.Address }
+
+// Close stops the server and cuts its connections.
+func (s *Server) Close() { s.server.Close() }
+
+// handler serves /v1/streams and /v1/vms as described at logstore.NewHandler and directory.NewHandler, and
+//
+//	PUT    /admin/vms/{id}              registers a directory.VM
+//	DELETE /admin/vms/{id}              removes a VM from the list
+//	PUT    /admin/faults/log            sets a fault.Setting
+//	PUT    /admin/faults/directory      sets a fault.Setting
+//	PUT    /admin/distortion            sets a fake.Distortion of the list
+//	PUT    /admin/retention             sets a fake.Retention of the log
+//	GET    /admin/streams               answers with the number of entries of each stream
+func (s *Server) handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.PathPrefix("/v1/streams/").Handler(logstore.NewHandler(s.Log))
+	r.PathPrefix("/v1/vms").Handler(directory.NewHandler(s.Directory))
+	r.HandleFunc("/admin/vms/{id}", s.putVM).Methods(http.MethodPut)
+	r.HandleFunc("/admin/vms/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		s.Directory.Remove(vmID(r))
+	}).Methods(http.MethodDelete)
+	put(r, "/admin/faults/log", func(x fault.Setting) { s.Log.Faults.Set(x) })
+	put(r, "/admin/faults/directory", func(x fault.Setting) { s.Directory.Faults.Set(x) })
+	put(r, "/admin/distortion", s.Directory.Distort)
+	put(r, "/admin/retention", s.Log.SetRetention)
+	r.HandleFunc("/admin/streams", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.Log.Streams())
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
+	var vm directory.VM
+	if !decode(w, r, &vm) {
+		return
+	}
+	if vm.ID == "" || vm.ID != vmID(r) {
+		http.Error(w, "the VM's id differs from the path", http.StatusBadRequest)
+		return
+	}
+	s.Directory.Put(vm)
+}
+
+func vmID(r *http.Request) string {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		return ""
+	}
+	return id
+}
+
+func put[T any](r *mux.Router, path string, set func(T)) {
+	r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if decode(w, r, &v) {
+			set(v)
+		}
+	}).Methods(http.MethodPut)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/workerd/workerd_test.go
@@ -0,0 +1,130 @@
+package workerd_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"waxwingslip.example/core/resource"
+	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/platform/worker/fake"
+	"waxwingslip.example/standin/endpointd"
+	"waxwingslip.example/standin/workerd"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	ctx = context.Background()
+	far = worker.Fence{OwnerEpoch: 1, NotAfterMs: 1 << 40}
+	key = worker.RunKey{Job: "service/zones", Index: 3, Epoch: 7}
+)
+
+type replica struct {
+	*is.I
+	worker *workerd.Worker
+	client *worker.HTTPClient
+	url    string
+	http   *http.Client
+}
+
+// startReplica runs one replica on one worker under a lease of the given length.
+func startReplica(t *testing.T, leaseMs int64) *replica {
+	is := is.New(t)
+	s, err := workerd.Start(ctx, "", []workerd.WorkerOptions{{ID: "w1", Capacity: resource.Vector{Slots: 1}}})
+	is.NoErr(err)
+	r := &replica{I: is, worker: s.Worker("w1"), client: worker.NewHTTPClient(),
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(func() { r.client.Close(); s.Close() })
+	_, err = r.client.Renew(ctx, r.worker.Address(), worker.RenewRequest{Fence: far, LeaseUntilMs: r.worker.Fake.NowMs() + leaseMs})
+	is.NoErr(err)
+	is.NoErr(r.client.Start(ctx, r.worker.Address(), worker.StartRequest{Fence: far, RunKey: key, Service: "zones",
+		Size: resource.Vector{Slots: 1}}))
+	rep, err := r.client.Report(ctx, r.worker.Address())
+	is.NoErr(err)
+	r.url = "http://" + rep.Runs[0].Address
+	return r
+}
+
+func (r *replica) post(ctx context.Context, path, id, body string) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+	r.NoErr(err)
+	req.Header.Set(endpointd.HeaderRequestID, id)
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, answer, err
+}
+
+// Guards against echoes that mix up requests and against a journal that misses an execution.
+func TestEchoAndJournal(t *testing.T) {
+	r := startReplica(t, 3600_000)
+	resp, body, err := r.post(ctx, "/tune?status=201", "id-1", "hello")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusCreated)
+	var echo endpointd.Echo
+	r.NoErr(json.Unmarshal(body, &echo))
+	r.Equal(echo, endpointd.Echo{Replica: "zones/3/7@w1", Method: "POST", Path: "/tune?status=201", RequestID: "id-1", Body: "hello"})
+	_, body, err = r.post(ctx, "/big?size=100000", "id-2", "")
+	r.NoErr(err)
+	r.Equal(len(body), 100_000)
+	r.Equal(body[99_999], endpointd.Pattern(99_999))
+	journal := r.worker.Journal()
+	r.Equal(len(journal), 2)
+	r.Equal(journal[1].RequestID, "id-2")
+}
+
+// Guards against an endpoint that hides that it is leaving.
+func TestLeaving(t *testing.T) {
+	r := startReplica(t, 3600_000)
+	r.worker.SetCondition(fake.Condition{Leaving: true})
+	resp, _, err := r.post(ctx, "/", "", "")
+	r.NoErr(err)
+	r.Equal(resp.Header.Get(endpointd.HeaderLeaving), "1")
+}
+
+// Guards against an endpoint that serves after its run was stopped, or after its lease lapsed with nobody
+// asking the worker.
+func TestEndpointCloses(t *testing.T) {
+	for name, leaseMs := range map[string]int64{"stopped": 3600_000, "lapsed": 100} {
+		t.Run(name, func(t *testing.T) {
+			r := startReplica(t, leaseMs)
+			if name == "stopped" {
+				_, err := r.client.Stop(ctx, r.worker.Address(), worker.StopRequest{Fence: far, RunKey: key})
+				r.NoErr(err)
+			}
+			for deadline := time.Now().Add(10 * time.Second); ; {
+				if _, _, err := r.post(ctx, "/", "", ""); err != nil {
+					return
+				}
+				if time.Now().After(deadline) {
+					t.Fatal("the endpoint still serves")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a frozen worker whose endpoint answers.
+func TestFrozenEndpoint(t *testing.T) {
+	r := startReplica(t, 3600_000)
+	r.worker.SetCondition(fake.Condition{Frozen: true})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, _, err := r.post(short, "/", "id", "")
+	r.True(err != nil)
+	r.Equal(len(r.worker.Journal()), 0)
+	r.worker.SetCondition(fake.Condition{})
+	_, _, err = r.post(ctx, "/", "id", "")
+	r.NoErr(err)
+}
