--- /dev/null
+++ b/core/zone/invariant_test.go
@@ -0,0 +1,202 @@
+package zone
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+// drawBody draws any record that a daemon, an outdated daemon or a faulty one could append.
+func drawBody(t *rapid.T) record.Body {
+	member := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "member")
+	w := rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "worker")
+	job := rapid.SampledFrom([]string{"j1", "j2", "service/s"}).Draw(t, "job")
+	epoch := rapid.Int64Range(0, 4).Draw(t, "epoch")
+	owner := record.Owner{Member: member, Epoch: epoch}
+	task := record.TaskID{Job: job, Index: rapid.IntRange(0, 2).Draw(t, "index")}
+	taskEpoch := rapid.Int64Range(1, 5).Draw(t, "taskEpoch")
+	run := record.Run{Task: task, Epoch: taskEpoch, Worker: w}
+	switch rapid.IntRange(0, 18).Draw(t, "kind") {
+	case 0:
+		return &record.Join{Member: member}
+	case 1:
+		return &record.Leave{Member: member}
+	case 2:
+		return &record.Expire{Member: member, LastHeartbeat: rapid.Int64Range(1, 40).Draw(t, "heartbeat")}
+	case 3, 4:
+		return &record.Claim{Shard: ShardOf(w), Epoch: epoch, Member: member}
+	case 5, 6:
+		return &record.RegisterWorker{Owner: owner, Worker: drawWorker(w)}
+	case 7:
+		return &record.SetWorker{Owner: owner, Worker: w, State: record.WorkerState(rapid.IntRange(0, 3).Draw(t, "state"))}
+	case 8:
+		return &record.Policy{
+			Version:    rapid.Int64Range(1, 9).Draw(t, "version"),
+			InService:  rapid.Bool().Draw(t, "inService"),
+			Exclusions: []record.Exclusion{{A: "x", B: "y"}},
+		}
+	case 9, 10:
+		return &record.Admit{Job: drawJob(t, job)}
+	case 11:
+		return &record.Adopt{Job: drawJob(t, job), Index: task.Index, Epoch: taskEpoch}
+	case 12, 13, 14:
+		return &record.Bind{Task: task, Epoch: taskEpoch, Worker: w}
+	case 15:
+		return &record.End{Owner: owner, Run: run, Outcome: record.Outcome(rapid.IntRange(1, 3).Draw(t, "outcome"))}
+	case 16:
+		return &record.Evict{Owner: owner, Run: run, Checkpoint: "c"}
+	case 17:
+		return &record.Lost{Owner: owner, Run: run, Basis: record.LostNotRunning}
+	default:
+		return rapid.SampledFrom([]record.Body{
+			&record.Cancel{Job: job},
+			&record.Release{Task: task, Epoch: taskEpoch, To: "other"},
+			&record.RemoveWorker{Owner: owner, Worker: w},
+			&record.ReleaseShard{Shard: ShardOf(w), Epoch: epoch, Member: member},
+			&record.Forget{Job: job},
+			&record.Stop{Run: run},
+		}).Draw(t, "other")
+	}
+}
+
+func drawWorker(id string) record.WorkerInfo {
+	return record.WorkerInfo{ID: id, Capacity: resource.Vector{Slots: 2, MilliCPU: 3000, MemoryMB: 10, Connections: 5, Accelerators: 1}}
+}
+
+func drawJob(t *rapid.T, id string) record.JobSpec {
+	spec := record.JobSpec{
+		ID: id, Class: "x", Tasks: rapid.IntRange(0, 3).Draw(t, "tasks"),
+		Size: resource.Vector{
+			Slots:        1,
+			MilliCPU:     rapid.Int64Range(0, 3000).Draw(t, "milliCPU"),
+			MemoryMB:     rapid.Int64Range(0, 12).Draw(t, "memoryMB"),
+			Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators"),
+		},
+	}
+	switch id {
+	case "j2":
+		spec.Class = "y"
+	case "service/s":
+		spec.Service, spec.Revision = "s", rapid.Int64Range(1, 5).Draw(t, "revision")
+	}
+	return spec
+}
+
+// checkInvariants verifies what must hold after every record.
+func checkInvariants(t *rapid.T, s *State) {
+	bound := map[string]resource.Vector{}
+	for _, j := range s.Jobs {
+		unfinished := 0
+		for _, task := range j.Tasks {
+			if task.State == TaskPending || task.State == TaskBound {
+				unfinished++
+			}
+			if task.State == TaskBound {
+				bound[task.Worker] = bound[task.Worker].Add(task.Size)
+			}
+		}
+		if unfinished != j.Unfinished {
+			t.Fatalf("job %s: %d unfinished tasks, counted %d", j.Spec.ID, unfinished, j.Unfinished)
+		}
+	}
+	for id, w := range s.Workers {
+		if w.Reserved != bound[id] {
+			t.Fatalf("worker %s reserves %s, its tasks need %s", id, w.Reserved, bound[id])
+		}
+		if !w.Reserved.Fits(w.Info.Capacity) {
+			t.Fatalf("worker %s is committed to %s beyond %s", id, w.Reserved, w.Info.Capacity)
+		}
+		if w.ClassCount("x") > 0 && w.ClassCount("y") > 0 {
+			t.Fatalf("worker %s holds classes that exclude each other", id)
+		}
+	}
+}
+
+// Guards against any order of records, by current, outdated or faulty writers, that commits a worker beyond
+// its capacity, breaks an exclusion, or lets the epoch of a task fall or a task be bound twice under one
+// epoch.
+func TestInvariantsHoldForAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New("z")
+		binds := map[string]bool{}
+		epochs := map[record.TaskID]int64{}
+		for offset := int64(1); offset <= 120; offset++ {
+			body := drawBody(t)
+			v := s.Apply(offset, record.New(uuid.UUID{byte(offset), byte(offset >> 8)}, body))
+			checkInvariants(t, s)
+			if b, ok := body.(*record.Bind); ok && v.Accepted {
+				key := fmt.Sprintf("%v/%d", b.Task, b.Epoch)
+				if binds[key] {
+					t.Fatalf("task %v was bound twice under epoch %d", b.Task, b.Epoch)
+				}
+				binds[key] = true
+			}
+			if b, ok := body.(*record.Forget); ok && v.Accepted {
+				for id := range epochs {
+					if id.Job == b.Job {
+						delete(epochs, id)
+					}
+				}
+				binds = map[string]bool{}
+			}
+			for _, j := range s.Jobs {
+				for _, task := range j.Tasks {
+					if task.Epoch < epochs[task.ID()] {
+						t.Fatalf("epoch of %v fell from %d to %d", task.ID(), epochs[task.ID()], task.Epoch)
+					}
+					epochs[task.ID()] = task.Epoch
+				}
+			}
+		}
+	})
+}
+
+// Guards against a daemon that starts from a snapshot and then decides differently from one that read
+// everything.
+func TestSnapshotAndRestGiveTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, split := New("z"), New("z")
+		cut := rapid.Int64Range(1, 100).Draw(t, "cut")
+		for offset := int64(1); offset <= 100; offset++ {
+			id := uuid.UUID{byte(rapid.IntRange(1, 90).Draw(t, "id"))}
+			r := record.New(id, drawBody(t))
+			a, b := whole.Apply(offset, r), split.Apply(offset, r)
+			if a != b {
+				t.Fatalf("verdicts differ at %d: %+v and %+v", offset, a, b)
+			}
+			if offset == cut {
+				data, err := split.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if split, err = Decode("z", data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		x, errX := whole.Encode()
+		y, errY := split.Encode()
+		if errX != nil || errY != nil || !bytes.Equal(x, y) {
+			t.Fatalf("states differ after a snapshot at %d", cut)
+		}
+	})
+}
+
+// Guards against a repeat of an append, after a lost answer, that takes effect twice.
+func TestRepeatedRecordHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	s := New("z")
+	r := record.New(uuid.New(), &record.Join{Member: "a"})
+	is.True(s.Apply(1, r).Accepted)
+	is.True(s.Apply(2, record.New(uuid.New(), &record.Leave{Member: "a"})).Accepted)
+	v := s.Apply(3, r)
+	is.True(v.Duplicate)
+	is.Equal(len(s.Members), 0)
+}
