Add log stream appender, follower and snapshotter

Daemons need to append records in groups, learn each record's verdict in log order and stay correct through outages, lost answers and expired entries.

Checked with: go test -race -count=5 ./node/stream/

--- /dev/null
+++ b/node/stream/follow_test.go
@@ -0,0 +1,306 @@
+package stream
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/platform/logstore"
+)
+
+// put appends records straight to the log.
+func put(t *testing.T, store *memStore, bodies ...record.Body) {
+	for _, b := range bodies {
+		payload, err := record.Encode(record.New(uuid.New(), b))
+		is.New(t).NoErr(err)
+		_, err = store.Append(t.Context(), "", [][]byte{payload})
+		is.New(t).NoErr(err)
+	}
+}
+
+// snapshotParts returns the snapshot records of the node's present state.
+func snapshotParts(t *testing.T, n *node) []record.Body {
+	covers, packed, err := n.f.Export()
+	is.New(t).NoErr(err)
+	parts, err := split(covers, packed)
+	is.New(t).NoErr(err)
+	var out []record.Body
+	for _, p := range parts {
+		out = append(out, snapshotBody(record.KindZoneSnapshot, p))
+	}
+	return out
+}
+
+// Each row is a log that a daemon finds at its start. The daemon must reach the state of one that read
+// everything, or say that it cannot.
+func TestStartUp(t *testing.T) {
+	const padding = 300 << 10 // three parts
+	rows := []struct {
+		name string
+		fill func(t *testing.T, store *memStore, old *node)
+		ok   bool
+	}{
+		{"empty", func(*testing.T, *memStore, *node) {}, true},
+		{"nothing expired", func(t *testing.T, store *memStore, _ *node) {
+			put(t, store, cancelJob("a"), cancelJob("b"))
+		}, true},
+		{"expired, records between and after the parts", func(t *testing.T, store *memStore, old *node) {
+			put(t, store, cancelJob("a"), cancelJob("b"))
+			time.Sleep(time.Second)
+			parts := snapshotParts(t, old)
+			put(t, store, cancelJob("c"), parts[0], cancelJob("d"), parts[2], parts[1], cancelJob("e"))
+			store.expire(3)
+		}, true},
+		{"newest snapshot interrupted between parts", func(t *testing.T, store *memStore, old *node) {
+			put(t, store, cancelJob("a"))
+			time.Sleep(time.Second)
+			put(t, store, snapshotParts(t, old)...)
+			put(t, store, cancelJob("b"))
+			time.Sleep(time.Second)
+			put(t, store, snapshotParts(t, old)[:2]...)
+			put(t, store, cancelJob("c"))
+			store.expire(2)
+		}, true},
+		{"two writers interleaved, one dies", func(t *testing.T, store *memStore, old *node) {
+			put(t, store, cancelJob("a"))
+			time.Sleep(time.Second)
+			first := snapshotParts(t, old)
+			put(t, store, cancelJob("b"))
+			time.Sleep(time.Second)
+			second := snapshotParts(t, old)
+			put(t, store, first[0], second[0], first[1], second[1], first[2], cancelJob("c"))
+			store.expire(2)
+		}, true},
+		{"newest snapshot corrupt", func(t *testing.T, store *memStore, old *node) {
+			put(t, store, cancelJob("a"))
+			time.Sleep(time.Second)
+			put(t, store, snapshotParts(t, old)...)
+			time.Sleep(time.Second)
+			bad, err := split(3, []byte("no deflate stream"))
+			is.New(t).NoErr(err)
+			put(t, store, snapshotBody(record.KindZoneSnapshot, bad[0]), cancelJob("b"))
+			store.expire(2)
+		}, true},
+		{"snapshot older than what is left", func(t *testing.T, store *memStore, old *node) {
+			put(t, store, cancelJob("a"))
+			time.Sleep(time.Second)
+			parts := snapshotParts(t, old)
+			put(t, store, cancelJob("b"))
+			put(t, store, parts...)
+			store.expire(3)
+		}, false},
+		{"no snapshot", func(t *testing.T, store *memStore, _ *node) {
+			put(t, store, cancelJob("a"), cancelJob("b"))
+			store.expire(2)
+		}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newMemStore()
+				old := start(t, store)
+				old.m.padding = padding
+				row.fill(t, store, old)
+				time.Sleep(5 * time.Second)
+				fresh := start(t, store)
+				time.Sleep(5 * time.Second)
+				is.Equal(fresh.f.Ready(), row.ok)
+				if row.ok {
+					is.Equal(fresh.jobs(), old.jobs())
+					is.Equal(fresh.f.Next(), old.f.Next())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a reader that skips records which expired while it was away.
+func TestExpiredWhileAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n, peer := start(t, store), start(t, store)
+		restored := 0
+		put(t, store, cancelJob("a"))
+		time.Sleep(time.Second)
+		away := NewFollower(store, newLogMachine(), FollowerOptions{Stream: "zone/a"})
+		away.Subscribe(func(b Batch) {
+			if b.Restored {
+				restored++
+			}
+		})
+		is.NoErr(away.step(t.Context()))
+		is.NoErr(away.step(t.Context()))
+		is.Equal(away.Next(), int64(2))
+		put(t, store, cancelJob("b"), cancelJob("c"))
+		time.Sleep(time.Second)
+		put(t, store, snapshotParts(t, peer)...)
+		store.expire(4)
+		is.NoErr(away.step(t.Context())) // finds that offset 2 has expired
+		is.NoErr(away.step(t.Context()))
+		time.Sleep(time.Second)
+		is.Equal(restored, 1)
+		is.Equal(away.Next(), n.f.Next())
+		is.Equal(away.machine.(*logMachine).jobs, n.jobs())
+	})
+}
+
+// Guards against a bad entry that stops the stream for everybody.
+func TestCorruptEntryIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		for _, bad := range [][]byte{nil, {0xff}, []byte("text"), make([]byte, record.MaxEncodedBytes+1)} {
+			_, err := store.Append(t.Context(), "", [][]byte{bad})
+			is.NoErr(err)
+		}
+		put(t, store, cancelJob("a"))
+		time.Sleep(time.Second)
+		is.Equal(n.jobs(), []string{"a"})
+	})
+}
+
+// Guards against a daemon that believes to be current because an old read returned late: the time of a read
+// is when it was sent.
+func TestFreshness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		is.True(n.f.CurrentAsOf().IsZero())
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			is.True(time.Since(n.f.CurrentAsOf()) <= 2100*time.Millisecond)
+		}
+		store.set(func() { store.out = true })
+		cut := time.Now()
+		time.Sleep(10 * time.Second)
+		is.True(!n.f.Reachable())
+		is.True(!n.f.CurrentAsOf().After(cut))
+		store.set(func() { store.out, store.delay = false, 1500*time.Millisecond })
+		time.Sleep(10 * time.Second)
+		is.True(n.f.Reachable())
+		is.True(time.Since(n.f.CurrentAsOf()) >= 1500*time.Millisecond)
+	})
+}
+
+// Each row is an answer of a peer to a daemon that has applied offsets 1 and 2 and cannot reach the log.
+func TestInject(t *testing.T) {
+	entry := func(offset int64, job string) logstore.Entry {
+		payload, err := record.Encode(record.New(uuid.New(), cancelJob(job)))
+		is.New(t).NoErr(err)
+		return logstore.Entry{Offset: offset, Payload: payload}
+	}
+	rows := []struct {
+		name  string
+		relay Relay
+		next  int64
+		gap   bool
+		fresh bool
+	}{
+		{"nothing new", Relay{End: 3, Age: time.Second}, 3, false, true},
+		{"peer behind", Relay{End: 2, Age: time.Second}, 3, false, true},
+		{"overlap", Relay{Entries: []logstore.Entry{entry(2, "x"), entry(3, "c")}, End: 4, Age: time.Second}, 4, false, true},
+		{"gap at the start", Relay{Entries: []logstore.Entry{entry(4, "d")}, End: 5, Age: 0}, 3, true, false},
+		{"gap inside", Relay{Entries: []logstore.Entry{entry(3, "c"), entry(5, "e")}, End: 6, Age: 0}, 4, true, false},
+		{"more to fetch", Relay{Entries: []logstore.Entry{entry(3, "c")}, End: 9, Age: 0}, 4, false, false},
+		{"peer never current", Relay{End: 3, Age: -1}, 3, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newMemStore()
+				n := start(t, store)
+				put(t, store, cancelJob("a"), cancelJob("b"))
+				time.Sleep(time.Second)
+				store.set(func() { store.out = true })
+				time.Sleep(30 * time.Second)
+				sent := time.Now()
+				time.Sleep(200 * time.Millisecond)
+				err := n.f.Inject(row.relay, sent)
+				var gap *GapError
+				is.Equal(errors.As(err, &gap), row.gap)
+				is.Equal(n.f.Next(), row.next)
+				is.Equal(n.f.CurrentAsOf().Equal(sent.Add(-row.relay.Age)), row.fresh)
+			})
+		})
+	}
+}
+
+// Guards against a daemon that starts during an outage of the log and serves without the newest configuration
+// although a peer has it.
+func TestImportFromPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		peer := start(t, store)
+		put(t, store, cancelJob("a"))
+		time.Sleep(time.Second)
+		store.set(func() { store.out = true })
+		n := start(t, store)
+		_, err := n.a.Submit(within(t, time.Second), cancelJob("x"))
+		is.True(err != nil)
+		is.True(errors.Is(n.f.Inject(Relay{End: 2}, time.Now()), ErrNotReady))
+		covers, packed, err := peer.f.Export()
+		is.NoErr(err)
+		is.NoErr(n.f.Import(covers, packed))
+		is.Equal(n.jobs(), []string{"a"})
+		relay, ok := peer.f.Tail(n.f.Next(), 1<<20)
+		is.True(ok)
+		is.NoErr(n.f.Inject(relay, time.Now()))
+		is.True(!n.f.CurrentAsOf().IsZero())
+	})
+}
+
+// Guards against a stream whose only snapshot expires, and against daemons that all write the same one.
+func TestSnapshotter(t *testing.T) {
+	rows := []struct {
+		name   string
+		mine   []bool
+		limits SnapshotterOptions
+		want   int64 // snapshots written after 30 records
+	}{
+		{"one chosen", []bool{true, false}, SnapshotterOptions{Records: 10}, 1},
+		{"both chosen", []bool{true, true}, SnapshotterOptions{Records: 10}, 1},
+		{"chosen one does nothing", []bool{false, false}, SnapshotterOptions{Records: 10}, 1},
+		{"not yet", []bool{true, true}, SnapshotterOptions{Records: 100}, 0},
+		{"old", []bool{true, false}, SnapshotterOptions{Records: 100, MaxAge: 10 * time.Second}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newMemStore()
+				var nodes []*node
+				for _, mine := range row.mine {
+					n := start(t, store)
+					nodes = append(nodes, n)
+					opts := row.limits
+					opts.Mine = func() bool { return mine }
+					ctx, cancel := context.WithCancel(t.Context())
+					done := make(chan struct{})
+					go func() { defer close(done); _ = NewSnapshotter(n.f, n.a, opts).Run(ctx) }()
+					t.Cleanup(func() { cancel(); <-done })
+				}
+				time.Sleep(time.Second)
+				for range 30 {
+					put(t, store, cancelJob("a"))
+				}
+				time.Sleep(20 * time.Second)
+				for _, n := range nodes {
+					is.Equal(n.f.snapshotCovers(30), row.want > 0)
+				}
+				is.True(nodes[0].f.Next() <= 31+row.want*int64(len(row.mine)))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/node/stream/queue.go
@@ -0,0 +1,157 @@
+package stream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/platform/logstore"
+)
+
+// item is one record on its way to the log.
+type item struct {
+	id      uuid.UUID
+	payload []byte
+	ctx     context.Context
+	waiter  *waiter   // nil for posted records
+	expires time.Time // zero for submitted records
+	// state decides between the caller, who may give up, and Run, which sends.
+	state atomic.Int32
+	// repeated means that an append of the record had no definite answer. It belongs to Run.
+	repeated bool
+}
+
+const (
+	itemQueued int32 = iota
+	itemSent
+	itemAbandoned
+)
+
+// abandon reports whether the record was not sent yet and now never will be.
+func (it *item) abandon() bool { return it.state.CompareAndSwap(itemQueued, itemAbandoned) }
+
+// sendable reports whether somebody still wants the record to be sent.
+func (it *item) sendable(now time.Time) bool {
+	return it.ctx.Err() == nil && (it.expires.IsZero() || now.Before(it.expires))
+}
+
+// claim reports whether the record may be sent, which settles that the caller can no longer take it back.
+func (it *item) claim(now time.Time) bool {
+	if !it.sendable(now) {
+		return false
+	}
+	return it.state.Load() == itemSent || it.state.CompareAndSwap(itemQueued, itemSent)
+}
+
+// queue holds the records that wait to be sent.
+type queue struct {
+	limit  int
+	signal chan struct{} // capacity 1
+
+	mu     sync.Mutex
+	items  []*item
+	closed bool
+}
+
+func (q *queue) push(it *item) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.items) >= q.limit {
+		q.purge(time.Now())
+	}
+	if q.closed || len(q.items) >= q.limit {
+		return false
+	}
+	q.items = append(q.items, it)
+	q.notify()
+	return true
+}
+
+// purge drops records that will not be sent any more, so that callers who gave up during an outage of the log
+// leave room for others. It is called with mu held.
+func (q *queue) purge(now time.Time) {
+	kept := q.items[:0:0]
+	for _, it := range q.items {
+		if it.sendable(now) {
+			kept = append(kept, it)
+		}
+	}
+	q.items = kept
+}
+
+// unshift puts records back in front; it ignores the limit because they had a place before.
+func (q *queue) unshift(items []*item) {
+	if len(items) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.items = append(append([]*item(nil), items...), q.items...)
+	q.notify()
+}
+
+func (q *queue) notify() {
+	select {
+	case q.signal <- struct{}{}:
+	default:
+	}
+}
+
+// wait blocks until there is something to send; it returns false when ctx ends.
+func (q *queue) wait(ctx context.Context) bool {
+	for {
+		q.mu.Lock()
+		n := len(q.items)
+		q.mu.Unlock()
+		if ctx.Err() != nil {
+			return false
+		}
+		if n > 0 {
+			return true
+		}
+		select {
+		case <-q.signal:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// take removes the next records within the limits and counts the posted ones that are too old to be sent.
+func (q *queue) take(maxRecords, maxBytes int, now time.Time) (batch []*item, stale int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	taken, size := 0, 0
+	for _, it := range q.items {
+		if len(batch) == maxRecords || (len(batch) > 0 && size+len(it.payload) > maxBytes) {
+			break
+		}
+		taken++
+		if !it.claim(now) {
+			if it.waiter == nil {
+				stale++
+			}
+			continue
+		}
+		size += len(it.payload)
+		batch = append(batch, it)
+	}
+	q.items = append(q.items[:0:0], q.items[taken:]...)
+	return batch, stale
+}
+
+// close refuses further records and returns those that were not sent.
+func (q *queue) close() []*item {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	rest := q.items
+	q.items = nil
+	return rest
+}
+
+func isRejected(err error) bool { return errors.Is(err, logstore.ErrRejected) }
--- /dev/null
+++ b/node/stream/stream_test.go
@@ -0,0 +1,203 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"waxwingslip.example/core/record"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is one daemon's view of the stream.
+type node struct {
+	m *logMachine
+	f *Follower
+	a *Appender
+}
+
+// start runs a follower and an appender until the test ends.
+func start(t *testing.T, store *memStore) *node {
+	n := &node{m: newLogMachine()}
+	n.f = NewFollower(store, n.m, FollowerOptions{Stream: "zone/a", SnapshotKind: record.KindZoneSnapshot, TailBytes: 1 << 20})
+	n.a = NewAppender(store, n.f, AppenderOptions{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.f.Run(ctx) })
+	wg.Go(func() { _ = n.a.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return n
+}
+
+func cancelJob(name string) record.Body { return &record.Cancel{Job: name} }
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (n *node) jobs() (out []string) {
+	n.f.View(func() { out = slices.Clone(n.m.jobs) })
+	return out
+}
+
+// Guards against a Submit that returns before its record was judged in log order.
+func TestSubmitReturnsVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := start(t, newMemStore())
+		r, err := n.a.Submit(within(t, time.Second), cancelJob("j1"))
+		is.NoErr(err)
+		is.Equal(r, Result{Offset: 1, Accepted: true})
+		r, err = n.a.Submit(within(t, time.Second), cancelJob("no"))
+		is.NoErr(err)
+		is.Equal(r, Result{Offset: 2, Reason: "refused"})
+	})
+}
+
+// Guards against more than 10 appends per second, and against a delay of the first one.
+func TestAppendsAreGrouped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		time.Sleep(time.Second)
+		begin := time.Now()
+		var wg sync.WaitGroup
+		for i := range 1000 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				if _, err := n.a.Submit(within(t, 5*time.Second), cancelJob(fmt.Sprint(i))); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(store.appends[0], begin)
+		is.True(len(store.appends) <= 12)
+		is.Equal(len(n.jobs()), 1000)
+	})
+}
+
+// Each row is a failure of the log; whatever happens, an accepted record is applied exactly once and a
+// reported error matches what the log holds.
+func TestLogFailures(t *testing.T) {
+	rows := []struct {
+		name   string
+		before func(*memStore)
+		during func(*memStore)
+		limit  time.Duration
+		kind   error // nil: the record is accepted
+		held   int   // entries in the log afterwards
+	}{
+		{name: "healthy", limit: time.Second, held: 1},
+		{name: "answer lost", before: func(s *memStore) { s.loseAnswers = 1 }, limit: 10 * time.Second, held: 1},
+		{name: "outage that ends", before: func(s *memStore) { s.out = true }, during: func(s *memStore) { s.out = false }, limit: 20 * time.Second, held: 1},
+		{name: "outage that lasts", before: func(s *memStore) { s.out = true }, limit: 20 * time.Second, kind: ErrUnknown},
+		{name: "slow", before: func(s *memStore) { s.delay = 900 * time.Millisecond }, limit: 10 * time.Second, held: 1},
+		{name: "slower than the timeout", before: func(s *memStore) { s.delay = 4 * time.Second }, limit: 9 * time.Second, kind: ErrUnknown},
+		{name: "rejected", before: func(s *memStore) { s.reject = func([]byte) bool { return true } }, limit: time.Second, kind: ErrNotAppended},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newMemStore()
+				n := start(t, store)
+				time.Sleep(time.Second)
+				if row.before != nil {
+					store.set(func() { row.before(store) })
+				}
+				if row.during != nil {
+					time.AfterFunc(5*time.Second, func() { store.set(func() { row.during(store) }) })
+				}
+				r, err := n.a.Submit(within(t, row.limit), cancelJob("j"))
+				if row.kind != nil {
+					is.True(errors.Is(err, row.kind))
+				} else {
+					is.NoErr(err)
+					is.True(r.Accepted)
+				}
+				store.set(func() { store.out, store.delay, store.reject = false, 0, nil })
+				time.Sleep(10 * time.Second)
+				is.Equal(len(store.entries), row.held)
+				is.Equal(len(n.jobs()), row.held)
+				is.Equal(len(n.f.waiters), 0)
+			})
+		})
+	}
+}
+
+// Guards against a record that is applied twice when its first append takes effect only after the repeat.
+func TestLateDuplicateIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		payload, err := record.Encode(record.New(uuid.New(), cancelJob("j")))
+		is.NoErr(err)
+		for range 2 {
+			_, err = store.Append(t.Context(), "", [][]byte{payload})
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		is.Equal(n.jobs(), []string{"j"})
+	})
+}
+
+// Guards against a record that reaches the log after its caller was told that it never would.
+func TestAbandonedRecordIsNeverSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		time.Sleep(time.Second)
+		store.set(func() { store.out = true })
+		go func() { _, _ = n.a.Submit(within(t, 20*time.Second), cancelJob("first")) }()
+		time.Sleep(500 * time.Millisecond) // the appender now waits for the log
+		_, err := n.a.Submit(within(t, time.Second), cancelJob("second"))
+		is.True(errors.Is(err, ErrNotAppended))
+		is.NoErr(n.a.Post(cancelJob("heartbeat")))
+		time.Sleep(3 * time.Second)
+		store.set(func() { store.out = false })
+		time.Sleep(5 * time.Second)
+		is.Equal(n.jobs(), []string{"first"})
+	})
+}
+
+// Guards against one bad record that keeps the rest of its batch out of the log.
+func TestRejectedRecordFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemStore()
+		n := start(t, store)
+		bad, err := record.Encode(record.New(uuid.Nil, cancelJob("bad")))
+		is.NoErr(err)
+		store.reject = func(p []byte) bool { return slices.Equal(p[len(p)-4:], bad[len(bad)-4:]) }
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				name := fmt.Sprint("good", i)
+				if i == 7 {
+					name = "bad"
+				}
+				if _, err := n.a.Submit(within(t, 10*time.Second), cancelJob(name)); (err != nil) != (i == 7) {
+					t.Error(name, err)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(len(n.jobs()), 19)
+	})
+}
