Add placement planner

The scheduler loop needs a pure planning step that is updated per changed worker. The planner keeps an index of workers and a queue by priority, team share and age, and proposes binds and evictions against one consistent view.

--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+type pairTable struct{}
+
+func (pairTable) Use(string, string) (resource.Vector, bool) { return resource.Vector{}, false }
+func (pairTable) Effect(victim, neighbour string) float64 {
+	return float64(len(victim)+int(neighbour[len(neighbour)-1])%7) / 20
+}
+
+// fullZone has 1,400 workers with 16 runs of 300 classes each and room for a few more.
+func fullZone() *Planner {
+	p := NewPlanner(DefaultOptions())
+	p.Index().SetPolicy(true, []record.Exclusion{{A: "class-1", B: "class-2"}, {A: "class-5", B: "class-5"}})
+	for i := range 1400 {
+		w := Worker{
+			ID: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/8),
+			Capacity: resource.Vector{Slots: 18, Connections: 64, MilliCPU: 64000, MemoryMB: 250000},
+		}
+		for k := range 16 {
+			priority := record.PriorityBatch
+			if k%3 == 0 {
+				priority = record.PriorityService
+			}
+			w.Runs = append(w.Runs, Run{
+				Task: record.TaskID{Job: fmt.Sprintf("old%d", i), Index: k}, Team: fmt.Sprintf("team%d", k),
+				Class: fmt.Sprintf("class-%d", (i*16+k)%300), Priority: priority,
+				Size: resource.Vector{Slots: 1, MilliCPU: 3000, MemoryMB: 10000},
+			})
+		}
+		p.Index().SetWorker(w)
+	}
+	p.Index().SetEstimator(pairTable{})
+	return p
+}
+
+// BenchmarkPlacement measures one placement at 1,400 workers of which all are feasible, and its settlement.
+func BenchmarkPlacement(b *testing.B) {
+	p, rng, now := fullZone(), newRand(), start
+	job := &record.JobSpec{ID: "new", Team: "t", Class: "class-7", Priority: record.PriorityBatch, Size: resource.Vector{Slots: 1, MilliCPU: 2000, MemoryMB: 4000}}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		task := record.TaskID{Job: "new", Index: i % 1000}
+		p.Add(Pending{Task: task, Epoch: int64(i), Job: job, Since: now})
+		now = now.Add(time.Millisecond)
+		if len(p.Plan(now, rng, 1).Binds) != 1 {
+			b.Fatal("not placed")
+		}
+		p.Remove(task)
+	}
+}
+
+// BenchmarkSetWorker measures the update of one changed worker.
+func BenchmarkSetWorker(b *testing.B) {
+	p := fullZone()
+	w := p.index.nodes[7].worker
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Index().SetWorker(w)
+	}
+}
+
+// BenchmarkPreemption measures the search for runs to evict at 1,400 full workers.
+func BenchmarkPreemption(b *testing.B) {
+	p, now := fullZone(), start
+	job := &record.JobSpec{ID: "big", Team: "t", Class: "class-7", Priority: record.PriorityUrgent, Size: resource.Vector{Slots: 4, MilliCPU: 30000}}
+	t := Pending{Task: record.TaskID{Job: "big"}, Job: job, Since: now}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(p.preempt(&t, now, time.Second, true)) == 0 {
+			b.Fatal("nothing to evict")
+		}
+		p.release(t.Task)
+	}
+}
--- /dev/null
+++ b/core/placement/feasible.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"time"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+// request is a pending task prepared for the scan over all workers.
+type request struct {
+	task     record.TaskID
+	class    classID
+	service  string
+	priority record.Priority
+	size     resource.Vector
+	use      resource.Vector
+	// excluded is nil if no rule names the class.
+	excluded []bool
+	// names maps the numbers of classes to their names.
+	names []string
+	now   time.Time
+}
+
+func (x *Index) request(p *Pending, now time.Time) request {
+	j := p.Job
+	id := x.classes.id(j.Class)
+	return request{
+		task: p.Task, class: id, service: j.Service, priority: j.Priority, size: reservation(j.Size),
+		use: x.expectedUse(j.Team, j.Class, j.Size), excluded: x.classes.excluded[id],
+		names: x.classes.names, now: now,
+	}
+}
+
+// reservation is what a task reserves: its declared size and at least one slot. Learned sizes never lower
+// it, because the zone's state machine accounts declared sizes.
+func reservation(size resource.Vector) resource.Vector {
+	size.Slots = max(size.Slots, 1)
+	return size
+}
+
+// usable reports whether the worker's state allows a new run of this priority.
+func (n *node) usable(r *request) bool {
+	if !n.used || n.worker.State != record.WorkerUsable {
+		return false
+	}
+	if n.worker.Probing {
+		return r.priority == record.PriorityBatch && len(n.worker.Runs)+len(n.planned) == 0
+	}
+	return true
+}
+
+// held reports whether the worker's room is kept for another task of the same or a higher priority.
+func (n *node) held(r *request) bool {
+	return n.hold.Job != "" && n.hold != r.task && level(r.priority) <= n.holdPriority && r.now.Before(n.holdUntil)
+}
+
+// compatible reports whether no exclusion rule forbids the class on this worker.
+func (n *node) compatible(r *request) bool {
+	if r.excluded == nil {
+		return true
+	}
+	for i := range n.classes {
+		if r.excluded[n.classes[i].class] {
+			return false
+		}
+	}
+	return true
+}
+
+// feasible reports whether the task may be bound to the worker now.
+func (n *node) feasible(r *request) bool {
+	return r.size.Fits(n.free) && n.usable(r) && !n.held(r) && n.compatible(r)
+}
--- /dev/null
+++ b/core/placement/rank.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"waxwingslip.example/core/record"
+)
+
+// overuseFrom is the expected use, as a share of a worker, above which contention starts to rise steeply.
+const overuseFrom = 0.7
+
+// best returns the position of the feasible worker with the lowest cost, or -1. The scan begins at start, so
+// that daemons that plan at the same time choose different ones among equal workers.
+func (x *Index) best(r *request, w *Weights, start int) int {
+	if !x.inService {
+		return -1
+	}
+	best, bestCost := -1, float32(0)
+	for k := range x.nodes {
+		i := start + k
+		if i >= len(x.nodes) {
+			i -= len(x.nodes)
+		}
+		n := &x.nodes[i]
+		if !n.feasible(r) {
+			continue
+		}
+		if cost := x.cost(n, r, w); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// cost estimates how much a task on this worker harms others and itself, and how badly it uses the room.
+func (x *Index) cost(n *node, r *request, w *Weights) float32 {
+	cost := x.harm(n, r, w) + overuse(n, r, w) + float32(w.Pressure*n.worker.Pressure)
+	if r.size.Accelerators == 0 && n.free.Accelerators > 0 {
+		cost += float32(w.Accelerator) * max(share(r.size.MilliCPU, n.free.MilliCPU), share(r.size.Slots, n.free.Slots))
+	}
+	if r.priority == record.PriorityService {
+		return cost + x.crowding(n, r, w)
+	}
+	return cost + float32(w.Fit)*n.leftover(r)
+}
+
+// harm is the expected slowdown of the task next to the worker's runs, and of the runs next to the task.
+func (x *Index) harm(n *node, r *request, w *Weights) float32 {
+	suffers, causes := x.classes.suffers[r.class], x.classes.causes[r.class]
+	own := float32(w.BatchHarm)
+	if r.priority == record.PriorityService {
+		own = float32(w.ServiceHarm)
+	}
+	load := share(r.use.MilliCPU, n.worker.Capacity.MilliCPU)
+	sum := float32(0)
+	for i := range n.classes {
+		c := &n.classes[i]
+		theirs := float32(w.BatchHarm)
+		if c.service {
+			theirs = float32(w.ServiceHarm)
+		}
+		sum += own*suffers[c.class]*c.load + theirs*causes[c.class]*load*float32(c.count)
+	}
+	return sum
+}
+
+// overuse grows from the point at which the expected use of a worker leads to contention.
+func overuse(n *node, r *request, w *Weights) float32 {
+	c := &n.worker.Capacity
+	cpu := share(n.use.MilliCPU+r.use.MilliCPU, c.MilliCPU)
+	memory := share(n.use.MemoryMB+r.use.MemoryMB, c.MemoryMB)
+	return float32(w.Overuse) * (max(cpu-overuseFrom, 0) + 2*max(memory-overuseFrom, 0))
+}
+
+// leftover is the mean share of the worker that stays free; low values keep large gaps for large tasks.
+func (n *node) leftover(r *request) float32 {
+	c := &n.worker.Capacity
+	return (share(n.free.MilliCPU-r.size.MilliCPU, c.MilliCPU) + share(n.free.MemoryMB-r.size.MemoryMB, c.MemoryMB) +
+		share(n.free.Slots-r.size.Slots, c.Slots)) / 3
+}
+
+// crowding counts the replicas of the same service in the worker's rack and, four times, on the worker.
+func (x *Index) crowding(n *node, r *request, w *Weights) float32 {
+	same := float32(0)
+	if counts := x.rackReplicas[r.service]; int(n.rack) < len(counts) {
+		same = float32(counts[n.rack])
+	}
+	for _, runs := range [2][]Run{n.worker.Runs, n.planned} {
+		for i := range runs {
+			if runs[i].Service == r.service {
+				same += 4
+			}
+		}
+	}
+	return float32(w.Spread) * same
+}
--- /dev/null
+++ b/core/placement/types.go
@@ -0,0 +1,130 @@
+// Package placement decides which worker runs which pending task.
+//
+// The package does no I/O and reads no clock: times and the random source are parameters. A plan is a
+// request only. The zone's state machine checks every Bind again when it reads it from the log, so a plan
+// made from an older view can be rejected but can never overcommit a worker.
+package placement
+
+import (
+	"time"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+// Run is a task that holds a reservation on a worker.
+type Run struct {
+	Task     record.TaskID
+	Epoch    int64
+	Team     string
+	Class    string
+	Service  string
+	Priority record.Priority
+	Size     resource.Vector
+	// StartedAt is when the reservation was made.
+	StartedAt time.Time
+	// CheckpointedAt is the time of the newest checkpoint, zero if there is none.
+	CheckpointedAt time.Time
+}
+
+// Worker is what the planner knows about one worker.
+type Worker struct {
+	ID       string
+	Rack     string
+	Capacity resource.Vector
+	State    record.WorkerState
+	// Probing marks a worker that was just released from quarantine: it takes one batch task at a time.
+	Probing bool
+	// Pressure is the observed contention in the range 0 to 1, for instance the mean stall share of its runs.
+	Pressure float64
+	Runs     []Run
+}
+
+// Pending is a task that waits for a worker.
+type Pending struct {
+	Task       record.TaskID
+	Epoch      int64
+	Job        *record.JobSpec
+	Since      time.Time
+	Attempts   int
+	Checkpoint string
+}
+
+// Bind proposes to reserve room for a pending task on a worker.
+type Bind struct {
+	Task   record.TaskID
+	Epoch  int64
+	Worker string
+}
+
+// Eviction proposes to checkpoint and stop a batch run so that For fits on Worker.
+type Eviction struct {
+	Worker string
+	Task   record.TaskID
+	Epoch  int64
+	// For is the task that needs the room.
+	For record.TaskID
+}
+
+// Estimator supplies learned expectations. All methods are pure reads.
+type Estimator interface {
+	// Use returns the expected use of one task, false if too little is known.
+	Use(team, class string) (resource.Vector, bool)
+	// Effect returns the expected slowdown of a victim when a neighbour uses a whole worker's processors:
+	// 0 is none, 1 means that the victim takes twice as long.
+	Effect(victim, neighbour string) float64
+}
+
+// Weights balances the terms of the ranking. Each weight multiplies a term that is roughly in 0 to 1.
+type Weights struct {
+	// ServiceHarm weighs the expected slowdown of services, BatchHarm that of batch tasks.
+	ServiceHarm, BatchHarm float64
+	// Overuse weighs expected use near or beyond a worker's capacity.
+	Overuse float64
+	// Pressure weighs contention that the worker reports.
+	Pressure float64
+	// Fit weighs the room that is left after a batch task is placed.
+	Fit float64
+	// Accelerator weighs the blocking of free accelerators by tasks that need none.
+	Accelerator float64
+	// Spread weighs replicas of the same service in the same rack.
+	Spread float64
+}
+
+// Options configures a Planner.
+type Options struct {
+	Weights Weights
+	// UrgentRetry and BatchRetry are the waits before a task that did not fit is tried again.
+	UrgentRetry, BatchRetry time.Duration
+	// AgeScale is the waiting time that outweighs a difference of 1 in dominant share between teams.
+	AgeScale time.Duration
+	// StarveAfter is the waiting time after which a batch task is treated as urgent.
+	StarveAfter time.Duration
+	// InFlight is how long a planned bind that nobody settled keeps its room.
+	InFlight time.Duration
+	// HoldFor is how long room that evictions free is kept for the task that asked for it.
+	HoldFor time.Duration
+	// MaxExamined limits the jobs that one call of Plan tries to place.
+	MaxExamined int
+	// MaxPreemptions limits the tasks for which one call of Plan evicts others.
+	MaxPreemptions int
+	// RestartCost is the work that an eviction wastes besides the work since the last checkpoint.
+	RestartCost time.Duration
+}
+
+// DefaultOptions returns the options that the daemons use.
+func DefaultOptions() Options {
+	return Options{
+		Weights: Weights{ServiceHarm: 4, BatchHarm: 0.5, Overuse: 3, Pressure: 1, Fit: 0.3, Accelerator: 1, Spread: 1},
+		// Four tries fit into the urgent start limit of 2.5 s and leave 1.5 s for the log and the start.
+		UrgentRetry:    250 * time.Millisecond,
+		BatchRetry:     time.Second,
+		AgeScale:       10 * time.Minute,
+		StarveAfter:    10 * time.Minute,
+		InFlight:       5 * time.Second,
+		HoldFor:        10 * time.Second,
+		MaxExamined:    512,
+		MaxPreemptions: 8,
+		RestartCost:    30 * time.Second,
+	}
+}
