--- /dev/null
+++ b/node/operator/api/failover.go
@@ -0,0 +1,111 @@
+package api
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+)
+
+// Delays between rounds over all daemons.
+const (
+	firstRetryDelay = 200 * time.Millisecond
+	maxRetryDelay   = 2 * time.Second
+)
+
+// Pool calls the first daemon of a list that answers. Commands keep their id, so trying another daemon
+// after a lost answer has no second effect.
+type Pool struct {
+	clients []*Client
+	// rounds is how often the whole list is tried.
+	rounds int
+}
+
+// NewPool returns a pool over clients, which must not be empty. Each call tries the list up to rounds times.
+func NewPool(clients []*Client, rounds int) *Pool {
+	return &Pool{clients: clients, rounds: max(rounds, 1)}
+}
+
+// Clients returns the clients of the pool.
+func (p *Pool) Clients() []*Client { return p.clients }
+
+// Command runs call against one daemon after the other until one knows the command's result. It returns the
+// last Unknown answer or error when none does.
+func (p *Pool) Command(ctx context.Context, call func(context.Context, *Client) (Answer, error)) (Answer, error) {
+	var unknown *Answer
+	answer, err := try(ctx, p, func(ctx context.Context, c *Client) (Answer, error) {
+		a, err := call(ctx, c)
+		if err == nil && a.Result == Unknown {
+			unknown = &a
+			return a, &Error{Step: a.Step, Peer: c.base, Status: http.StatusGatewayTimeout,
+				Err: errors.Errorf("result is unknown: %s", a.Reason)}
+		}
+		return a, err
+	})
+	if err != nil && unknown != nil {
+		return *unknown, nil
+	}
+	return answer, err
+}
+
+// Query runs call against one daemon after the other until one answers.
+func Query[T any](ctx context.Context, p *Pool, call func(context.Context, *Client) (T, error)) (T, error) {
+	return try(ctx, p, call)
+}
+
+func try[T any](ctx context.Context, p *Pool, call func(context.Context, *Client) (T, error)) (T, error) {
+	var last error
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval, delay.MaxInterval = firstRetryDelay, maxRetryDelay
+	for round := range p.rounds {
+		if round > 0 && !sleep(ctx, delay.NextBackOff()) {
+			break
+		}
+		for _, c := range p.clients {
+			out, err := call(ctx, c)
+			if err == nil || !retryable(err) {
+				return out, err
+			}
+			last = err
+			if ctx.Err() != nil {
+				break
+			}
+		}
+	}
+	var none T
+	return none, last
+}
+
+// retryable reports whether another daemon may give an answer that this one did not.
+func retryable(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusMethodNotAllowed,
+		http.StatusRequestEntityTooLarge:
+		return false
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// notSent reports whether the connection was never established.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
