Parse and validate environment documents and job files

All problems of a file are reported at once with line and field. Anchors, aliases, tags and deep nesting are refused before the recursive parser of the YAML library sees them, because every daemon parses every published document.

--- a/core/environment/document.go
+++ b/core/environment/document.go
@@ -32,7 +32,8 @@
 // Zone is an availability zone.
 type Zone struct {
 	Name string `yaml:"name"`
-	// OutOfService stops new tasks and moves batch work away.
+	// OutOfService stops new tasks and moves batch work away. It does not reduce the capacity that
+	// validation counts on, so that a zone can always be taken out.
 	OutOfService bool `yaml:"outOfService,omitempty"`
 	// Worker is the capacity of the zone's largest worker, used to refuse what can never run.
 	Worker resource.Vector `yaml:"worker"`
@@ -57,7 +58,7 @@
 	Size     resource.Vector `yaml:"size"`
 	// LatencyTargetMs is the target for the 99th percentile of the response time in milliseconds.
 	LatencyTargetMs int64 `yaml:"latencyTargetMs"`
-	// TimeoutMs is the deadline of a request that states none, in milliseconds.
+	// TimeoutMs is the deadline of a request that states none, in milliseconds. Default DefaultTimeoutMs.
 	TimeoutMs int64 `yaml:"timeoutMs,omitempty"`
 	// IdempotentPaths lists path prefixes whose POST and PATCH requests may be repeated.
 	IdempotentPaths []string `yaml:"idempotentPaths,omitempty"`
@@ -75,16 +76,17 @@
 // Guards configures protection of services against their neighbours.
 type Guards struct {
 	Enabled bool `yaml:"enabled,omitempty"`
-	// EvictionsPerMinute limits evictions by guards in each zone.
+	// EvictionsPerMinute limits evictions by guards in each zone. Default DefaultEvictionsPerMinute.
 	EvictionsPerMinute int `yaml:"evictionsPerMinute,omitempty"`
 }
 
 // RequestLimits bounds the requests of callers.
 type RequestLimits struct {
-	// PerCallerPerSecond limits the request rate of one caller at each daemon.
+	// PerCallerPerSecond limits the request rate of one caller at each daemon. Default
+	// DefaultPerCallerPerSecond.
 	PerCallerPerSecond int `yaml:"perCallerPerSecond,omitempty"`
 	// LinkBytesPerSecond is the share of the link between regions that forwarded requests may use, for
-	// each region.
+	// each region. Default DefaultLinkBytesPerSecond.
 	LinkBytesPerSecond int64 `yaml:"linkBytesPerSecond,omitempty"`
 }
 
--- /dev/null
+++ b/core/environment/job.go
@@ -0,0 +1,128 @@
+package environment
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+	"waxwingslip.example/core/strictyaml"
+)
+
+// MaxJobFileBytes limits the YAML text of a job file.
+const MaxJobFileBytes = 64 << 10
+
+// Limits of batch jobs.
+const (
+	MaxTasksPerJob = 50_000
+	MaxAttempts    = 100
+	// MaxRunSeconds is 30 days.
+	MaxRunSeconds = 30 * 24 * 60 * 60
+	// DefaultMaxAttempts is the number of failed runs of a task after which its job fails.
+	DefaultMaxAttempts = 3
+)
+
+const jobIDRule = "lower-case letters, digits, dots, underscores and hyphens, at most 128 characters, " +
+	"starting with a letter or digit"
+
+var jobIDPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,127}$`)
+
+// jobFile is the YAML form of a batch job.
+type jobFile struct {
+	ID          string          `yaml:"id"`
+	Team        string          `yaml:"team"`
+	Class       string          `yaml:"class"`
+	Urgent      bool            `yaml:"urgent"`
+	Tasks       int             `yaml:"tasks"`
+	Size        resource.Vector `yaml:"size"`
+	RunSeconds  int64           `yaml:"runSeconds"`
+	MaxAttempts int             `yaml:"maxAttempts"`
+	Zones       []string        `yaml:"zones"`
+	Payload     string          `yaml:"payload"`
+}
+
+// ParseJob decodes and validates a job file. A non-empty id replaces the one in the file, so that a file can
+// be submitted again as another job. Its error is a *strictyaml.Error with all problems.
+func ParseJob(data []byte, id string) (record.JobSpec, error) {
+	var j jobFile
+	f := strictyaml.Decode(data, MaxJobFileBytes, &j)
+	if id != "" {
+		j.ID = id
+	}
+	setDefault(&j.Size.Slots, DefaultSlots)
+	setDefault(&j.MaxAttempts, DefaultMaxAttempts)
+	if f.OK() {
+		checkJobFile(f, j)
+	}
+	if err := f.Err(""); err != nil {
+		return record.JobSpec{}, err
+	}
+	spec := record.JobSpec{ID: j.ID, Team: j.Team, Class: j.Class, Priority: record.PriorityBatch,
+		Tasks: j.Tasks, Size: j.Size, RunSeconds: j.RunSeconds, Payload: j.Payload,
+		MaxAttempts: j.MaxAttempts, Zones: j.Zones}
+	if j.Urgent {
+		spec.Priority = record.PriorityUrgent
+	}
+	return spec, nil
+}
+
+func checkJobFile(f *strictyaml.File, j jobFile) {
+	v := newValidator(f, &Document{})
+	if !jobIDPattern.MatchString(j.ID) {
+		f.Add("id", "is %q, allowed are %s", j.ID, jobIDRule)
+	}
+	v.name("team", j.Team)
+	v.name("class", j.Class)
+	v.between("tasks", int64(j.Tasks), 1, MaxTasksPerJob, "tasks")
+	v.between("runSeconds", j.RunSeconds, 0, MaxRunSeconds, "seconds")
+	v.between("maxAttempts", int64(j.MaxAttempts), 1, MaxAttempts, "attempts")
+	v.taskSize("size", j.Size)
+	v.count("zones", len(j.Zones), 0, MaxZones)
+	seen := map[string]string{}
+	for i, z := range j.Zones {
+		field := fmt.Sprintf("zones[%d]", i)
+		v.name(field, z)
+		v.unique(seen, field, "zone", z)
+	}
+	if len(j.Payload) > MaxPayloadBytes {
+		f.Add("payload", "has %d bytes, allowed are %d", len(j.Payload), MaxPayloadBytes)
+	}
+}
+
+// CheckJob returns the reasons why a batch job can never run in the environment, or nil.
+func CheckJob(d *Document, j record.JobSpec) []string {
+	var problems []string
+	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	team := slices.IndexFunc(d.Teams, func(t Team) bool { return t.Name == j.Team })
+	if team < 0 {
+		add("team: %q is not declared in environment %s", j.Team, d.Environment)
+	} else if need := j.Size.Times(int64(j.Tasks)); !need.Fits(d.Teams[team].Quota) {
+		limit := need.Limiting(d.Teams[team].Quota)
+		add("tasks: %d tasks need %s %d, the quota of team %s is %d", j.Tasks, limit, amountOf(need, limit),
+			j.Team, amountOf(d.Teams[team].Quota, limit))
+	}
+	zones := j.Zones
+	if len(zones) == 0 {
+		zones = d.ZoneNames()
+	}
+	fits := false
+	reason := ""
+	for _, name := range zones {
+		_, z, ok := d.FindZone(name)
+		if !ok {
+			add("zones: %q is not declared in environment %s", name, d.Environment)
+			continue
+		}
+		if limit := j.Size.Limiting(z.Worker); limit != "" {
+			reason = fmt.Sprintf("size.%s: is %d, the largest worker of zone %s has %d", limit,
+				amountOf(j.Size, limit), name, amountOf(z.Worker, limit))
+			continue
+		}
+		fits = true
+	}
+	if !fits && reason != "" {
+		problems = append(problems, reason)
+	}
+	return problems
+}
--- /dev/null
+++ b/core/strictyaml/strictyaml.go
@@ -0,0 +1,221 @@
+// Package strictyaml decodes YAML into structs, reports all problems at once with their lines, and refuses
+// what makes YAML ambiguous or expensive: unknown and duplicate keys, anchors, aliases, tags, merge keys,
+// several documents and deep nesting.
+package strictyaml
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// maxProblems limits the problems that are kept, so that a hostile file does not fill memory.
+const maxProblems = 200
+
+// Problem is one mistake in a file.
+type Problem struct {
+	// Line is counted from 1; 0 if the problem has no place in the text.
+	Line int
+	// Field is the path of the field, for instance services[2].size.slots.
+	Field   string
+	Message string
+}
+
+// String formats the problem without the file's name.
+func (p Problem) String() string {
+	text := p.Message
+	if p.Field != "" {
+		text = p.Field + ": " + text
+	}
+	if p.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", p.Line, text)
+	}
+	return text
+}
+
+// Error holds all problems of one file, in the order of their lines.
+type Error struct {
+	// File names the source, empty if it has no name.
+	File     string
+	Problems []Problem
+}
+
+// Error implements error with one line for each problem.
+func (e *Error) Error() string {
+	name := e.File
+	if name == "" {
+		name = "document"
+	}
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, name+": "+p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is a decoded file: the lines of its fields and the problems found so far.
+type File struct {
+	lines    map[string]int
+	problems []Problem
+}
+
+// Decode parses data into the struct that out points to. The fields of out are named by their yaml tags.
+// Fields with problems keep their zero value. Semantic checks add further problems with Add.
+func Decode(data []byte, maxBytes int, out any) *File {
+	f := &File{lines: map[string]int{}}
+	if len(data) > maxBytes {
+		f.addAt(0, "", "has %d bytes, allowed are %d", len(data), maxBytes)
+		return f
+	}
+	if !utf8.Valid(data) {
+		f.addAt(0, "", "is not valid UTF-8")
+		return f
+	}
+	root := f.parse(string(data))
+	if root == nil {
+		if len(f.problems) == 0 {
+			f.addAt(0, "", "is empty")
+		}
+		return f
+	}
+	f.decode(root, "", reflect.ValueOf(out).Elem())
+	return f
+}
+
+// Add notes a problem of a field. The line is that of the field or of its nearest enclosing field.
+func (f *File) Add(field, format string, args ...any) {
+	f.addAt(f.Line(field), field, format, args...)
+}
+
+// Has reports whether the file contains the field.
+func (f *File) Has(field string) bool {
+	_, ok := f.lines[field]
+	return ok
+}
+
+// Line returns the line of a field or of its nearest enclosing field, 0 if there is none.
+func (f *File) Line(field string) int {
+	for field != "" {
+		if line, ok := f.lines[field]; ok {
+			return line
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+	return 0
+}
+
+// OK reports whether no problem was found so far.
+func (f *File) OK() bool { return len(f.problems) == 0 }
+
+// Err returns an *Error with all problems, or nil.
+func (f *File) Err(name string) error {
+	if len(f.problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(f.problems, func(i, j int) bool { return f.problems[i].Line < f.problems[j].Line })
+	return &Error{File: name, Problems: f.problems}
+}
+
+func (f *File) addAt(line int, field, format string, args ...any) {
+	if len(f.problems) < maxProblems {
+		f.problems = append(f.problems, Problem{Line: line, Field: field, Message: fmt.Sprintf(format, args...)})
+	}
+}
+
+// parse returns the root node, or nil after noting why there is none. The recover is needed because every
+// daemon parses every published document: a panic of the YAML library would stop all of them.
+func (f *File) parse(text string) (root ast.Node) {
+	defer func() {
+		if recover() != nil {
+			root = nil
+			f.addAt(0, "", "the YAML parser failed on this text")
+		}
+	}()
+	tokens := lexer.Tokenize(text)
+	if !f.screen(tokens) {
+		return nil
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		f.addSyntax(err)
+		return nil
+	}
+	for _, doc := range file.Docs {
+		if doc.Body == nil {
+			continue
+		}
+		if root != nil {
+			f.addAt(lineOf(doc.Body), "", "has more than one YAML document")
+			return nil
+		}
+		root = doc.Body
+	}
+	return root
+}
+
+func (f *File) addSyntax(err error) {
+	if e, ok := err.(yaml.Error); ok && e.GetToken() != nil {
+		f.addAt(e.GetToken().Position.Line, "", "YAML syntax: %s", e.GetMessage())
+		return
+	}
+	f.addAt(0, "", "YAML syntax: %v", err)
+}
+
+// The parser recurses for each level; the limits keep its stack small.
+const (
+	maxFlowDepth      = 16
+	maxEntriesPerLine = 8
+)
+
+var forbidden = map[token.Type]string{
+	token.AnchorType:     "anchors (&)",
+	token.AliasType:      "aliases (*)",
+	token.TagType:        "tags (!)",
+	token.MergeKeyType:   "merge keys (<<)",
+	token.MappingKeyType: "explicit keys (?)",
+	token.DirectiveType:  "directives (%)",
+}
+
+// screen refuses unsupported and deeply nested YAML before the recursive parser sees it.
+func (f *File) screen(tokens token.Tokens) bool {
+	depth, line, entries := 0, 0, 0
+	for _, t := range tokens {
+		if what, ok := forbidden[t.Type]; ok {
+			f.addAt(t.Position.Line, "", "%s are not allowed", what)
+			return false
+		}
+		switch t.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			depth++
+		case token.SequenceEndType, token.MappingEndType:
+			depth--
+		case token.SequenceEntryType, token.MappingValueType:
+			if t.Position.Line != line {
+				line, entries = t.Position.Line, 0
+			}
+			if depth == 0 {
+				entries++
+			}
+		}
+		if depth > maxFlowDepth || entries > maxEntriesPerLine {
+			f.addAt(t.Position.Line, "", "is nested too deeply")
+			return false
+		}
+	}
+	return true
+}
+
+func lineOf(n ast.Node) int {
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return 0
+	}
+	return n.GetToken().Position.Line
+}
