--- a/core/environment/job.go
+++ b/core/environment/job.go
@@ -90,39 +90,64 @@
 	}
 }
 
-// CheckJob returns the reasons why a batch job can never run in the environment, or nil.
+// CheckJob returns the reasons why a batch job is invalid or can never run in the environment, or nil.
 func CheckJob(d *Document, j record.JobSpec) []string {
+	f := &strictyaml.File{}
+	checkJobFile(f, jobFile{ID: j.ID, Team: j.Team, Class: j.Class, Tasks: j.Tasks, Size: j.Size,
+		RunSeconds: j.RunSeconds, MaxAttempts: j.MaxAttempts, Zones: j.Zones, Payload: j.Payload})
+	if j.Priority != record.PriorityBatch && j.Priority != record.PriorityUrgent {
+		f.Add("priority", "is %d, allowed are %d (batch) and %d (urgent)", j.Priority,
+			record.PriorityBatch, record.PriorityUrgent)
+	}
+	if j.Service != "" || j.Revision != 0 {
+		f.Add("service", "must be empty, replicas of services are declared in the document")
+	}
+	if f.OK() {
+		checkQuota(f, d, j)
+		checkZones(f, d, j)
+	}
 	var problems []string
-	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	for _, p := range f.Problems() {
+		problems = append(problems, p.String())
+	}
+	return problems
+}
+
+func checkQuota(f *strictyaml.File, d *Document, j record.JobSpec) {
 	team := slices.IndexFunc(d.Teams, func(t Team) bool { return t.Name == j.Team })
 	if team < 0 {
-		add("team: %q is not declared in environment %s", j.Team, d.Environment)
-	} else if need := j.Size.Times(int64(j.Tasks)); !need.Fits(d.Teams[team].Quota) {
-		limit := need.Limiting(d.Teams[team].Quota)
-		add("tasks: %d tasks need %s %d, the quota of team %s is %d", j.Tasks, limit, amountOf(need, limit),
-			j.Team, amountOf(d.Teams[team].Quota, limit))
+		f.Add("team", "%q is not declared in environment %s", j.Team, d.Environment)
+		return
+	}
+	quota := d.Teams[team].Quota
+	need := j.Size.Times(int64(j.Tasks))
+	if limit := need.Limiting(quota); limit != "" {
+		f.Add("tasks", "%d tasks need %s %d, the quota of team %s is %d", j.Tasks, limit,
+			amountOf(need, limit), j.Team, amountOf(quota, limit))
 	}
+}
+
+// checkZones notes undeclared zones, and a size that fits no worker of any allowed zone.
+func checkZones(f *strictyaml.File, d *Document, j record.JobSpec) {
 	zones := j.Zones
 	if len(zones) == 0 {
 		zones = d.ZoneNames()
 	}
-	fits := false
-	reason := ""
-	for _, name := range zones {
+	fits, limit, largest := false, "", Zone{}
+	for i, name := range zones {
 		_, z, ok := d.FindZone(name)
 		if !ok {
-			add("zones: %q is not declared in environment %s", name, d.Environment)
+			f.Add(fmt.Sprintf("zones[%d]", i), "%q is not declared in environment %s", name, d.Environment)
 			continue
 		}
-		if limit := j.Size.Limiting(z.Worker); limit != "" {
-			reason = fmt.Sprintf("size.%s: is %d, the largest worker of zone %s has %d", limit,
-				amountOf(j.Size, limit), name, amountOf(z.Worker, limit))
+		if l := j.Size.Limiting(z.Worker); l != "" {
+			limit, largest = l, z
 			continue
 		}
 		fits = true
 	}
-	if !fits && reason != "" {
-		problems = append(problems, reason)
+	if !fits && limit != "" {
+		f.Add("size."+limit, "is %d, the largest worker of zone %s has %d and no other allowed zone fits",
+			amountOf(j.Size, limit), largest.Name, amountOf(largest.Worker, limit))
 	}
-	return problems
 }
--- a/core/strictyaml/decode.go
+++ b/core/strictyaml/decode.go
@@ -32,9 +32,10 @@
 // pairs returns the entries of a mapping without duplicates; ok is false if node is no mapping.
 func (f *File) pairs(node ast.Node, path string) (list []pair, ok bool) {
 	var values []*ast.MappingValueNode
+	flow := false
 	switch n := node.(type) {
 	case *ast.MappingNode:
-		values = n.Values
+		values, flow = n.Values, n.IsFlowStyle
 	case *ast.MappingValueNode:
 		values = []*ast.MappingValueNode{n}
 	default:
@@ -52,6 +53,9 @@
 		}
 		seen[name] = line
 		f.lines[full] = line
+		if flow {
+			f.flow[full] = true
+		}
 		list = append(list, pair{name: name, path: full, value: v.Value})
 	}
 	return list, true
@@ -132,6 +136,7 @@
 }
 
 func (f *File) decodeScalar(node ast.Node, path string, out reflect.Value) {
+	f.notePlace(node, path)
 	switch out.Kind() {
 	case reflect.String:
 		switch n := node.(type) {
@@ -160,6 +165,22 @@
 	}
 }
 
+// notePlace remembers where a scalar on one line stands, for edits.
+func (f *File) notePlace(node ast.Node, path string) {
+	if node == nil || node.GetToken() == nil {
+		return
+	}
+	t := node.GetToken()
+	text := t.Value
+	switch t.Type {
+	case token.DoubleQuoteType, token.SingleQuoteType:
+		text = strings.TrimSpace(t.Origin)
+	}
+	if !strings.ContainsAny(text, "\r\n") {
+		f.scalars[path] = place{line: t.Position.Line, column: t.Position.Column, text: text}
+	}
+}
+
 // decimal accepts decimal integers only: 010 means 8 to some YAML readers and 10 to others.
 func decimal(node ast.Node) (int64, bool) {
 	n, ok := node.(*ast.IntegerNode)
@@ -202,9 +223,10 @@
 
 // units maps the ends of field names to the unit that they stand for.
 var units = []struct{ suffix, unit string }{
-	{"Ms", "milliseconds"}, {"PerSecond", "a number per second"}, {"PerMinute", "a number per minute"},
+	{"Ms", "milliseconds"}, {"BytesPerSecond", "bytes per second"}, {"PerSecond", "a number per second"}, {"PerMinute", "a number per minute"},
 	{"Seconds", "seconds"}, {"Minutes", "minutes"}, {"MB", "megabytes (1,000,000 bytes)"},
 	{"Bytes", "bytes"}, {"milliCPU", "thousandths of a core"}, {"Percent", "percent"},
+	{"Permille", "thousandths"},
 }
 
 func unitOf(path string) string {
--- a/core/strictyaml/strictyaml.go
+++ b/core/strictyaml/strictyaml.go
@@ -63,14 +63,17 @@
 
 // File is a decoded file: the lines of its fields and the problems found so far.
 type File struct {
-	lines    map[string]int
+	lines map[string]int
+	// scalars holds the places of scalar values, flow the fields of mappings written as {key: value}.
+	scalars  map[string]place
+	flow     map[string]bool
 	problems []Problem
 }
 
 // Decode parses data into the struct that out points to. The fields of out are named by their yaml tags.
 // Fields with problems keep their zero value. Semantic checks add further problems with Add.
 func Decode(data []byte, maxBytes int, out any) *File {
-	f := &File{lines: map[string]int{}}
+	f := &File{lines: map[string]int{}, scalars: map[string]place{}, flow: map[string]bool{}}
 	if len(data) > maxBytes {
 		f.addAt(0, "", "has %d bytes, allowed are %d", len(data), maxBytes)
 		return f
@@ -115,6 +118,9 @@
 // OK reports whether no problem was found so far.
 func (f *File) OK() bool { return len(f.problems) == 0 }
 
+// Problems returns the problems found so far in the order in which they were added.
+func (f *File) Problems() []Problem { return f.problems }
+
 // Err returns an *Error with all problems, or nil.
 func (f *File) Err(name string) error {
 	if len(f.problems) == 0 {
