--- a/cmd/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cmd is a placeholder.
-package cmd
--- a/node/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package node is a placeholder.
-package node
