Add the scheduler's duties

Cause: control state and zone state need daemons that carry one into the other. Conclusion: losing a record costs one repair interval, never a task.

--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/rendezvous"
 	"waxwingslip.example/core/resource"
 )
 
@@ -194,6 +195,8 @@
 	ChangeJob
 	ChangePolicy
 	ChangeView
+	// ChangeLoad means that the reservations of a worker changed.
+	ChangeLoad
 )
 
 // Change is one effect of a record.
@@ -233,6 +236,11 @@
 	s.changed(Change{Kind: ChangeTask, Task: t.ID(), Job: t.Job.Spec.ID, Worker: t.Worker})
 }
 
+// Responsible returns the member that does a duty which only one daemon of the zone needs to do.
+func (s *State) Responsible(duty string) string {
+	return rendezvous.Pick(duty, s.MemberIDs())
+}
+
 // MemberIDs returns the ids of the members in order.
 func (s *State) MemberIDs() []string {
 	ids := make([]string, 0, len(s.Members))
--- a/core/zone/workers.go
+++ b/core/zone/workers.go
@@ -82,6 +82,7 @@
 	w.Reserved = w.Reserved.Add(t.Size)
 	w.Tasks[t.ID()] = t
 	w.classes[t.Job.Spec.Class]++
+	s.changed(Change{Kind: ChangeLoad, Worker: w.Info.ID})
 }
 
 func (s *State) free(t *Task) {
@@ -92,6 +93,7 @@
 	if w.classes[class]--; w.classes[class] == 0 {
 		delete(w.classes, class)
 	}
+	s.changed(Change{Kind: ChangeLoad, Worker: w.Info.ID})
 }
 
 // failedWorkers counts the workers on which the job failed and that are not themselves under suspicion.
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -33,8 +33,8 @@
 	target target
 	// address may change while the agent keeps what it knows about granted leases.
 	address atomic.Pointer[string]
-	cancel context.CancelFunc
-	wakeup chan struct{}
+	cancel  context.CancelFunc
+	wakeup  chan struct{}
 
 	attested atomic.Bool
 
--- /dev/null
+++ b/node/scheduler/jobs.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"strconv"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/zone"
+)
+
+// job is what the control state says about an active job, as far as this zone is concerned.
+type job struct {
+	spec      record.JobSpec
+	here      bool
+	cancelled bool
+	// ended is what this zone has reported.
+	ended control.Counts
+	// transfers holds the newest transfer of each moved task.
+	transfers map[int]control.Transfer
+}
+
+func (s *Scheduler) collectJobs(c *control.State) []job {
+	var out []job
+	for _, j := range c.Jobs() {
+		if j.State != control.JobActive {
+			continue
+		}
+		out = append(out, job{
+			spec: j.Spec, here: j.Zone == s.cfg.Zone, cancelled: j.Cancelled,
+			ended: j.Ended[s.cfg.Zone], transfers: copyTransfers(j.Transfers),
+		})
+	}
+	return out
+}
+
+func copyTransfers(in map[int]control.Transfer) map[int]control.Transfer {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make(map[int]control.Transfer, len(in))
+	for i, t := range in {
+		out[i] = t
+	}
+	return out
+}
+
+// syncJobs admits, cancels, adopts, transfers, finishes and forgets jobs.
+func (s *Scheduler) syncJobs(z *zone.State, self string, wanted []job) {
+	active := make(map[string]bool, len(wanted))
+	for i := range wanted {
+		w := &wanted[i]
+		active[w.spec.ID] = true
+		if z.Responsible(w.spec.ID) == self {
+			s.syncJob(z, w)
+		}
+	}
+	for id, j := range z.Jobs {
+		if !j.IsService() && !active[id] && j.Unfinished == 0 && z.Responsible(id) == self {
+			s.post("forget/"+id, &record.Forget{Job: id})
+		}
+	}
+}
+
+func (s *Scheduler) syncJob(z *zone.State, w *job) {
+	j := z.Jobs[w.spec.ID]
+	s.adopt(j, w)
+	if j == nil {
+		if w.here {
+			s.post("admit/"+w.spec.ID, &record.Admit{Job: w.spec})
+		}
+		return
+	}
+	if w.cancelled && !j.Cancelled {
+		s.post("cancel/"+w.spec.ID, &record.Cancel{Job: w.spec.ID})
+	}
+	s.transfer(j, w)
+	s.finish(j, w)
+}
+
+// adopt takes in the tasks whose newest transfer leads here and that are not known under a later epoch.
+func (s *Scheduler) adopt(j *zone.Job, w *job) {
+	for index, t := range w.transfers {
+		if t.To != s.cfg.Zone {
+			continue
+		}
+		if j != nil && j.Tasks[index] != nil && j.Tasks[index].Epoch > t.Epoch {
+			continue
+		}
+		s.post(taskPurpose("adopt", w.spec.ID, index, t.Epoch), &record.Adopt{
+			Job: w.spec, Index: index, Epoch: t.Epoch, Checkpoint: t.Checkpoint,
+		})
+	}
+}
+
+func taskPurpose(what, job string, index int, epoch int64) string {
+	return what + "/" + job + "/" + strconv.Itoa(index) + "/" + strconv.FormatInt(epoch, 10)
+}
+
+// transfer repeats the transfer of released tasks until the control state shows it.
+func (s *Scheduler) transfer(j *zone.Job, w *job) {
+	for index, t := range j.Tasks {
+		if t.State != zone.TaskReleased || w.transfers[index].Epoch >= t.Epoch {
+			continue
+		}
+		s.postControl(taskPurpose("transfer", w.spec.ID, index, t.Epoch), &record.Transfer{
+			Task: t.ID(), Epoch: t.Epoch, From: s.cfg.Zone, To: t.ReleasedTo, Checkpoint: t.Checkpoint,
+		})
+	}
+}
+
+// finish reports the ended tasks once none of the job's tasks is pending or bound here.
+func (s *Scheduler) finish(j *zone.Job, w *job) {
+	if j.Unfinished > 0 {
+		return
+	}
+	f := record.Finish{Job: w.spec.ID, Zone: s.cfg.Zone, Reason: j.Parked}
+	for _, t := range j.Tasks {
+		if t.State != zone.TaskEnded {
+			continue
+		}
+		switch t.Outcome {
+		case record.OutcomeSucceeded:
+			f.Succeeded++
+		case record.OutcomeCancelled:
+			f.Cancelled++
+		default:
+			f.Failed++
+			if f.Reason == "" {
+				f.Reason = t.Reason
+			}
+		}
+	}
+	if f.Succeeded+f.Failed+f.Cancelled > w.ended.Total() {
+		s.postControl("finish/"+w.spec.ID, &f)
+	}
+}
