Add the state machine of the control stream

All daemons must agree on the configuration, on which jobs are charged to a team and on tasks that move between zones, from the entries alone.

The state accepts documents by base version, refuses jobs that can never run with a reason, activates waiting jobs per team in FIFO order by priority, counts the ended tasks of a job per zone before it frees quota, and drops repeated record ids, transfers and submits.

--- /dev/null
+++ b/core/control/apply.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"waxwingslip.example/core/record"
+)
+
+// EventKind says what an Event reports.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	// EventConfigured reports a new document: Version.
+	EventConfigured EventKind = 1
+	// EventJobActivated reports that a job may be admitted: Job, and Zone where it is admitted first.
+	EventJobActivated EventKind = 2
+	// EventJobCancelled reports that zones must end a job's tasks: Job.
+	EventJobCancelled EventKind = 3
+	// EventJobFinished reports that zones may forget a job: Job.
+	EventJobFinished EventKind = 4
+	// EventTransferred reports that Zone is to adopt a task: Job, Index and Epoch.
+	EventTransferred EventKind = 5
+	// EventAttested reports that a VM is gone: Zone and Worker.
+	EventAttested EventKind = 6
+)
+
+// Event is a change of state that daemons react to. The kind tells which fields are set.
+type Event struct {
+	Kind    EventKind
+	Version int64
+	Job     string
+	Index   int
+	Epoch   int64
+	Zone    string
+	Worker  string
+}
+
+// Verdict says whether a record took effect, and what changed.
+type Verdict struct {
+	Accepted bool
+	// Duplicate is set if a record with the same id was applied before; that one's verdict stands.
+	Duplicate bool
+	// Reason explains a rejection.
+	Reason string
+	// Events lists the changes in order.
+	Events []Event
+}
+
+var accepted = Verdict{Accepted: true}
+
+func rejected(format string, args ...any) Verdict {
+	return Verdict{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Apply applies the record at the given offset. Offsets must rise; a record at or below the state's offset has
+// been applied and is ignored.
+func (s *State) Apply(offset int64, r record.Record) Verdict {
+	if offset <= s.offset {
+		return Verdict{Duplicate: true, Reason: "offset was applied before"}
+	}
+	s.offset = offset
+	if _, dup := s.seen[r.ID]; dup {
+		return Verdict{Duplicate: true, Reason: "record id was applied before"}
+	}
+	s.remember(r.ID)
+	s.events = nil
+	v := s.apply(r.Body)
+	v.Events, s.events = s.events, nil
+	return v
+}
+
+func (s *State) remember(id uuid.UUID) {
+	s.seen[id] = struct{}{}
+	s.recent = append(s.recent, id)
+	if len(s.recent) > RecentIDs {
+		delete(s.seen, s.recent[0])
+		s.recent = s.recent[1:]
+	}
+}
+
+func (s *State) apply(body record.Body) Verdict {
+	switch b := body.(type) {
+	case *record.Configure:
+		return s.applyConfigure(b)
+	case *record.Submit:
+		return s.applySubmit(b)
+	case *record.CancelJob:
+		return s.applyCancelJob(b)
+	case *record.Finish:
+		return s.applyFinish(b)
+	case *record.Transfer:
+		return s.applyTransfer(b)
+	case *record.AttestLost:
+		return s.applyAttestLost(b)
+	}
+	return rejected("record kind %d does not belong in the control stream", body.Kind())
+}
+
+func (s *State) event(e Event) { s.events = append(s.events, e) }
+
+func (s *State) applyTransfer(b *record.Transfer) Verdict {
+	j := s.jobs[b.Task.Job]
+	switch {
+	case j == nil || j.State != JobActive:
+		return rejected("job %q is not active", b.Task.Job)
+	case b.Task.Index < 0 || b.Task.Index >= j.Spec.Tasks:
+		return rejected("job %q has no task %d", b.Task.Job, b.Task.Index)
+	case !s.hasZone(b.To):
+		return rejected("zone %q is not in the configuration", b.To)
+	case b.To == b.From:
+		return rejected("task %s/%d is already in zone %q", b.Task.Job, b.Task.Index, b.To)
+	case len(b.From) > MaxNameBytes || len(b.Checkpoint) > MaxCheckpointBytes:
+		return rejected("transfer of %s/%d has a name or checkpoint that is too long", b.Task.Job, b.Task.Index)
+	}
+	if last, ok := j.Transfers[b.Task.Index]; ok && b.Epoch <= last.Epoch {
+		return rejected("task %s/%d was transferred with epoch %d", b.Task.Job, b.Task.Index, last.Epoch)
+	}
+	if j.Transfers == nil {
+		j.Transfers = map[int]Transfer{}
+	}
+	j.Transfers[b.Task.Index] = Transfer{Epoch: b.Epoch, From: b.From, To: b.To, Checkpoint: b.Checkpoint}
+	s.event(Event{Kind: EventTransferred, Job: b.Task.Job, Index: b.Task.Index, Epoch: b.Epoch, Zone: b.To})
+	return accepted
+}
+
+func (s *State) applyAttestLost(b *record.AttestLost) Verdict {
+	switch {
+	case !s.hasZone(b.Zone):
+		return rejected("zone %q is not in the configuration", b.Zone)
+	case b.Worker == "" || len(b.Worker) > MaxNameBytes || len(b.Author) > MaxNameBytes:
+		return rejected("worker and author must have at most %d bytes, and worker at least one", MaxNameBytes)
+	}
+	kept := s.attested[:0:0]
+	for _, a := range s.attested {
+		if a.Zone != b.Zone || a.Worker != b.Worker {
+			kept = append(kept, a)
+		}
+	}
+	kept = append(kept, Attestation{Zone: b.Zone, Worker: b.Worker, Author: b.Author, Offset: s.offset})
+	s.attested = kept[max(0, len(kept)-AttestedKept):]
+	s.event(Event{Kind: EventAttested, Zone: b.Zone, Worker: b.Worker})
+	return accepted
+}
+
+func (s *State) hasZone(name string) bool {
+	if s.document == nil {
+		return false
+	}
+	_, _, ok := s.document.FindZone(name)
+	return ok
+}
+
+// digest identifies what a Submit asks for.
+func digest(job record.JobSpec, zone string) uint64 {
+	b, err := encMode.Marshal([]any{job, zone})
+	if err != nil {
+		return 0 // JobSpec holds only types that always encode
+	}
+	return xxhash.Sum64(b)
+}
+
+// clip shortens a text without leaving half a character, which could not be decoded again.
+func clip(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
+}
--- /dev/null
+++ b/core/control/control_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+)
+
+// parseJSON stands in for the parser of documents.
+func parseJSON(b []byte) (*environment.Document, error) {
+	var d environment.Document
+	if err := json.Unmarshal(b, &d); err != nil {
+		return nil, errors.Wrap(err, "parse")
+	}
+	return &d, nil
+}
+
+// documentWith returns a document with zones a and b and teams t0, t1 and so on with the given slots.
+func documentWith(slots ...int64) []byte {
+	d := environment.Document{Environment: "trial", Regions: []environment.Region{{Name: "r", Zones: []environment.Zone{
+		{Name: "a", Worker: resource.Vector{Slots: 8}}, {Name: "b", Worker: resource.Vector{Slots: 4}},
+	}}}}
+	for i, n := range slots {
+		d.Teams = append(d.Teams, environment.Team{Name: fmt.Sprint("t", i), Quota: resource.Vector{Slots: n}})
+	}
+	b, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func job(id string, tasks int) *record.Submit {
+	return &record.Submit{Zone: "a", Job: record.JobSpec{
+		ID: id, Team: "t0", Class: "c", Priority: record.PriorityBatch, Tasks: tasks, Size: resource.Vector{Slots: 1},
+	}}
+}
+
+func urgent(s *record.Submit) *record.Submit {
+	s.Job.Priority = record.PriorityUrgent
+	return s
+}
+
+// script applies records one after the other and checks the verdicts.
+type script struct {
+	t *testing.T
+	s *State
+}
+
+func newScript(t *testing.T, slots ...int64) *script {
+	sc := &script{t: t, s: New(parseJSON)}
+	sc.ok(&record.Configure{Document: documentWith(slots...)})
+	return sc
+}
+
+func (sc *script) apply(b record.Body) Verdict {
+	sc.t.Helper()
+	return sc.s.Apply(sc.s.Offset()+1, record.New(uuid.New(), b))
+}
+
+// ok returns the jobs that the accepted record activated.
+func (sc *script) ok(b record.Body) (activated string) {
+	sc.t.Helper()
+	v := sc.apply(b)
+	if !v.Accepted {
+		sc.t.Fatalf("%T %+v: %s", b, b, v.Reason)
+	}
+	for _, e := range v.Events {
+		if e.Kind == EventJobActivated {
+			activated += e.Job
+		}
+	}
+	return activated
+}
+
+func (sc *script) refused(b record.Body, reason string) {
+	sc.t.Helper()
+	v := sc.apply(b)
+	if v.Accepted || !strings.Contains(v.Reason, reason) {
+		sc.t.Fatalf("%T %+v: got %+v, expected reason %q", b, b, v, reason)
+	}
+}
+
+// Guards against two operators who overwrite each other's document, and against documents that readers could
+// not use.
+func TestConfigure(t *testing.T) {
+	is := is.New(t)
+	sc := &script{t: t, s: New(parseJSON)}
+	sc.refused(job("j", 1), "no configuration")
+	sc.ok(&record.Configure{Document: documentWith(1), Author: "ann"})
+	is.Equal(sc.s.Version(), int64(2))
+	sc.refused(&record.Configure{Document: documentWith(2), Author: "bob"}, "conflict")
+	sc.refused(&record.Configure{Base: 2, Document: []byte("{")}, "invalid")
+	sc.refused(&record.Configure{Base: 2, Document: make([]byte, environment.MaxDocumentBytes+1)}, "bytes")
+	sc.refused(&record.Configure{Base: 2, Document: []byte(`{"Environment":"production"}`)}, "for environment")
+	is.Equal(sc.s.Author(), "ann")
+	sc.ok(&record.Configure{Base: 2, Document: documentWith(2), Author: "bob"})
+	is.Equal(sc.s.Version(), int64(7))
+}
+
+// Each row is a job that can never run; the operator must learn why.
+func TestSubmitRefusals(t *testing.T) {
+	rows := []struct {
+		change func(*record.Submit)
+		reason string
+	}{
+		{func(s *record.Submit) { s.Job.Team = "x" }, "team"},
+		{func(s *record.Submit) { s.Zone = "x" }, "zone"},
+		{func(s *record.Submit) { s.Job.Zones = []string{"x"} }, "zone"},
+		{func(s *record.Submit) { s.Job.Zones = []string{"b"} }, "not among"},
+		{func(s *record.Submit) { s.Job.Size.Slots = 9 }, "more slots than the largest worker"},
+		{func(s *record.Submit) { s.Job.Size.Accelerators = 1 }, "more accelerators"},
+		{func(s *record.Submit) { s.Job.Tasks = 21 }, "quota"},
+		{func(s *record.Submit) { s.Job.Tasks = 0 }, "tasks"},
+		{func(s *record.Submit) { s.Job.Size.MemoryMB = -1 }, "negative"},
+		{func(s *record.Submit) { s.Job.Size.MemoryMB = 1 << 62 }, "too large"},
+		{func(s *record.Submit) { s.Job.Service = "s" }, "batch"},
+		{func(s *record.Submit) { s.Job.Priority = record.PriorityService }, "batch"},
+		{func(s *record.Submit) { s.Job.ID = "" }, "id"},
+		{func(s *record.Submit) { s.Job.Payload = strings.Repeat("x", MaxPayloadBytes+1) }, "payload"},
+	}
+	for _, row := range rows {
+		sc := newScript(t, 20)
+		s := job("j", 1)
+		row.change(s)
+		sc.refused(s, row.reason)
+	}
+}
+
+// Guards against a job that runs twice because its Submit was repeated, even after it finished.
+func TestSubmitOnce(t *testing.T) {
+	is := is.New(t)
+	sc := newScript(t, 10)
+	is.Equal(sc.ok(job("j", 2)), "j")
+	is.Equal(sc.ok(job("j", 2)), "")
+	sc.refused(job("j", 3), "another definition")
+	sc.ok(&record.Finish{Job: "j", Zone: "a", Succeeded: 2})
+	is.Equal(sc.ok(job("j", 2)), "")
+	is.Equal(sc.s.Job("j"), nil)
+	use, _, _ := sc.s.TeamUse("t0")
+	is.True(use.IsZero())
+}
+
+// Guards against overtaking, starvation of large jobs, and quota that leaks.
+func TestQueueOrder(t *testing.T) {
+	is := is.New(t)
+	sc := newScript(t, 10)
+	is.Equal(sc.ok(job("A", 8)), "A")
+	is.Equal(sc.ok(job("B", 6)), "")
+	is.Equal(sc.ok(job("C", 1)), "") // would fit, but not before B
+	is.Equal(sc.ok(urgent(job("D", 3))), "")
+	is.Equal(sc.ok(urgent(job("E", 2))), "")
+	is.True(strings.Contains(sc.s.WaitReason(sc.s.Job("D")), "slots"))
+	is.Equal(sc.ok(&record.CancelJob{Job: "D"}), "E")
+	is.Equal(sc.ok(&record.Finish{Job: "A", Zone: "a", Failed: 8}), "BC")
+	is.Equal(sc.ok(job("F", 9)), "")
+	is.Equal(sc.ok(job("G", 1)), "")
+	is.Equal(sc.ok(&record.Configure{Base: 1, Document: documentWith(8)}), "") // nine are in use
+	is.Equal(sc.ok(&record.Finish{Job: "B", Zone: "a", Failed: 6}), "G")       // F exceeds the whole quota
+	is.Equal(sc.ok(&record.Configure{Base: sc.s.Version(), Document: documentWith(13)}), "F")
+	is.Equal(sc.ok(&record.Configure{Base: sc.s.Version(), Document: documentWith()}), "")
+	is.Equal(sc.ok(&record.Finish{Job: "F", Zone: "a", Failed: 9}), "")
+}
+
+// Guards against quota that is freed while tasks still run in another zone, or twice.
+func TestFinishInParts(t *testing.T) {
+	is := is.New(t)
+	sc := newScript(t, 10)
+	sc.ok(job("j", 5))
+	is.Equal(sc.ok(job("k", 6)), "")
+	for _, i := range []int{3, 4} {
+		sc.ok(&record.Transfer{Task: record.TaskID{Job: "j", Index: i}, Epoch: 2, From: "a", To: "b"})
+		sc.refused(&record.Transfer{Task: record.TaskID{Job: "j", Index: i}, Epoch: 2, From: "a", To: "b"}, "transferred")
+	}
+	is.Equal(sc.ok(&record.Finish{Job: "j", Zone: "a", Succeeded: 3}), "")
+	sc.refused(&record.Finish{Job: "j", Zone: "a", Succeeded: 3}, "before")
+	sc.refused(&record.Finish{Job: "j", Zone: "b", Succeeded: 3}, "would have ended")
+	is.Equal(sc.ok(&record.Finish{Job: "j", Zone: "b", Succeeded: 1}), "")
+	sc.ok(&record.Transfer{Task: record.TaskID{Job: "j", Index: 4}, Epoch: 3, From: "b", To: "a"})
+	is.Equal(sc.ok(&record.Finish{Job: "j", Zone: "a", Succeeded: 3, Failed: 1}), "k")
+	is.Equal(sc.s.Finished("j").Counts, Counts{Succeeded: 4, Failed: 1})
+	sc.refused(&record.Finish{Job: "j", Zone: "a", Succeeded: 5}, "has finished")
+}
+
+// Guards against a cancelled job that still starts, and against a quota freed before its tasks have ended.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	sc := newScript(t, 4)
+	sc.ok(job("j", 4))
+	sc.ok(job("k", 4))
+	sc.ok(&record.CancelJob{Job: "k"})
+	is.Equal(sc.s.Finished("k").Counts, Counts{Cancelled: 4})
+	sc.ok(&record.CancelJob{Job: "j"})
+	sc.refused(&record.CancelJob{Job: "j"}, "already")
+	sc.refused(&record.CancelJob{Job: "x"}, "not known")
+	is.Equal(sc.ok(job("l", 1)), "")
+	is.Equal(sc.ok(&record.Finish{Job: "j", Zone: "a", Cancelled: 4}), "l")
+}
+
+// Guards against an effect that happens twice when an append is repeated, and against unbounded memory.
+func TestRepeatedRecordsAndBounds(t *testing.T) {
+	is := is.New(t)
+	sc := newScript(t, 1)
+	first := record.New(uuid.New(), &record.AttestLost{Zone: "a", Worker: "w"})
+	is.True(sc.s.Apply(10, first).Accepted)
+	is.True(sc.s.Apply(11, first).Duplicate)
+	is.True(sc.s.Apply(11, record.New(uuid.New(), first.Body)).Duplicate) // offset 11 was applied
+	sc.ok(first.Body)
+	is.Equal(len(sc.s.Attested()), 1)
+	for i := range FinishedKept + 10 {
+		id := fmt.Sprint(i)
+		sc.ok(job(id, 1))
+		sc.ok(&record.Finish{Job: id, Zone: "a", Succeeded: 1, Reason: strings.Repeat("ä", maxReasonBytes)})
+	}
+	is.Equal(len(sc.s.FinishedJobs()), FinishedKept)
+	is.Equal(len(sc.s.finished), FinishedKept)
+	is.Equal(len(sc.s.seen), RecentIDs)
+	b, err := sc.s.Encode()
+	is.NoErr(err)
+	_, err = Decode(parseJSON, b)
+	is.NoErr(err)
+}
--- /dev/null
+++ b/core/control/snapshot.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// format is the number of the encoding; a state with another number is refused.
+const format = 1
+
+var (
+	encMode = must(cbor.CoreDetEncOptions().EncMode())
+	decMode = must(cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxMapPairs: 1 << 20, MaxArrayElements: 1 << 20, MaxNestedLevels: 16,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode())
+)
+
+func must[M any](m M, err error) M {
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// encoded is the wire form of a State. Quota use and queues are derived from it.
+type encoded struct {
+	Format   int           `cbor:"1,keyasint"`
+	Offset   int64         `cbor:"2,keyasint"`
+	Version  int64         `cbor:"3,keyasint"`
+	Author   string        `cbor:"4,keyasint"`
+	Document []byte        `cbor:"5,keyasint"`
+	Jobs     []*Job        `cbor:"6,keyasint"`
+	Finished []*Finished   `cbor:"7,keyasint"`
+	Recent   [][]byte      `cbor:"8,keyasint"`
+	Attested []Attestation `cbor:"9,keyasint"`
+}
+
+// Encode returns the state as bytes. Equal states give equal bytes.
+func (s *State) Encode() ([]byte, error) {
+	e := encoded{
+		Format: format, Offset: s.offset, Version: s.version, Author: s.author, Document: s.raw,
+		Jobs: s.Jobs(), Finished: s.done, Recent: make([][]byte, len(s.recent)), Attested: s.attested,
+	}
+	for i := range s.recent {
+		e.Recent[i] = s.recent[i][:]
+	}
+	b, err := encMode.Marshal(e)
+	return b, errors.Wrap(err, "encode control state")
+}
+
+// Decode returns the state from the bytes of Encode.
+func Decode(parse ParseFunc, b []byte) (*State, error) {
+	var e encoded
+	if err := decMode.Unmarshal(b, &e); err != nil {
+		return nil, errors.Wrap(err, "decode control state")
+	}
+	if e.Format != format {
+		return nil, errors.Errorf("decode control state: format %d is not supported, expected %d", e.Format, format)
+	}
+	s := New(parse)
+	s.offset, s.version, s.author, s.attested = e.Offset, e.Version, e.Author, e.Attested
+	for _, step := range []func(*encoded) error{s.decodeDocument, s.decodeRecent, s.decodeFinished, s.decodeJobs} {
+		if err := step(&e); err != nil {
+			return nil, errors.Wrap(err, "decode control state")
+		}
+	}
+	return s, nil
+}
+
+func (s *State) decodeDocument(e *encoded) error {
+	if e.Version == 0 {
+		return nil
+	}
+	doc, err := s.parse(e.Document)
+	if err != nil {
+		return errors.Wrapf(err, "document version %d", e.Version)
+	}
+	s.raw, s.document = e.Document, doc
+	s.setQuotas()
+	return nil
+}
+
+func (s *State) decodeRecent(e *encoded) error {
+	if len(e.Recent) > RecentIDs {
+		return errors.Errorf("%d record ids, limit %d", len(e.Recent), RecentIDs)
+	}
+	for _, b := range e.Recent {
+		id, err := uuid.FromBytes(b)
+		if err != nil {
+			return errors.Wrap(err, "record id")
+		}
+		s.remember(id)
+	}
+	return nil
+}
+
+func (s *State) decodeFinished(e *encoded) error {
+	for _, f := range e.Finished {
+		if f == nil || s.finished[f.ID] != nil {
+			return errors.New("finished job is missing or listed twice")
+		}
+		s.addFinished(f)
+	}
+	return nil
+}
+
+func (s *State) decodeJobs(e *encoded) error {
+	last := int64(0)
+	for _, j := range e.Jobs {
+		if j == nil || s.jobs[j.Spec.ID] != nil || j.Submitted <= last {
+			return errors.New("job is missing, listed twice or out of order")
+		}
+		if reason := invalidSpec(&j.Spec); reason != "" {
+			return errors.Errorf("job %q: %s", j.Spec.ID, reason)
+		}
+		last = j.Submitted
+		s.jobs[j.Spec.ID] = j
+		t := s.team(j.Spec.Team)
+		switch j.State {
+		case JobWaiting:
+			t.enqueue(j)
+		case JobActive:
+			t.use = t.use.Add(j.Use())
+		default:
+			return errors.Errorf("job %q has state %d", j.Spec.ID, j.State)
+		}
+	}
+	return nil
+}
