--- a/core/strictyaml/strictyaml.go
+++ b/core/strictyaml/strictyaml.go
@@ -82,7 +82,13 @@
 		f.addAt(0, "", "is not valid UTF-8")
 		return f
 	}
-	root := f.parse(string(data))
+	// The library's lexer counts a CRLF after a comment as two lines.
+	text := strings.ReplaceAll(string(data), "\r\n", "\n")
+	if strings.ContainsRune(text, '\r') {
+		f.addAt(0, "", "has a carriage return inside a line")
+		return f
+	}
+	root := f.parse(text)
 	if root == nil {
 		if len(f.problems) == 0 {
 			f.addAt(0, "", "is empty")
