--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -18,10 +18,13 @@
 
 // node is the planner's copy of one worker, with the binds that are planned but not yet in the zone's state.
 type node struct {
-	worker  Worker
-	used    bool // false for a free position of the slice
-	free    resource.Vector
-	use     resource.Vector // expected use of all runs
+	worker Worker
+	used   bool // false for a free position of the slice
+	free   resource.Vector
+	use    resource.Vector // expected use of all runs
+	// perCPU, perMemory and perSlot are the reciprocals of the capacity: ranking multiplies instead of dividing.
+	perCPU, perMemory, perSlot float32
+
 	classes []classLoad
 	planned []Run
 	// hold keeps freed room for one task until holdUntil.
@@ -215,7 +218,9 @@
 
 // summarise rebuilds the free room and the class loads of a node.
 func (x *Index) summarise(n *node) {
-	n.free, n.use, n.classes = n.worker.Capacity, resource.Vector{}, n.classes[:0]
+	c := n.worker.Capacity
+	n.free, n.use, n.classes = c, resource.Vector{}, n.classes[:0]
+	n.perCPU, n.perMemory, n.perSlot = share(1, c.MilliCPU), share(1, c.MemoryMB), share(1, c.Slots)
 	for _, runs := range [][]Run{n.worker.Runs, n.planned} {
 		for i := range runs {
 			n.free = n.free.Sub(runs[i].Size)
@@ -228,7 +233,7 @@
 	id := x.classes.id(r.Class)
 	use := x.expectedUse(r.Team, r.Class, r.Size)
 	n.use = n.use.Add(use)
-	load := share(use.MilliCPU, n.worker.Capacity.MilliCPU)
+	load := float32(use.MilliCPU) * n.perCPU
 	service := r.Priority == record.PriorityService
 	for i := range n.classes {
 		if c := &n.classes[i]; c.class == id && c.service == service {
--- a/core/placement/preempt.go
+++ b/core/placement/preempt.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"waxwingslip.example/core/record"
@@ -14,6 +15,9 @@
 	cost float64
 }
 
+// victimScratch is reused for every worker that preempt looks at.
+type victimScratch struct{ candidates, chosen []victim }
+
 // makeRoom evicts batch runs for an urgent task or a replica of a service that does not fit. For a starving
 // batch task it only keeps a worker free of new batch tasks, until the task has waited three times as long:
 // evictions waste work, and an overloaded zone always has tasks that wait long.
@@ -37,14 +41,15 @@
 	r := p.index.request(t, now)
 	best, bestCost := -1, 0.0
 	var chosen []victim
+	var scratch victimScratch
 	for i := range p.index.nodes {
 		n := &p.index.nodes[i]
 		if n.held(&r) || !n.usable(&r) {
 			continue
 		}
-		victims, cost := n.cheapestVictims(&r, p.opts.RestartCost, now)
+		victims, cost := n.cheapestVictims(&r, p.opts.RestartCost, now, &scratch)
 		if len(victims) > 0 && (best < 0 || cost < bestCost) {
-			best, bestCost, chosen = i, cost, victims
+			best, bestCost, chosen = i, cost, append(chosen[:0], victims...)
 		}
 	}
 	if best < 0 {
@@ -65,57 +70,48 @@
 
 // cheapestVictims returns a set of batch runs without which the task fits and from which no run can be left
 // out. It returns nil if evicting every batch run is not enough.
-func (n *node) cheapestVictims(r *request, restart time.Duration, now time.Time) ([]victim, float64) {
-	if !r.size.Fits(n.worker.Capacity) {
-		return nil, 0
-	}
-	candidates, forced, ok := n.victims(r, restart, now)
-	if !ok {
+func (n *node) cheapestVictims(r *request, restart time.Duration, now time.Time, s *victimScratch) ([]victim, float64) {
+	if !r.size.Fits(n.worker.Capacity) || !n.collectVictims(r, restart, now, s) {
 		return nil, 0
 	}
-	free := n.free
-	for _, v := range forced {
+	free, forced := n.free, len(s.chosen)
+	for _, v := range s.chosen {
 		free = free.Add(v.run.Size)
 	}
-	chosen := forced
-	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].cost < candidates[b].cost })
-	for _, v := range candidates {
+	slices.SortStableFunc(s.candidates, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	for _, v := range s.candidates {
 		if r.size.Fits(free) {
 			break
 		}
 		if helps(v.run.Size, r.size, free) {
-			chosen = append(chosen, v)
+			s.chosen = append(s.chosen, v)
 			free = free.Add(v.run.Size)
 		}
 	}
 	if !r.size.Fits(free) {
 		return nil, 0
 	}
-	return prune(chosen, len(forced), free, r.size)
+	return prune(s.chosen, forced, free, r.size)
 }
 
-// victims splits the batch runs into those that may be evicted for room and those that an exclusion rule
-// forces out. It reports false if a run that may not be evicted is excluded.
-func (n *node) victims(r *request, restart time.Duration, now time.Time) (candidates, forced []victim, ok bool) {
+// collectVictims sets s.candidates to the batch runs that may be evicted for room and s.chosen to those that
+// an exclusion rule forces out. It reports false if a run that may not be evicted is excluded.
+func (n *node) collectVictims(r *request, restart time.Duration, now time.Time, s *victimScratch) bool {
+	s.candidates, s.chosen = s.candidates[:0], s.chosen[:0]
 	for i := range n.worker.Runs {
 		run := &n.worker.Runs[i]
 		excluded := r.excluded != nil && n.excludes(r, run.Class)
+		evictable := run.Priority == record.PriorityBatch && run.Task != r.task
 		switch {
-		case run.Priority == record.PriorityBatch && run.Task != r.task:
-			v := victim{run: run, cost: evictionCost(run, restart, now)}
-			if excluded {
-				forced = append(forced, v)
-			} else {
-				candidates = append(candidates, v)
-			}
+		case evictable && excluded:
+			s.chosen = append(s.chosen, victim{run: run, cost: evictionCost(run, restart, now)})
+		case evictable:
+			s.candidates = append(s.candidates, victim{run: run, cost: evictionCost(run, restart, now)})
 		case excluded:
-			return nil, nil, false
+			return false
 		}
 	}
-	if r.excluded != nil && n.plannedExcluded(r) {
-		return nil, nil, false
-	}
-	return candidates, forced, true
+	return r.excluded == nil || !n.plannedExcluded(r)
 }
 
 // prune leaves out chosen runs, the most expensive first, that are not needed. The first forced runs stay.
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -23,16 +23,22 @@
 		if !n.feasible(r) {
 			continue
 		}
-		if cost := x.cost(n, r, w); best < 0 || cost < bestCost {
+		// The harm is the slow term, so workers that are worse without it are passed over.
+		cost := x.roomCost(n, r, w)
+		if best >= 0 && cost >= bestCost {
+			continue
+		}
+		if cost += x.harm(n, r, w); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// cost estimates how much a task on this worker harms others and itself, and how badly it uses the room.
-func (x *Index) cost(n *node, r *request, w *Weights) float32 {
-	cost := x.harm(n, r, w) + overuse(n, r, w) + float32(w.Pressure*n.worker.Pressure)
+// roomCost estimates how badly a task on this worker uses the room, and how contended the worker is without
+// regard to the classes of its runs.
+func (x *Index) roomCost(n *node, r *request, w *Weights) float32 {
+	cost := overuse(n, r, w) + float32(w.Pressure*n.worker.Pressure)
 	if r.size.Accelerators == 0 && n.free.Accelerators > 0 {
 		cost += float32(w.Accelerator) * max(share(r.size.MilliCPU, n.free.MilliCPU), share(r.size.Slots, n.free.Slots))
 	}
@@ -49,7 +55,7 @@
 	if r.priority == record.PriorityService {
 		own = float32(w.ServiceHarm)
 	}
-	load := share(r.use.MilliCPU, n.worker.Capacity.MilliCPU)
+	load := float32(r.use.MilliCPU) * n.perCPU
 	sum := float32(0)
 	for i := range n.classes {
 		c := &n.classes[i]
@@ -64,17 +70,15 @@
 
 // overuse grows from the point at which the expected use of a worker leads to contention.
 func overuse(n *node, r *request, w *Weights) float32 {
-	c := &n.worker.Capacity
-	cpu := share(n.use.MilliCPU+r.use.MilliCPU, c.MilliCPU)
-	memory := share(n.use.MemoryMB+r.use.MemoryMB, c.MemoryMB)
+	cpu := float32(n.use.MilliCPU+r.use.MilliCPU) * n.perCPU
+	memory := float32(n.use.MemoryMB+r.use.MemoryMB) * n.perMemory
 	return float32(w.Overuse) * (max(cpu-overuseFrom, 0) + 2*max(memory-overuseFrom, 0))
 }
 
 // leftover is the mean share of the worker that stays free; low values keep large gaps for large tasks.
 func (n *node) leftover(r *request) float32 {
-	c := &n.worker.Capacity
-	return (share(n.free.MilliCPU-r.size.MilliCPU, c.MilliCPU) + share(n.free.MemoryMB-r.size.MemoryMB, c.MemoryMB) +
-		share(n.free.Slots-r.size.Slots, c.Slots)) / 3
+	return (float32(n.free.MilliCPU-r.size.MilliCPU)*n.perCPU + float32(n.free.MemoryMB-r.size.MemoryMB)*n.perMemory +
+		float32(n.free.Slots-r.size.Slots)*n.perSlot) / 3
 }
 
 // crowding counts the replicas of the same service in the worker's rack and, four times, on the worker.
