Let callers of the appender choose record ids

Cause: operators' commands are idempotent by an id that the client chooses. Change: Appender.SubmitAs. Conclusion: a repeat is a duplicate for readers.

--- a/node/stream/appender.go
+++ b/node/stream/appender.go
@@ -78,7 +78,12 @@
 // Submit appends a record and returns the verdict after it was read back in log order. An error that is
 // ErrUnknown leaves open whether the record takes effect; any other error means that it never does.
 func (a *Appender) Submit(ctx context.Context, body record.Body) (Result, error) {
-	it, err := a.newItem(body)
+	return a.SubmitAs(ctx, a.opts.NewID(), body)
+}
+
+// SubmitAs is Submit with a record id chosen by the caller. A second record with the same id is a Duplicate.
+func (a *Appender) SubmitAs(ctx context.Context, id uuid.UUID, body record.Body) (Result, error) {
+	it, err := a.newItem(id, body)
 	if err != nil {
 		return Result{}, err
 	}
@@ -106,7 +111,7 @@
 // Post queues a record without waiting. It is sent at most once, and not at all if that takes longer than
 // PostTTL: it is meant for heartbeats, of which the next one replaces a lost one.
 func (a *Appender) Post(body record.Body) error {
-	it, err := a.newItem(body)
+	it, err := a.newItem(a.opts.NewID(), body)
 	if err != nil {
 		return err
 	}
@@ -118,8 +123,7 @@
 	return nil
 }
 
-func (a *Appender) newItem(body record.Body) (*item, error) {
-	id := a.opts.NewID()
+func (a *Appender) newItem(id uuid.UUID, body record.Body) (*item, error) {
 	payload, err := record.Encode(record.New(id, body))
 	if err != nil {
 		return nil, a.fail(ErrNotAppended, err)
