--- /dev/null
+++ b/cmd/waxwingslipd/main.go
@@ -0,0 +1,69 @@
+// Command waxwingslipd is the daemon of an entry VM.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/node/daemon"
+	"waxwingslip.example/node/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("settings", "", "path of the YAML settings file")
+	check := flag.Bool("check", false, "check the settings and exit")
+	version := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if *version {
+		fmt.Println(daemon.Build)
+		return exitOK
+	}
+	set, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	return serve(set)
+}
+
+func serve(set *settings.Settings) int {
+	level, err := zerolog.ParseLevel(set.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := daemon.New(set, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	// With port 0 in the settings, this line is how a supervisor learns the addresses.
+	_ = json.NewEncoder(os.Stdout).Encode(d.Addresses())
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -92,9 +92,12 @@
 	}
 }
 
-// Holds reports whether leases may be renewed at the local time now.
-func (a *Authority) Holds(now time.Duration) bool {
-	return a.granted && now-a.from < RenewalAuthority
+// Left returns for how long from the local time now leases may be granted; it is not above zero if they may not.
+func (a *Authority) Left(now time.Duration) time.Duration {
+	if !a.granted {
+		return 0
+	}
+	return a.from + RenewalAuthority - now
 }
 
 // AuthorityLapsed reports whether the authority of another member, whose last heartbeat was read from the
--- /dev/null
+++ b/node/daemon/adapters.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/replica"
+	"waxwingslip.example/node/stream"
+	"waxwingslip.example/platform/directory"
+	"waxwingslip.example/platform/worker"
+)
+
+// listPoll is the time between looks at the VM list. With it, a leaving endpoint gets no new work after 3 s.
+const listPoll = 2 * time.Second
+
+// listing polls the VM list of the zone. While the list cannot be read, the newest one stays in use.
+type listing struct {
+	client  directory.Directory
+	zone    string
+	changed func(context.Context, []directory.VM)
+}
+
+func newListing(c directory.Directory, zone string, changed func(context.Context, []directory.VM)) *listing {
+	return &listing{client: c, zone: zone, changed: changed}
+}
+
+func (l *listing) run(ctx context.Context) {
+	ticker := time.NewTicker(listPoll)
+	defer ticker.Stop()
+	version := ""
+	for {
+		version = l.poll(ctx, version)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *listing) poll(ctx context.Context, version string) string {
+	call, cancel := context.WithTimeout(ctx, listPoll)
+	defer cancel()
+	list, err := l.client.List(call, l.zone, version)
+	if err != nil || list.Version == version {
+		return version
+	}
+	l.changed(ctx, list.VMs)
+	return list.Version
+}
+
+// reports keeps the newest report of each owned worker.
+type reports struct {
+	mu sync.Mutex
+	// byWorker is guarded by mu.
+	byWorker map[string]heardReport
+}
+
+type heardReport struct {
+	report worker.Report
+	at     time.Duration
+}
+
+func newReports() *reports { return &reports{byWorker: map[string]heardReport{}} }
+
+func (r *reports) add(report worker.Report, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byWorker[report.Worker] = heardReport{report: report, at: at}
+}
+
+func (r *reports) get(id string) (heardReport, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.byWorker[id]
+	return h, ok
+}
+
+// verdictsKept is how many verdicts on control records are remembered for operators who repeat a command.
+const verdictsKept = 4096
+
+// verdictLog remembers how recent records of the control stream were judged.
+type verdictLog struct {
+	mu sync.Mutex
+	// byID and order are guarded by mu.
+	byID  map[uuid.UUID]stream.Result
+	order []uuid.UUID
+}
+
+func newVerdictLog() *verdictLog { return &verdictLog{byID: map[uuid.UUID]stream.Result{}} }
+
+func (v *verdictLog) add(b stream.Batch) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, a := range b.Applied {
+		if a.Verdict.Duplicate {
+			continue
+		}
+		v.byID[a.Record.ID] = stream.Result{Offset: a.Offset, Accepted: a.Verdict.Accepted, Reason: a.Verdict.Reason}
+		v.order = append(v.order, a.Record.ID)
+		if len(v.order) > verdictsKept {
+			delete(v.byID, v.order[0])
+			v.order = v.order[1:]
+		}
+	}
+}
+
+func (v *verdictLog) find(id uuid.UUID) (stream.Result, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.byID[id]
+	return r, ok
+}
+
+// catalog serves the gateway from the configuration in force.
+type catalog struct{ control *replica.Control }
+
+// Service implements gateway.Catalog.
+func (c catalog) Service(name string) (out gateway.Service, ok bool) {
+	c.control.View(func(s *control.State) {
+		if s.Document() == nil {
+			return
+		}
+		for _, svc := range s.Document().Services {
+			if svc.Name != name {
+				continue
+			}
+			out = gateway.Service{
+				Name: name, Timeout: time.Duration(svc.TimeoutMs) * time.Millisecond,
+				IdempotentPaths: svc.IdempotentPaths,
+			}
+			for zone, n := range svc.Replicas {
+				if n > 0 {
+					out.Zones = append(out.Zones, zone)
+				}
+			}
+			ok = true
+		}
+	})
+	return out, ok
+}
+
+// Zones implements gateway.Catalog.
+func (c catalog) Zones() (out []gateway.Zone) {
+	c.control.View(func(s *control.State) {
+		if s.Document() == nil {
+			return
+		}
+		for _, r := range s.Document().Regions {
+			for _, z := range r.Zones {
+				out = append(out, gateway.Zone{Name: z.Name, Region: r.Name, OutOfService: z.OutOfService})
+			}
+		}
+	})
+	return out
+}
+
+// CallerRate implements gateway.Catalog.
+func (c catalog) CallerRate() (rate float64) {
+	c.control.View(func(s *control.State) {
+		if s.Document() != nil {
+			rate = float64(s.Document().Requests.PerCallerPerSecond)
+		}
+	})
+	return rate
+}
+
+// LinkRate implements gateway.Catalog.
+func (c catalog) LinkRate() (rate float64) {
+	c.control.View(func(s *control.State) {
+		if s.Document() != nil {
+			rate = float64(s.Document().Requests.LinkBytesPerSecond)
+		}
+	})
+	return rate
+}
+
+// unknownLoads is scheduler.Loads without knowledge of other zones.
+type unknownLoads struct{}
+
+// Room implements scheduler.Loads.
+func (unknownLoads) Room(string) (float64, bool) { return 0, false }
+
+var counters = expvar.NewMap("waxwingslip")
+
+// metrics counts in expvar.
+type metrics struct{}
+
+// Count adds one to a counter.
+func (metrics) Count(name string) { counters.Add(name, 1) }
--- /dev/null
+++ b/node/daemon/authority.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/lease"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/node/replica"
+)
+
+// authority says what the daemon may do at the moment. It implements executor.Authority.
+type authority struct {
+	zoneName string
+	zone     *replica.Zone
+	control  *replica.Control
+	now      func() time.Duration
+
+	mu sync.Mutex
+	// member, renewal and shards are guarded by mu.
+	member  string
+	renewal lease.Authority
+	shards  [zone.Shards]shardSighting
+	// heartbeats is guarded by mu.
+	heartbeats map[string]heartbeatSighting
+}
+
+// heartbeatSighting is when this daemon read the newest heartbeat of a member.
+type heartbeatSighting struct {
+	offset int64
+	at     time.Duration
+}
+
+// shardSighting is when this daemon first read the current ownership of a shard.
+type shardSighting struct {
+	owner zone.ShardOwner
+	at    time.Duration
+}
+
+// setMember sets the member id, empty while the daemon is not a member.
+func (a *authority) setMember(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id != a.member {
+		a.member = id
+		a.renewal = lease.Authority{}
+	}
+}
+
+// confirm extends the renewal authority by a heartbeat that was read back and had been sent at the given time.
+func (a *authority) confirm(member string, sent time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if member == a.member {
+		a.renewal.Confirm(sent)
+	}
+}
+
+// observe records since when shards have their owners. It is called with the zone state after each change.
+func (a *authority) observe(s *zone.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	for i, o := range s.Shard {
+		if a.shards[i].owner != o {
+			a.shards[i] = shardSighting{owner: o, at: now}
+		}
+	}
+	seen := make(map[string]heartbeatSighting, len(s.Members))
+	for id, m := range s.Members {
+		seen[id] = heartbeatSighting{offset: m.Heartbeat, at: now}
+		if old, ok := a.heartbeats[id]; ok && old.offset == m.Heartbeat {
+			seen[id] = old
+		}
+	}
+	a.heartbeats = seen
+}
+
+// heartbeatAge returns how long ago the newest heartbeat of a member was read.
+func (a *authority) heartbeatAge(member string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now() - a.heartbeats[member].at
+}
+
+// Member implements executor.Authority.
+func (a *authority) Member() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.member
+}
+
+// controlFresh reports whether the control state is new enough for a start.
+func (a *authority) controlFresh() bool {
+	asOf := a.control.Follower.CurrentAsOf()
+	return !asOf.IsZero() && time.Since(asOf) < lease.ControlFreshness
+}
+
+// MayStart implements executor.Authority.
+func (a *authority) MayStart() bool {
+	inService := false
+	a.control.View(func(s *control.State) {
+		if d := s.Document(); d != nil {
+			_, z, ok := d.FindZone(a.zoneName)
+			inService = ok && !z.OutOfService
+		}
+	})
+	// Freshness is read last, so that no pause lies between it and the decision.
+	return inService && a.controlFresh()
+}
+
+// RenewUntil implements executor.Authority. While the log cannot be read, nothing can be started elsewhere, so
+// leases then last until the renewal authority ends.
+func (a *authority) RenewUntil(now time.Duration) time.Duration {
+	a.mu.Lock()
+	left := a.renewal.Left(now)
+	a.mu.Unlock()
+	if left <= 0 {
+		return 0
+	}
+	if a.controlFresh() || a.zone.Follower.Reachable() {
+		return lease.WorkerLease
+	}
+	return max(left, lease.WorkerLease)
+}
+
+// PreviousOwnerLapsed implements executor.Authority.
+func (a *authority) PreviousOwnerLapsed(shard int, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.shards[shard]
+	if s.owner.Owner != a.member {
+		return false
+	}
+	return s.owner.Previous == "" || lease.AuthorityLapsed(s.at, now)
+}
--- /dev/null
+++ b/node/daemon/daemon.go
@@ -0,0 +1,176 @@
+// Package daemon wires the parts of waxwingslipd together and runs them until shutdown.
+package daemon
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/endpoints"
+	"waxwingslip.example/node/executor"
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/operator"
+	"waxwingslip.example/node/ownership"
+	"waxwingslip.example/node/replica"
+	"waxwingslip.example/node/scheduler"
+	"waxwingslip.example/node/settings"
+	"waxwingslip.example/node/stream"
+	"waxwingslip.example/platform/directory"
+	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/platform/worker"
+)
+
+// Build is the version of the program, set by the linker for releases.
+var Build = "development"
+
+// Addresses holds the addresses at which a running daemon listens, as IP:port.
+type Addresses struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Health    string `json:"health"`
+}
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	set *settings.Settings
+	log zerolog.Logger
+	// started is the origin of the monotonic clock that all parts share.
+	started time.Time
+
+	control   *replica.Control
+	zone      *replica.Zone
+	authority *authority
+	verdicts  *verdictLog
+	listing   *listing
+	table     *endpoints.Table
+	pool      *executor.Pool
+	sched     *scheduler.Scheduler
+	owner     *ownership.Runner
+	gateway   *gateway.Gateway
+	operator  *operator.Server
+	health    *http.Server
+	reports   *reports
+
+	listeners listeners
+	addresses Addresses
+	workers   sync.WaitGroup
+}
+
+type listeners struct {
+	callers, operators, health net.Listener
+}
+
+// New builds a daemon and binds its listeners, so that its addresses are known. Run starts it.
+func New(set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	log = log.With().Str("daemon", set.Name).Str("zone", set.Zone).Logger()
+	d := &Daemon{set: set, log: log, started: time.Now(), verdicts: newVerdictLog(), reports: newReports()}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.openStreams()
+	if err := d.buildParts(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+// now reads the daemon's monotonic clock.
+func (d *Daemon) now() time.Duration { return time.Since(d.started) }
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		step, address string
+		to            *net.Listener
+		actual        *string
+	}{
+		{"listen for callers", d.set.Listen.Callers, &d.listeners.callers, &d.addresses.Callers},
+		{"listen for operators", d.set.Listen.Operators, &d.listeners.operators, &d.addresses.Operators},
+		{"listen for health checks", d.set.Listen.Health, &d.listeners.health, &d.addresses.Health},
+	} {
+		bound, err := net.Listen("tcp", l.address)
+		if err != nil {
+			d.closeListeners()
+			return errors.Wrap(err, l.step)
+		}
+		*l.to, *l.actual = bound, bound.Addr().String()
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.callers, d.listeners.operators, d.listeners.health} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses { return d.addresses }
+
+func (d *Daemon) openStreams() {
+	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
+	d.control = replica.NewControl(store, environment.Parse,
+		stream.FollowerOptions{Stream: replica.ControlStream(d.set.Environment), TailBytes: relayTailBytes, Log: d.log},
+		stream.AppenderOptions{Log: d.log})
+	d.zone = replica.NewZone(store, d.set.Zone,
+		stream.FollowerOptions{Stream: replica.ZoneStream(d.set.Environment, d.set.Zone), Log: d.log},
+		stream.AppenderOptions{Log: d.log})
+	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
+}
+
+// relayTailBytes is how much of the control stream a daemon keeps for peers that cannot read the log.
+const relayTailBytes = 512 << 10
+
+func (d *Daemon) buildParts() error {
+	d.table = endpoints.New(d.zone)
+	d.listing = newListing(directory.NewHTTPClient(d.set.Platform.DirectoryURL), d.set.Zone, d.onListing)
+	d.pool = executor.NewPool(executor.Config{
+		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: metrics{},
+		Log: d.log, Now: d.now, OnReport: d.onReport,
+	})
+	d.sched = scheduler.New(scheduler.Config{
+		Zone: d.set.Zone, State: d.zone, Control: d.control, Member: d.authority.Member, Loads: unknownLoads{},
+		Metrics: metrics{}, Log: d.log, Now: d.now,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d.owner = ownership.NewRunner(ownership.RunnerConfig{
+		Name: d.set.Name, PeerAddress: d.set.Listen.Peers, Zone: d.zone, Current: d.zoneCurrent, Now: d.now,
+		SetMember: d.authority.setMember, Confirm: d.authority.confirm, Log: d.log,
+	})
+	var err error
+	d.gateway, err = gateway.New(gateway.Options{Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}})
+	if err != nil {
+		return err
+	}
+	return d.buildOperator()
+}
+
+func (d *Daemon) buildOperator() error {
+	tokens, err := operator.ReadTokens(d.set.Operators.TokenFile)
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := d.operatorTLS()
+	if err != nil {
+		return err
+	}
+	d.operator = operator.NewServer(operator.NewHandler(commands{d}, queries{d}, tokens), tlsConfig, nil)
+	d.health = &http.Server{Handler: d.healthHandler(), ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+// zoneFreshness is how old the newest proof of being up to date may be before silence of members counts.
+const zoneFreshness = 3 * time.Second
+
+func (d *Daemon) zoneCurrent() bool {
+	asOf := d.zone.Follower.CurrentAsOf()
+	return !asOf.IsZero() && time.Since(asOf) < zoneFreshness
+}
