Settle callers at shutdown and detect a log that lost entries

A caller without a deadline waited for ever when its daemon stopped between the append and the read, and a stream that ends before the applied offset counted as current. Both now give an error. Tests use the in-memory log of platform/logstore/fake.

Checked with: go test -race -count=2 ./node/stream/

--- a/node/stream/appender.go
+++ b/node/stream/appender.go
@@ -83,8 +83,8 @@
 		return Result{}, err
 	}
 	it.ctx, it.waiter = ctx, newWaiter()
-	if !a.queue.push(it) {
-		return Result{}, a.fail(ErrNotAppended, ErrQueueFull)
+	if err := a.queue.push(it); err != nil {
+		return Result{}, a.fail(ErrNotAppended, err)
 	}
 	select {
 	case o := <-it.waiter.done:
@@ -111,9 +111,9 @@
 		return err
 	}
 	it.ctx, it.expires = context.Background(), time.Now().Add(a.opts.PostTTL)
-	if !a.queue.push(it) {
+	if err := a.queue.push(it); err != nil {
 		a.opts.Dropped.Add(1)
-		return a.fail(ErrNotAppended, ErrQueueFull)
+		return a.fail(ErrNotAppended, err)
 	}
 	return nil
 }
@@ -129,7 +129,7 @@
 
 func (a *Appender) fail(kind, cause error) error { return a.follower.fail("submit", kind, cause) }
 
-// Run sends queued records until ctx ends. Records that were not sent by then fail with ErrNotAppended.
+// Run sends queued records until ctx ends. Records that were never sent by then fail with ErrNotAppended.
 func (a *Appender) Run(ctx context.Context) error {
 	defer a.closeQueue()
 	delay := newBackoff(maxDelay)
@@ -249,6 +249,7 @@
 // case the first append takes effect even later.
 func (a *Appender) recheck(ctx context.Context, batch []*item) {
 	if err := a.follower.AwaitCurrent(ctx, time.Now()); err != nil {
+		a.queue.unshift(batch) // ctx has ended: closeQueue tells the callers
 		return
 	}
 	var again []*item
--- a/node/stream/follow_test.go
+++ b/node/stream/follow_test.go
@@ -11,15 +11,16 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/platform/fault"
 	"waxwingslip.example/platform/logstore"
 )
 
 // put appends records straight to the log.
-func put(t *testing.T, store *memStore, bodies ...record.Body) {
+func put(t *testing.T, store *testStore, bodies ...record.Body) {
 	for _, b := range bodies {
 		payload, err := record.Encode(record.New(uuid.New(), b))
 		is.New(t).NoErr(err)
-		_, err = store.Append(t.Context(), "", [][]byte{payload})
+		_, err = store.Append(t.Context(), testStream, [][]byte{payload})
 		is.New(t).NoErr(err)
 	}
 }
@@ -43,21 +44,21 @@
 	const padding = 300 << 10 // three parts
 	rows := []struct {
 		name string
-		fill func(t *testing.T, store *memStore, old *node)
+		fill func(t *testing.T, store *testStore, old *node)
 		ok   bool
 	}{
-		{"empty", func(*testing.T, *memStore, *node) {}, true},
-		{"nothing expired", func(t *testing.T, store *memStore, _ *node) {
+		{"empty", func(*testing.T, *testStore, *node) {}, true},
+		{"nothing expired", func(t *testing.T, store *testStore, _ *node) {
 			put(t, store, cancelJob("a"), cancelJob("b"))
 		}, true},
-		{"expired, records between and after the parts", func(t *testing.T, store *memStore, old *node) {
+		{"expired, records between and after the parts", func(t *testing.T, store *testStore, old *node) {
 			put(t, store, cancelJob("a"), cancelJob("b"))
 			time.Sleep(time.Second)
 			parts := snapshotParts(t, old)
 			put(t, store, cancelJob("c"), parts[0], cancelJob("d"), parts[2], parts[1], cancelJob("e"))
 			store.expire(3)
 		}, true},
-		{"newest snapshot interrupted between parts", func(t *testing.T, store *memStore, old *node) {
+		{"newest snapshot interrupted between parts", func(t *testing.T, store *testStore, old *node) {
 			put(t, store, cancelJob("a"))
 			time.Sleep(time.Second)
 			put(t, store, snapshotParts(t, old)...)
@@ -67,7 +68,7 @@
 			put(t, store, cancelJob("c"))
 			store.expire(2)
 		}, true},
-		{"two writers interleaved, one dies", func(t *testing.T, store *memStore, old *node) {
+		{"two writers interleaved, one dies", func(t *testing.T, store *testStore, old *node) {
 			put(t, store, cancelJob("a"))
 			time.Sleep(time.Second)
 			first := snapshotParts(t, old)
@@ -77,7 +78,7 @@
 			put(t, store, first[0], second[0], first[1], second[1], first[2], cancelJob("c"))
 			store.expire(2)
 		}, true},
-		{"newest snapshot corrupt", func(t *testing.T, store *memStore, old *node) {
+		{"newest snapshot corrupt", func(t *testing.T, store *testStore, old *node) {
 			put(t, store, cancelJob("a"))
 			time.Sleep(time.Second)
 			put(t, store, snapshotParts(t, old)...)
@@ -87,7 +88,7 @@
 			put(t, store, snapshotBody(record.KindZoneSnapshot, bad[0]), cancelJob("b"))
 			store.expire(2)
 		}, true},
-		{"snapshot older than what is left", func(t *testing.T, store *memStore, old *node) {
+		{"snapshot older than what is left", func(t *testing.T, store *testStore, old *node) {
 			put(t, store, cancelJob("a"))
 			time.Sleep(time.Second)
 			parts := snapshotParts(t, old)
@@ -95,7 +96,7 @@
 			put(t, store, parts...)
 			store.expire(3)
 		}, false},
-		{"no snapshot", func(t *testing.T, store *memStore, _ *node) {
+		{"no snapshot", func(t *testing.T, store *testStore, _ *node) {
 			put(t, store, cancelJob("a"), cancelJob("b"))
 			store.expire(2)
 		}, false},
@@ -104,7 +105,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := newMemStore()
+				store := newTestStore()
 				old := start(t, store)
 				old.m.padding = padding
 				row.fill(t, store, old)
@@ -125,12 +126,12 @@
 func TestExpiredWhileAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n, peer := start(t, store), start(t, store)
 		restored := 0
 		put(t, store, cancelJob("a"))
 		time.Sleep(time.Second)
-		away := NewFollower(store, newLogMachine(), FollowerOptions{Stream: "zone/a"})
+		away := NewFollower(store, newLogMachine(), FollowerOptions{Stream: testStream})
 		away.Subscribe(func(b Batch) {
 			if b.Restored {
 				restored++
@@ -156,36 +157,59 @@
 func TestCorruptEntryIsSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
-		for _, bad := range [][]byte{nil, {0xff}, []byte("text"), make([]byte, record.MaxEncodedBytes+1)} {
-			_, err := store.Append(t.Context(), "", [][]byte{bad})
+		for _, bad := range [][]byte{nil, {0xff}, []byte("text"), make([]byte, record.MaxEncodedBytes), {0x83, 0x40, 0x18, 0xfe, 0xa0}} {
+			_, err := store.Append(t.Context(), testStream, [][]byte{bad})
 			is.NoErr(err)
 		}
 		put(t, store, cancelJob("a"))
 		time.Sleep(time.Second)
 		is.Equal(n.jobs(), []string{"a"})
+		is.Equal(len(n.f.logged), 2) // unreadable entries and kind 254
 	})
 }
 
+// Guards against a daemon that counts as current after the log lost entries that it had applied.
+func TestLogLosesEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := start(t, newTestStore())
+		time.Sleep(time.Second)
+		is.NoErr(n.f.Import(7, mustPack(t, n)))
+		is.Equal(n.f.Next(), int64(8))
+		time.Sleep(2 * time.Second)
+		cut := time.Now()
+		time.Sleep(10 * time.Second)
+		is.True(!n.f.Reachable())
+		is.True(n.f.CurrentAsOf().Before(cut))
+	})
+}
+
+func mustPack(t *testing.T, n *node) []byte {
+	_, packed, err := n.f.Export()
+	is.New(t).NoErr(err)
+	return packed
+}
+
 // Guards against a daemon that believes to be current because an old read returned late: the time of a read
 // is when it was sent.
 func TestFreshness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
 		is.True(n.f.CurrentAsOf().IsZero())
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			is.True(time.Since(n.f.CurrentAsOf()) <= 2100*time.Millisecond)
 		}
-		store.set(func() { store.out = true })
+		store.down(true)
 		cut := time.Now()
 		time.Sleep(10 * time.Second)
 		is.True(!n.f.Reachable())
 		is.True(!n.f.CurrentAsOf().After(cut))
-		store.set(func() { store.out, store.delay = false, 1500*time.Millisecond })
+		store.Faults.Set(fault.Setting{AnswerDelayMs: 1500})
 		time.Sleep(10 * time.Second)
 		is.True(n.f.Reachable())
 		is.True(time.Since(n.f.CurrentAsOf()) >= 1500*time.Millisecond)
@@ -218,11 +242,11 @@
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := newMemStore()
+				store := newTestStore()
 				n := start(t, store)
 				put(t, store, cancelJob("a"), cancelJob("b"))
 				time.Sleep(time.Second)
-				store.set(func() { store.out = true })
+				store.down(true)
 				time.Sleep(30 * time.Second)
 				sent := time.Now()
 				time.Sleep(200 * time.Millisecond)
@@ -241,11 +265,11 @@
 func TestImportFromPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		peer := start(t, store)
 		put(t, store, cancelJob("a"))
 		time.Sleep(time.Second)
-		store.set(func() { store.out = true })
+		store.down(true)
 		n := start(t, store)
 		_, err := n.a.Submit(within(t, time.Second), cancelJob("x"))
 		is.True(err != nil)
@@ -273,13 +297,14 @@
 		{"both chosen", []bool{true, true}, SnapshotterOptions{Records: 10}, 1},
 		{"chosen one does nothing", []bool{false, false}, SnapshotterOptions{Records: 10}, 1},
 		{"not yet", []bool{true, true}, SnapshotterOptions{Records: 100}, 0},
+		{"expiring", []bool{true, false}, SnapshotterOptions{Records: 100, MaxAge: 5 * time.Minute}, 1},
 		{"old", []bool{true, false}, SnapshotterOptions{Records: 100, MaxAge: 10 * time.Second}, 1},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := newMemStore()
+				store := newTestStore()
 				var nodes []*node
 				for _, mine := range row.mine {
 					n := start(t, store)
@@ -295,6 +320,10 @@
 				for range 30 {
 					put(t, store, cancelJob("a"))
 				}
+				if row.name == "expiring" {
+					time.Sleep(time.Second)
+					store.expire(25)
+				}
 				time.Sleep(20 * time.Second)
 				for _, n := range nodes {
 					is.Equal(n.f.snapshotCovers(30), row.want > 0)
--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -78,7 +80,10 @@
 	// progress is closed and replaced after each successful read or change of state.
 	progress    chan struct{}
 	subscribers []func(Batch)
-	badKinds    map[string]bool
+	// logged holds the sorts of dropped entries that were logged.
+	logged map[string]bool
+	// stopped means that nothing will be read any more.
+	stopped bool
 }
 
 // NewFollower returns a Follower that Run starts.
@@ -87,7 +92,7 @@
 	return &Follower{
 		store: store, machine: machine, opts: opts,
 		tail:    tail{limit: opts.TailBytes},
-		waiters: map[uuid.UUID]*waiter{}, progress: make(chan struct{}), badKinds: map[string]bool{},
+		waiters: map[uuid.UUID]*waiter{}, progress: make(chan struct{}), logged: map[string]bool{},
 	}
 }
 
@@ -144,8 +149,9 @@
 	}
 }
 
-// Run follows the stream until ctx ends.
+// Run follows the stream until ctx ends. Callers that still wait for a record then get ErrUnknown.
 func (f *Follower) Run(ctx context.Context) error {
+	defer f.stop()
 	delay := newBackoff(maxDelay)
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -162,6 +168,13 @@
 	return ctx.Err()
 }
 
+func (f *Follower) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
+	f.resolveAll()
+}
+
 // step loads the state if there is none, or reads and applies one page.
 func (f *Follower) step(ctx context.Context) error {
 	from := f.Next()
@@ -176,6 +189,9 @@
 	if err != nil {
 		return err
 	}
+	if page.End < from {
+		return f.fail("read", nil, errors.Errorf("stream ends at %d, but entries before %d were applied", page.End, from))
+	}
 	if err := f.applyPage(page, sent); err != nil {
 		return err
 	}
@@ -278,7 +294,7 @@
 func (f *Follower) applyEntry(e logstore.Entry) (Applied, bool) {
 	rec, err := record.Decode(e.Payload)
 	if err != nil {
-		f.dropped("record", e.Offset, err)
+		f.dropped(sortOf(e.Payload), e.Offset, err)
 		return Applied{}, false
 	}
 	if s, ok := snapshotOf(rec.Body); ok {
@@ -295,14 +311,28 @@
 // dropped counts an entry that cannot be applied and logs the first one of each sort.
 func (f *Follower) dropped(sort string, offset int64, err error) {
 	f.opts.Undecodable.Add(1)
-	if f.badKinds[sort] {
+	if f.logged[sort] {
 		return
 	}
-	f.badKinds[sort] = true
+	f.logged[sort] = true
 	f.opts.Log.Error().Err(err).Str("step", "decode").Str("stream", f.opts.Stream).Str("sort", sort).
 		Int64("offset", offset).Msg("entry dropped; later ones of this sort are only counted")
 }
 
+// sortOf names the kind of a record that does not decode, if that much can be read.
+func sortOf(payload []byte) string {
+	var outer struct {
+		_    struct{} `cbor:",toarray"`
+		ID   cbor.RawMessage
+		Kind record.Kind
+		Body cbor.RawMessage
+	}
+	if err := cbor.Unmarshal(payload, &outer); err != nil {
+		return "unreadable"
+	}
+	return fmt.Sprintf("kind %d", outer.Kind)
+}
+
 func (f *Follower) publish(b Batch) {
 	if !b.Restored && len(b.Applied) == 0 {
 		return
--- a/node/stream/queue.go
+++ b/node/stream/queue.go
@@ -57,18 +57,22 @@
 	closed bool
 }
 
-func (q *queue) push(it *item) bool {
+// push returns ErrQueueFull, or context.Canceled after close.
+func (q *queue) push(it *item) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.items) >= q.limit {
 		q.purge(time.Now())
 	}
-	if q.closed || len(q.items) >= q.limit {
-		return false
+	if q.closed {
+		return context.Canceled
+	}
+	if len(q.items) >= q.limit {
+		return ErrQueueFull
 	}
 	q.items = append(q.items, it)
 	q.notify()
-	return true
+	return nil
 }
 
 // purge drops records that will not be sent any more, so that callers who gave up during an outage of the log
--- a/node/stream/snapshotter.go
+++ b/node/stream/snapshotter.go
@@ -75,12 +75,14 @@
 	if f.next == 0 || !f.reachable || behind <= 0 {
 		return false
 	}
-	if behind >= factor*s.opts.Records || time.Since(f.coveredAt) >= time.Duration(factor)*s.opts.MaxAge {
+	age := time.Since(f.coveredAt)
+	if behind >= factor*s.opts.Records || age >= time.Duration(factor)*s.opts.MaxAge {
 		return true
 	}
-	// Something has expired, and the newest snapshot stands in the older part of what is left.
+	// Something has expired, and the newest snapshot stands in the older part of what is left. The least age
+	// keeps a log that holds only a few entries from being filled with snapshots.
 	kept := f.end - f.first
-	return f.first > 1 && (f.covered-f.first)*2*factor < kept
+	return f.first > 1 && (f.covered-f.first)*2*factor < kept && age >= s.opts.MaxAge/60
 }
 
 // Write appends the current state part by part. It stops when another daemon's snapshot became complete that
--- a/node/stream/store_test.go
+++ b/node/stream/store_test.go
@@ -10,115 +10,38 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/platform/fault"
 	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/platform/logstore/fake"
 )
 
-var errOutage = errors.New("connection refused")
+const testStream = "test.zone.a"
+
+// testStore is a log that can also reject single payloads.
+type testStore struct {
+	*fake.Store
+	// reject refuses batches that hold a payload for which it returns true. It is set before use.
+	reject func(payload []byte) bool
 
-// memStore is a log of one stream with faults.
-type memStore struct {
 	mu      sync.Mutex
-	entries []logstore.Entry // entries[i] has offset first+i
-	first   int64
-	changed chan struct{}
-	// out makes calls fail, delay makes them slow; loseAnswers appends take effect but fail.
-	out         bool
-	delay       time.Duration
-	loseAnswers int
-	// reject refuses batches that hold a payload for which it returns true.
-	reject    func(payload []byte) bool
-	appends   []time.Time
-	batchSize []int
+	appends []time.Time
 }
 
-func newMemStore() *memStore { return &memStore{first: 1, changed: make(chan struct{})} }
-
-func (m *memStore) enter(ctx context.Context) error {
-	m.mu.Lock()
-	d, out := m.delay, m.out
-	m.mu.Unlock()
-	sleep(ctx, d)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	if out {
-		return errOutage
-	}
-	return nil
-}
+func newTestStore() *testStore { return &testStore{Store: fake.New(nil)} }
 
-func (m *memStore) Append(ctx context.Context, _ string, payloads [][]byte) (int64, error) {
-	if err := m.enter(ctx); err != nil {
-		return 0, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.reject != nil && slices.ContainsFunc(payloads, m.reject) {
+func (s *testStore) Append(ctx context.Context, stream string, payloads [][]byte) (int64, error) {
+	if s.reject != nil && slices.ContainsFunc(payloads, s.reject) {
 		return 0, errors.Wrap(logstore.ErrRejected, "test")
 	}
-	m.appends = append(m.appends, time.Now())
-	m.batchSize = append(m.batchSize, len(payloads))
-	at := m.end()
-	for _, p := range payloads {
-		m.entries = append(m.entries, logstore.Entry{Offset: m.end(), Payload: p})
-	}
-	close(m.changed)
-	m.changed = make(chan struct{})
-	if m.loseAnswers > 0 {
-		m.loseAnswers--
-		return 0, errOutage
-	}
-	return at, nil
+	s.mu.Lock()
+	s.appends = append(s.appends, time.Now())
+	s.mu.Unlock()
+	return s.Store.Append(ctx, stream, payloads)
 }
 
-func (m *memStore) end() int64 { return m.first + int64(len(m.entries)) }
+func (s *testStore) down(down bool) { s.Faults.Set(fault.Setting{Down: down}) }
 
-func (m *memStore) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) (logstore.Page, error) {
-	if err := m.enter(ctx); err != nil {
-		return logstore.Page{}, err
-	}
-	m.mu.Lock()
-	if from >= m.end() && wait > 0 {
-		ch := m.changed
-		m.mu.Unlock()
-		t := time.NewTimer(wait)
-		defer t.Stop()
-		select {
-		case <-ch:
-		case <-t.C:
-		case <-ctx.Done():
-			return logstore.Page{}, ctx.Err()
-		}
-		m.mu.Lock()
-	}
-	defer m.mu.Unlock()
-	if m.out {
-		return logstore.Page{}, errOutage
-	}
-	page := logstore.Page{First: m.first, End: m.end()}
-	if from < m.first {
-		return page, logstore.ErrExpired
-	}
-	if from < m.end() {
-		rest := m.entries[from-m.first:]
-		page.Entries = slices.Clone(rest[:min(len(rest), max)])
-	}
-	return page, nil
-}
-
-func (m *memStore) set(fn func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	fn()
-}
-
-// expire drops the entries below the offset.
-func (m *memStore) expire(first int64) {
-	m.set(func() {
-		m.entries = slices.Clone(m.entries[first-m.first:])
-		m.first = first
-	})
-}
+func (s *testStore) expire(first int64) { s.ExpireBefore(testStream, first) }
 
 // logMachine keeps the job ids of the Cancel records that it applied, once per record id. Job "no" is rejected.
 type logMachine struct {
--- a/node/stream/stream_test.go
+++ b/node/stream/stream_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/goleak"
 
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/platform/fault"
+	"waxwingslip.example/platform/logstore/fake"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -27,9 +29,9 @@
 }
 
 // start runs a follower and an appender until the test ends.
-func start(t *testing.T, store *memStore) *node {
+func start(t *testing.T, store *testStore) *node {
 	n := &node{m: newLogMachine()}
-	n.f = NewFollower(store, n.m, FollowerOptions{Stream: "zone/a", SnapshotKind: record.KindZoneSnapshot, TailBytes: 1 << 20})
+	n.f = NewFollower(store, n.m, FollowerOptions{Stream: testStream, SnapshotKind: record.KindZoneSnapshot, TailBytes: 1 << 20})
 	n.a = NewAppender(store, n.f, AppenderOptions{})
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
@@ -56,7 +58,7 @@
 func TestSubmitReturnsVerdict(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := start(t, newMemStore())
+		n := start(t, newTestStore())
 		r, err := n.a.Submit(within(t, time.Second), cancelJob("j1"))
 		is.NoErr(err)
 		is.Equal(r, Result{Offset: 1, Accepted: true})
@@ -70,7 +72,7 @@
 func TestAppendsAreGrouped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
 		time.Sleep(time.Second)
 		begin := time.Now()
@@ -93,35 +95,33 @@
 // Each row is a failure of the log; whatever happens, an accepted record is applied exactly once and a
 // reported error matches what the log holds.
 func TestLogFailures(t *testing.T) {
+	down := fault.Setting{Down: true}
 	rows := []struct {
 		name   string
-		before func(*memStore)
-		during func(*memStore)
+		before fault.Setting
+		after  fault.Setting // from 5 s on
 		limit  time.Duration
 		kind   error // nil: the record is accepted
 		held   int   // entries in the log afterwards
 	}{
 		{name: "healthy", limit: time.Second, held: 1},
-		{name: "answer lost", before: func(s *memStore) { s.loseAnswers = 1 }, limit: 10 * time.Second, held: 1},
-		{name: "outage that ends", before: func(s *memStore) { s.out = true }, during: func(s *memStore) { s.out = false }, limit: 20 * time.Second, held: 1},
-		{name: "outage that lasts", before: func(s *memStore) { s.out = true }, limit: 20 * time.Second, kind: ErrUnknown},
-		{name: "slow", before: func(s *memStore) { s.delay = 900 * time.Millisecond }, limit: 10 * time.Second, held: 1},
-		{name: "slower than the timeout", before: func(s *memStore) { s.delay = 4 * time.Second }, limit: 9 * time.Second, kind: ErrUnknown},
-		{name: "rejected", before: func(s *memStore) { s.reject = func([]byte) bool { return true } }, limit: time.Second, kind: ErrNotAppended},
+		{name: "answer lost", before: fault.Setting{LoseAnswers: 1, Operations: []string{fake.OpAppend}}, limit: 10 * time.Second, held: 1},
+		{name: "outage that ends", before: down, limit: 20 * time.Second, held: 1},
+		{name: "outage that lasts", before: down, after: down, limit: 20 * time.Second, kind: ErrUnknown},
+		{name: "slow", before: fault.Setting{DelayMs: 900}, after: fault.Setting{DelayMs: 900}, limit: 10 * time.Second, held: 1},
+		{name: "slower than the timeout", before: fault.Setting{DelayMs: 4000}, after: down, limit: 9 * time.Second, kind: ErrUnknown},
+		{name: "takes effect after the timeout", before: fault.Setting{AnswerDelayMs: 4000, Operations: []string{fake.OpAppend}}, limit: time.Second, held: 1},
+		{name: "rejected", before: fault.Setting{Reject: true, Operations: []string{fake.OpAppend}}, limit: time.Second, kind: ErrNotAppended},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := newMemStore()
+				store := newTestStore()
 				n := start(t, store)
 				time.Sleep(time.Second)
-				if row.before != nil {
-					store.set(func() { row.before(store) })
-				}
-				if row.during != nil {
-					time.AfterFunc(5*time.Second, func() { store.set(func() { row.during(store) }) })
-				}
+				store.Faults.Set(row.before)
+				time.AfterFunc(5*time.Second, func() { store.Faults.Set(row.after) })
 				r, err := n.a.Submit(within(t, row.limit), cancelJob("j"))
 				if row.kind != nil {
 					is.True(errors.Is(err, row.kind))
@@ -129,9 +129,10 @@
 					is.NoErr(err)
 					is.True(r.Accepted)
 				}
-				store.set(func() { store.out, store.delay, store.reject = false, 0, nil })
+				time.Sleep(5 * time.Second)
+				store.down(false)
 				time.Sleep(10 * time.Second)
-				is.Equal(len(store.entries), row.held)
+				is.Equal(store.Streams()[testStream], row.held)
 				is.Equal(len(n.jobs()), row.held)
 				is.Equal(len(n.f.waiters), 0)
 			})
@@ -143,12 +144,12 @@
 func TestLateDuplicateIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
 		payload, err := record.Encode(record.New(uuid.New(), cancelJob("j")))
 		is.NoErr(err)
 		for range 2 {
-			_, err = store.Append(t.Context(), "", [][]byte{payload})
+			_, err = store.Append(t.Context(), testStream, [][]byte{payload})
 			is.NoErr(err)
 		}
 		time.Sleep(time.Second)
@@ -160,17 +161,17 @@
 func TestAbandonedRecordIsNeverSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
 		time.Sleep(time.Second)
-		store.set(func() { store.out = true })
+		store.down(true)
 		go func() { _, _ = n.a.Submit(within(t, 20*time.Second), cancelJob("first")) }()
 		time.Sleep(500 * time.Millisecond) // the appender now waits for the log
 		_, err := n.a.Submit(within(t, time.Second), cancelJob("second"))
 		is.True(errors.Is(err, ErrNotAppended))
 		is.NoErr(n.a.Post(cancelJob("heartbeat")))
 		time.Sleep(3 * time.Second)
-		store.set(func() { store.out = false })
+		store.down(false)
 		time.Sleep(5 * time.Second)
 		is.Equal(n.jobs(), []string{"first"})
 	})
@@ -180,7 +181,7 @@
 func TestRejectedRecordFailsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := newMemStore()
+		store := newTestStore()
 		n := start(t, store)
 		bad, err := record.Encode(record.New(uuid.Nil, cancelJob("bad")))
 		is.NoErr(err)
@@ -201,3 +202,27 @@
 		is.Equal(len(n.jobs()), 19)
 	})
 }
+
+// Guards against callers that wait for ever after the daemon stopped its stream.
+func TestStopSettlesCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newTestStore()
+		f := NewFollower(store, newLogMachine(), FollowerOptions{Stream: testStream})
+		a := NewAppender(store, f, AppenderOptions{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = f.Run(ctx) })
+		wg.Go(func() { _ = a.Run(ctx) })
+		time.Sleep(time.Second)
+		store.down(true)
+		errs := make(chan error, 2)
+		go func() { _, err := a.Submit(context.Background(), cancelJob("sent")); errs <- err }()
+		time.Sleep(2 * time.Second)
+		cancel()
+		wg.Wait()
+		is.True(errors.Is(<-errs, ErrUnknown))
+		_, err := a.Submit(context.Background(), cancelJob("late"))
+		is.True(errors.Is(err, ErrNotAppended))
+	})
+}
--- a/node/stream/waiters.go
+++ b/node/stream/waiters.go
@@ -36,6 +36,10 @@
 func (f *Follower) await(id uuid.UUID, w *waiter) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.stopped {
+		w.settle(outcome{err: f.fail("submit", ErrUnknown, nil)})
+		return
+	}
 	f.waiters[id] = w
 }
 
