--- a/core/strictyaml/strictyaml.go
+++ b/core/strictyaml/strictyaml.go
@@ -14,7 +14,6 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 )
 
 // maxProblems limits the problems that are kept, so that a hostile file does not fill memory.
@@ -181,50 +180,6 @@
 	f.addAt(0, "", "YAML syntax: %v", err)
 }
 
-// The parser recurses for each level; the limits keep its stack small.
-const (
-	maxFlowDepth      = 16
-	maxEntriesPerLine = 8
-)
-
-var forbidden = map[token.Type]string{
-	token.AnchorType:     "anchors (&)",
-	token.AliasType:      "aliases (*)",
-	token.TagType:        "tags (!)",
-	token.MergeKeyType:   "merge keys (<<)",
-	token.MappingKeyType: "explicit keys (?)",
-	token.DirectiveType:  "directives (%)",
-}
-
-// screen refuses unsupported and deeply nested YAML before the recursive parser sees it.
-func (f *File) screen(tokens token.Tokens) bool {
-	depth, line, entries := 0, 0, 0
-	for _, t := range tokens {
-		if what, ok := forbidden[t.Type]; ok {
-			f.addAt(t.Position.Line, "", "%s are not allowed", what)
-			return false
-		}
-		switch t.Type {
-		case token.SequenceStartType, token.MappingStartType:
-			depth++
-		case token.SequenceEndType, token.MappingEndType:
-			depth--
-		case token.SequenceEntryType, token.MappingValueType:
-			if t.Position.Line != line {
-				line, entries = t.Position.Line, 0
-			}
-			if depth == 0 {
-				entries++
-			}
-		}
-		if depth > maxFlowDepth || entries > maxEntriesPerLine {
-			f.addAt(t.Position.Line, "", "is nested too deeply")
-			return false
-		}
-	}
-	return true
-}
-
 func lineOf(n ast.Node) int {
 	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
 		return 0
