--- /dev/null
+++ b/cmd/internal/dev/dev.go
@@ -0,0 +1,164 @@
+// Package dev runs a whole trial environment in one process: stand-ins of the platform and of workers, and
+// daemons for every zone, all on free loopback ports.
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/daemon"
+	"waxwingslip.example/node/operator/api"
+	"waxwingslip.example/node/peer/devcert"
+	"waxwingslip.example/node/settings"
+	"waxwingslip.example/standin/devenv"
+)
+
+//go:embed environment.yaml
+var document []byte
+
+// publishTimeout limits how long the start waits until a daemon accepts the document.
+const publishTimeout = 30 * time.Second
+
+// Options changes the trial.
+type Options struct {
+	// DaemonsPerZone is the number of daemons in each zone; 0 means 1.
+	DaemonsPerZone int
+	// Dir holds certificates and the token file. It must exist.
+	Dir string
+	Log zerolog.Logger
+}
+
+// Trial is a running environment.
+type Trial struct {
+	Daemons []Running
+	// Token and TokenFile give access to the operators' interface.
+	Token     string
+	TokenFile string
+	// PlatformURL is the base URL of the platform's stand-in.
+	PlatformURL string
+
+	env     *devenv.Environment
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+}
+
+// Running is one daemon of the trial.
+type Running struct {
+	Name      string
+	Zone      string
+	Addresses daemon.Addresses
+}
+
+// Start starts everything and publishes the document.
+func Start(ctx context.Context, opts Options) (*Trial, error) {
+	doc, err := environment.Parse(document)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse trial document")
+	}
+	t := &Trial{Token: uuid.NewString(), TokenFile: filepath.Join(opts.Dir, "tokens")}
+	if err := os.WriteFile(t.TokenFile, []byte(t.Token+"\n"), 0o600); err != nil {
+		return nil, errors.Wrap(err, "write token file")
+	}
+	t.env, err = devenv.Start(ctx, doc, devenv.Options{})
+	if err != nil {
+		return nil, err
+	}
+	t.PlatformURL = t.env.PlatformURL()
+	if err := t.startDaemons(ctx, doc, opts); err != nil {
+		t.Close()
+		return nil, err
+	}
+	if err := t.publish(ctx); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Trial) startDaemons(ctx context.Context, doc *environment.Document, opts Options) error {
+	ctx, t.stop = context.WithCancel(ctx)
+	authority, err := devcert.NewAuthority()
+	if err != nil {
+		return err
+	}
+	for _, r := range doc.Regions {
+		for _, z := range r.Zones {
+			for i := range max(1, opts.DaemonsPerZone) {
+				name := fmt.Sprintf("%s-%d", z.Name, i+1)
+				if err := t.startDaemon(ctx, authority, opts, name, r.Name, z.Name); err != nil {
+					return errors.Wrapf(err, "start daemon %s", name)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Trial) startDaemon(ctx context.Context, a *devcert.Authority, opts Options, name, region, zone string) error {
+	files, err := a.Write(opts.Dir, name)
+	if err != nil {
+		return err
+	}
+	const anyPort = "127.0.0.1:0"
+	text := strings.Join([]string{
+		"name: " + name, "environment: dev", "region: " + region, "zone: " + zone,
+		"listen: {callers: '" + anyPort + "', operators: '" + anyPort + "', health: '" + anyPort + "', peers: '" + anyPort + "'}",
+		"platform: {logURL: '" + t.PlatformURL + "', directoryURL: '" + t.PlatformURL + "'}",
+		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA + "'}",
+		"operators: {tokenFile: '" + t.TokenFile + "'}",
+	}, "\n")
+	set, err := settings.Parse(name, []byte(text))
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(set, opts.Log)
+	if err != nil {
+		return err
+	}
+	t.Daemons = append(t.Daemons, Running{Name: name, Zone: zone, Addresses: d.Addresses()})
+	t.stopped.Go(func() { _ = d.Run(ctx) })
+	return nil
+}
+
+// publish publishes the document through the first daemon.
+func (t *Trial) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	client := api.NewClient("http://"+t.Daemons[0].Addresses.Operators, t.Token, http.DefaultClient)
+	cmd := api.PublishConfig{Command: uuid.New(), Document: string(document), Author: "dev"}
+	for {
+		answer, err := client.PublishConfig(ctx, cmd)
+		if err == nil && answer.Result == api.Accepted {
+			return nil
+		}
+		if err == nil && answer.Result != api.Unknown {
+			return errors.Errorf("publish document: %s: %s", answer.Result, answer.Reason)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "publish document (last error: %v)", err)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// Close stops the daemons, then the stand-ins.
+func (t *Trial) Close() {
+	if t.stop != nil {
+		t.stop()
+	}
+	t.stopped.Wait()
+	t.env.Close()
+}
