Remember the verdicts of recent control records

An operator who repeats a command with the same record id after a lost answer was only told that the record is a duplicate. The control state now keeps offset, verdict and reason of the newest 2,000 records, and a duplicate gets the first one's answer. Two local callers of the same record id no longer replace each other's registration.

Checked with: go test -race ./core/control ./node/stream

--- a/core/control/apply.go
+++ b/core/control/apply.go
@@ -43,7 +43,7 @@
 // Verdict says whether a record took effect, and what changed.
 type Verdict struct {
 	Accepted bool
-	// Duplicate is set if a record with the same id was applied before; that one's verdict stands.
+	// Duplicate is set if a record with the same id was applied before; Accepted and Reason are that one's.
 	Duplicate bool
 	// Reason explains a rejection.
 	Reason string
@@ -64,21 +64,21 @@
 		return Verdict{Duplicate: true, Reason: "offset was applied before"}
 	}
 	s.offset = offset
-	if _, dup := s.seen[r.ID]; dup {
-		return Verdict{Duplicate: true, Reason: "record id was applied before"}
+	if first, dup := s.answers[r.ID]; dup {
+		return Verdict{Duplicate: true, Accepted: first.Accepted, Reason: first.Reason}
 	}
-	s.remember(r.ID)
 	s.events = nil
 	v := s.apply(r.Body)
 	v.Events, s.events = s.events, nil
+	s.remember(r.ID, Answer{Offset: offset, Accepted: v.Accepted, Reason: clip(v.Reason, maxAnswerBytes)})
 	return v
 }
 
-func (s *State) remember(id uuid.UUID) {
-	s.seen[id] = struct{}{}
+func (s *State) remember(id uuid.UUID, a Answer) {
+	s.answers[id] = a
 	s.recent = append(s.recent, id)
 	if len(s.recent) > RecentIDs {
-		delete(s.seen, s.recent[0])
+		delete(s.answers, s.recent[0])
 		s.recent = s.recent[1:]
 	}
 }
@@ -165,6 +165,6 @@
 }
 
 // clip shortens a text without leaving half a character, which could not be decoded again.
-func clip(text string) string {
-	return strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
+func clip(text string, limit int) string {
+	return strings.ToValidUTF8(text[:min(len(text), limit)], "")
 }
--- a/core/control/configure.go
+++ b/core/control/configure.go
@@ -22,7 +22,7 @@
 	}
 	doc, err := s.parse(b.Document)
 	if err != nil {
-		return rejected("document is invalid: %s", clip(err.Error()))
+		return rejected("document is invalid: %s", clip(err.Error(), maxReasonBytes))
 	}
 	if s.document != nil && doc.Environment != s.document.Environment {
 		return rejected("document is for environment %q, this is %q", doc.Environment, s.document.Environment)
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -212,7 +212,10 @@
 	sc := newScript(t, 1)
 	first := record.New(uuid.New(), &record.AttestLost{Zone: "a", Worker: "w"})
 	is.True(sc.s.Apply(10, first).Accepted)
-	is.True(sc.s.Apply(11, first).Duplicate)
+	is.Equal(sc.s.Apply(11, first), Verdict{Duplicate: true, Accepted: true})
+	answer, ok := sc.s.Answer(first.ID)
+	is.True(ok)
+	is.Equal(answer, Answer{Offset: 10, Accepted: true})
 	is.True(sc.s.Apply(11, record.New(uuid.New(), first.Body)).Duplicate) // offset 11 was applied
 	sc.ok(first.Body)
 	is.Equal(len(sc.s.Attested()), 1)
@@ -223,7 +226,7 @@
 	}
 	is.Equal(len(sc.s.FinishedJobs()), FinishedKept)
 	is.Equal(len(sc.s.finished), FinishedKept)
-	is.Equal(len(sc.s.seen), RecentIDs)
+	is.Equal(len(sc.s.answers), RecentIDs)
 	b, err := sc.s.Encode()
 	is.NoErr(err)
 	_, err = Decode(parseJSON, b)
--- a/core/control/jobs.go
+++ b/core/control/jobs.go
@@ -12,7 +12,7 @@
 		return v
 	}
 	if reason := invalidSpec(&b.Job); reason != "" {
-		return rejected("job %q: %s", clip(b.Job.ID), reason)
+		return rejected("job %q: %s", clip(b.Job.ID, MaxNameBytes), reason)
 	}
 	if reason := s.refusal(b); reason != "" {
 		return rejected("job %q: %s", b.Job.ID, reason)
@@ -109,7 +109,7 @@
 	case j == nil && s.finished[b.Job] != nil:
 		return rejected("job %q has finished", b.Job)
 	case j == nil:
-		return rejected("job %q is not known", clip(b.Job))
+		return rejected("job %q is not known", clip(b.Job, MaxNameBytes))
 	case j.Cancelled:
 		return rejected("job %q is already cancelled", b.Job)
 	}
@@ -135,7 +135,7 @@
 	case j == nil && s.finished[b.Job] != nil:
 		return rejected("job %q has finished", b.Job)
 	case j == nil || j.State != JobActive:
-		return rejected("job %q is not active", clip(b.Job))
+		return rejected("job %q is not active", clip(b.Job, MaxNameBytes))
 	case b.Zone == "" || len(b.Zone) > MaxNameBytes:
 		return rejected("zone must have 1 to %d bytes", MaxNameBytes)
 	case min(b.Succeeded, b.Failed, b.Cancelled) < 0 || max(b.Succeeded, b.Failed, b.Cancelled) > j.Spec.Tasks:
@@ -151,7 +151,7 @@
 	}
 	j.Ended[b.Zone] = counts
 	if b.Reason != "" {
-		j.Reason = clip(b.Reason)
+		j.Reason = clip(b.Reason, maxReasonBytes)
 	}
 	total := j.EndedTotal()
 	if total.Total() < j.Spec.Tasks {
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -33,18 +33,25 @@
 	Document []byte        `cbor:"5,keyasint"`
 	Jobs     []*Job        `cbor:"6,keyasint"`
 	Finished []*Finished   `cbor:"7,keyasint"`
-	Recent   [][]byte      `cbor:"8,keyasint"`
+	Recent   []recent      `cbor:"8,keyasint"`
 	Attested []Attestation `cbor:"9,keyasint"`
 }
 
+// recent is a remembered record id with its answer.
+type recent struct {
+	_      struct{} `cbor:",toarray"`
+	ID     []byte
+	Answer Answer
+}
+
 // Encode returns the state as bytes. Equal states give equal bytes.
 func (s *State) Encode() ([]byte, error) {
 	e := encoded{
 		Format: format, Offset: s.offset, Version: s.version, Author: s.author, Document: s.raw,
-		Jobs: s.Jobs(), Finished: s.done, Recent: make([][]byte, len(s.recent)), Attested: s.attested,
+		Jobs: s.Jobs(), Finished: s.done, Recent: make([]recent, len(s.recent)), Attested: s.attested,
 	}
-	for i := range s.recent {
-		e.Recent[i] = s.recent[i][:]
+	for i, id := range s.recent {
+		e.Recent[i] = recent{ID: id[:], Answer: s.answers[id]}
 	}
 	b, err := encMode.Marshal(e)
 	return b, errors.Wrap(err, "encode control state")
@@ -86,12 +93,15 @@
 	if len(e.Recent) > RecentIDs {
 		return errors.Errorf("%d record ids, limit %d", len(e.Recent), RecentIDs)
 	}
-	for _, b := range e.Recent {
-		id, err := uuid.FromBytes(b)
+	for _, r := range e.Recent {
+		id, err := uuid.FromBytes(r.ID)
 		if err != nil {
 			return errors.Wrap(err, "record id")
 		}
-		s.remember(id)
+		if _, dup := s.answers[id]; dup {
+			return errors.Errorf("record id %s is listed twice", id)
+		}
+		s.remember(id, r.Answer)
 	}
 	return nil
 }
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -34,6 +34,8 @@
 	RecentIDs = 2_000
 	// AttestedKept is how many attested losses are remembered.
 	AttestedKept = 256
+	// maxAnswerBytes limits the reason kept for each recent record.
+	maxAnswerBytes = 200
 	// maxReasonBytes limits reasons that come from records.
 	maxReasonBytes = 512
 	maxZones       = 64
@@ -143,6 +145,15 @@
 	Offset int64
 }
 
+// Answer is the verdict on a recent record. An operator whose first answer was lost repeats the command with
+// the same record id and gets it.
+type Answer struct {
+	_        struct{} `cbor:",toarray"`
+	Offset   int64
+	Accepted bool
+	Reason   string
+}
+
 // team is derived from the jobs and the document.
 type team struct {
 	quota resource.Vector
@@ -168,8 +179,8 @@
 	finished map[string]*Finished
 	// done lists the finished jobs, the oldest first.
 	done     []*Finished
-	seen     map[uuid.UUID]struct{}
-	recent   []uuid.UUID // the ids in seen, the oldest first
+	answers  map[uuid.UUID]Answer
+	recent   []uuid.UUID // the ids in answers, the oldest first
 	attested []Attestation
 
 	events []Event // collected by the Apply in progress
@@ -179,7 +190,7 @@
 func New(parse ParseFunc) *State {
 	return &State{
 		parse: parse, jobs: map[string]*Job{}, teams: map[string]*team{},
-		finished: map[string]*Finished{}, seen: map[uuid.UUID]struct{}{},
+		finished: map[string]*Finished{}, answers: map[uuid.UUID]Answer{},
 	}
 }
 
@@ -210,6 +221,12 @@
 // Attested returns the remembered attestations, the oldest first. Readers must not change the slice.
 func (s *State) Attested() []Attestation { return s.attested }
 
+// Answer returns the verdict on a record if it is one of the newest RecentIDs.
+func (s *State) Answer(id uuid.UUID) (Answer, bool) {
+	a, ok := s.answers[id]
+	return a, ok
+}
+
 // Jobs returns the unfinished jobs in order of submission.
 func (s *State) Jobs() []*Job {
 	out := make([]*Job, 0, len(s.jobs))
--- a/node/stream/appender.go
+++ b/node/stream/appender.go
@@ -99,7 +99,7 @@
 	if it.abandon() {
 		return Result{}, a.fail(ErrNotAppended, ctx.Err())
 	}
-	a.follower.forget(it.id)
+	a.follower.forget(it.id, it.waiter)
 	select {
 	case o := <-it.waiter.done: // settled at the same time
 		return o.result, o.err
@@ -196,7 +196,7 @@
 func (a *Appender) register(it *item) {
 	a.follower.await(it.id, it.waiter)
 	if it.ctx.Err() != nil {
-		a.follower.forget(it.id)
+		a.follower.forget(it.id, it.waiter)
 	}
 }
 
@@ -230,7 +230,7 @@
 		a.opts.Dropped.Add(1)
 		return
 	}
-	if a.follower.forget(it.id) {
+	if a.follower.forget(it.id, it.waiter) {
 		kind := ErrNotAppended
 		if it.repeated {
 			kind = ErrUnknown // an earlier append of the same record may yet appear
@@ -258,7 +258,7 @@
 	}
 	var again []*item
 	for _, it := range batch {
-		if it.waiter != nil && it.ctx.Err() == nil && a.follower.awaited(it.id) {
+		if it.waiter != nil && it.ctx.Err() == nil && a.follower.awaited(it.id, it.waiter) {
 			again = append(again, it)
 		}
 	}
@@ -273,7 +273,7 @@
 			if it.repeated {
 				kind = ErrUnknown
 			}
-			a.follower.forget(it.id)
+			a.follower.forget(it.id, it.waiter)
 			it.waiter.settle(outcome{err: a.fail(kind, context.Canceled)})
 		}
 	}
--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -76,7 +76,7 @@
 	coveredAt time.Time
 	parts     assembler
 	tail      tail
-	waiters   map[uuid.UUID]*waiter
+	waiters   map[uuid.UUID][]*waiter
 	// progress is closed and replaced after each successful read or change of state.
 	progress    chan struct{}
 	subscribers []func(Batch)
@@ -92,7 +92,7 @@
 	return &Follower{
 		store: store, machine: machine, opts: opts,
 		tail:    tail{limit: opts.TailBytes},
-		waiters: map[uuid.UUID]*waiter{}, progress: make(chan struct{}), logged: map[string]bool{},
+		waiters: map[uuid.UUID][]*waiter{}, progress: make(chan struct{}), logged: map[string]bool{},
 	}
 }
 
--- a/node/stream/machine.go
+++ b/node/stream/machine.go
@@ -9,7 +9,8 @@
 // Verdict is what a state machine decided about one record.
 type Verdict struct {
 	Accepted bool
-	// Duplicate marks a record whose id was applied before; it had no effect.
+	// Duplicate marks a record whose id was applied before; it had no effect. Accepted and Reason are then the
+	// earlier one's if the machine still knows them.
 	Duplicate bool
 	// Reason explains a rejection.
 	Reason string
--- a/node/stream/stream_test.go
+++ b/node/stream/stream_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// Guards against a caller that waits for ever because another one submitted the same record.
+func TestSameRecordSubmittedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, id := start(t, newTestStore()), uuid.New()
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				if _, err := n.a.SubmitAs(within(t, 5*time.Second), id, cancelJob("j")); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		is.New(t).Equal(n.jobs(), []string{"j"})
+	})
+}
+
 // Guards against a record that is applied twice when its first append takes effect only after the repeat.
 func TestLateDuplicateIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/stream/waiters.go
+++ b/node/stream/waiters.go
@@ -1,13 +1,18 @@
 package stream
 
-import "github.com/google/uuid"
+import (
+	"slices"
+
+	"github.com/google/uuid"
+)
 
 // Result is the verdict on a submitted record that was read back.
 type Result struct {
 	// Offset is where the record stands in the stream.
 	Offset   int64
 	Accepted bool
-	// Duplicate means that an earlier record with the same id had its effect.
+	// Duplicate means that an earlier record has the same id, and that this one had no effect. Accepted and
+	// Reason are the earlier one's if the machine still knows them.
 	Duplicate bool
 	// Reason explains a rejection.
 	Reason string
@@ -32,7 +37,7 @@
 	}
 }
 
-// await registers w for the first record with the id.
+// await registers w for the first record with the id. Several callers may submit the same record.
 func (f *Follower) await(id uuid.UUID, w *waiter) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -40,32 +45,37 @@
 		w.settle(outcome{err: f.fail("submit", ErrUnknown, nil)})
 		return
 	}
-	f.waiters[id] = w
+	f.waiters[id] = append(f.waiters[id], w)
 }
 
-// forget removes the waiter for the id and reports whether it was still there.
-func (f *Follower) forget(id uuid.UUID) bool {
+// forget removes the waiter and reports whether it was still there.
+func (f *Follower) forget(id uuid.UUID, w *waiter) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.waiters[id]
-	delete(f.waiters, id)
-	return ok
+	i := slices.Index(f.waiters[id], w)
+	if i < 0 {
+		return false
+	}
+	f.waiters[id] = slices.Delete(f.waiters[id], i, i+1)
+	if len(f.waiters[id]) == 0 {
+		delete(f.waiters, id)
+	}
+	return true
 }
 
-// awaited reports whether the record with the id has a waiter and was not read yet.
-func (f *Follower) awaited(id uuid.UUID) bool {
+// awaited reports whether the waiter's record was not read yet.
+func (f *Follower) awaited(id uuid.UUID, w *waiter) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	_, ok := f.waiters[id]
-	return ok
+	return slices.Contains(f.waiters[id], w)
 }
 
-// resolve tells the waiter for the id. It is called with mu held.
+// resolve tells the waiters for the id. It is called with mu held.
 func (f *Follower) resolve(id uuid.UUID, r Result, err error) {
-	if w, ok := f.waiters[id]; ok {
-		delete(f.waiters, id)
+	for _, w := range f.waiters[id] {
 		w.settle(outcome{r, err})
 	}
+	delete(f.waiters, id)
 }
 
 // resolveAll tells every waiter that its record may stand among entries that were never read. It is called
