--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -73,35 +73,33 @@
 
 // acquire returns a connection with one more active call, and dials if there is none.
 func (l *link) acquire(ctx context.Context) (*pooledConn, error) {
-	for range 2 {
-		l.mu.Lock()
-		if l.conn != nil && l.conn.take() {
-			c := l.conn
-			l.mu.Unlock()
-			return c, nil
-		}
-		l.conn = nil
-		if err := l.startDial(); err != nil {
-			l.mu.Unlock()
-			return nil, err
-		}
-		dialing := l.dialing
+	l.mu.Lock()
+	if c := l.conn; c != nil && c.take() {
 		l.mu.Unlock()
-		select {
-		case <-dialing:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+		return c, nil
+	}
+	l.conn = nil
+	err := l.startDial()
+	dialing := l.dialing
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != nil && l.conn.take() {
-		return l.conn, nil
-	}
-	if l.dialErr != nil {
+	switch c := l.conn; {
+	case c != nil && c.take():
+		return c, nil
+	case l.dialErr != nil:
 		return nil, l.dialErr
+	default:
+		return nil, errors.New("connection was lost at once")
 	}
-	return nil, errors.New("connection was lost at once")
 }
 
 // startDial makes sure that a dial runs. The caller holds mu.
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/baggage"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/goleak"
 
 	"waxwingslip.example/node/peer"
@@ -276,3 +280,26 @@
 	}
 	p.NoErr(p.echo(ctx, "x"))
 }
+
+// Guards against trace contexts that get lost between two daemons, and against big ones that fail calls.
+func TestTraceContext(t *testing.T) {
+	both := propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{})
+	p := connect(t, func(o *peer.ServerOptions) { o.Propagator = both })
+	c, err := peer.NewTransport(peer.Options{LocalAddress: "127.0.0.1:0", Credentials: credentials(t, p.authority, "client"),
+		Timing: timing, Propagator: both})
+	p.NoErr(err)
+	defer c.Close()
+	peer.HandleCall(p.server, "trace", func(ctx context.Context, _ string, _ int) (string, error) {
+		return trace.SpanContextFromContext(ctx).TraceID().String(), nil
+	})
+	id := trace.TraceID{1, 2, 3}
+	traced := trace.ContextWithSpanContext(ctx, trace.NewSpanContext(trace.SpanContextConfig{TraceID: id, SpanID: trace.SpanID{4}}))
+	var got string
+	p.NoErr(c.Call(traced, p.address, "trace", 0, &got))
+	p.Equal(got, id.String())
+	member, err := baggage.NewMember("k", strings.Repeat("x", 8000))
+	p.NoErr(err)
+	bag, err := baggage.New(member)
+	p.NoErr(err)
+	p.NoErr(c.Call(baggage.ContextWithBaggage(traced, bag), p.address, "trace", 0, &got))
+}
