--- a/standin/workerd/workerd_test.go
+++ b/standin/workerd/workerd_test.go
@@ -23,7 +23,6 @@
 
 var (
 	ctx = context.Background()
-	far = worker.Fence{OwnerEpoch: 1, NotAfterMs: 1 << 40}
 	key = worker.RunKey{Job: "service/zones", Index: 3, Epoch: 7}
 )
 
@@ -32,6 +31,7 @@
 	worker *workerd.Worker
 	client *worker.HTTPClient
 	url    string
+	fence  worker.Fence
 	http   *http.Client
 }
 
@@ -43,11 +43,14 @@
 	r := &replica{I: is, worker: s.Worker("w1"), client: worker.NewHTTPClient(),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(func() { r.client.Close(); s.Close() })
-	_, err = r.client.Renew(ctx, r.worker.Address(), worker.RenewRequest{Fence: far, LeaseUntilMs: r.worker.Fake.NowMs() + leaseMs})
+	rep, err := r.client.Report(ctx, r.worker.Address())
+	is.NoErr(err)
+	r.fence = worker.Fence{Incarnation: rep.Incarnation, OwnerEpoch: 1, NotAfterMs: 1 << 40}
+	_, err = r.client.Renew(ctx, r.worker.Address(), worker.RenewRequest{Fence: r.fence, LeaseUntilMs: r.worker.Fake.NowMs() + leaseMs})
 	is.NoErr(err)
-	is.NoErr(r.client.Start(ctx, r.worker.Address(), worker.StartRequest{Fence: far, RunKey: key, Service: "zones",
+	is.NoErr(r.client.Start(ctx, r.worker.Address(), worker.StartRequest{Fence: r.fence, RunKey: key, Service: "zones",
 		Size: resource.Vector{Slots: 1}}))
-	rep, err := r.client.Report(ctx, r.worker.Address())
+	rep, err = r.client.Report(ctx, r.worker.Address())
 	is.NoErr(err)
 	r.url = "http://" + rep.Runs[0].Address
 	return r
@@ -100,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := startReplica(t, leaseMs)
 			if name == "stopped" {
-				_, err := r.client.Stop(ctx, r.worker.Address(), worker.StopRequest{Fence: far, RunKey: key})
+				_, err := r.client.Stop(ctx, r.worker.Address(), worker.StopRequest{Fence: r.fence, RunKey: key})
 				r.NoErr(err)
 			}
 			for deadline := time.Now().Add(10 * time.Second); ; {
