--- a/node/operator/api/client.go
+++ b/node/operator/api/client.go
@@ -21,9 +21,9 @@
 	Peer string
 	// Status is the HTTP status, 0 if no answer arrived.
 	Status int
-	// NotSent is true if the daemon certainly did not receive the request.
-	NotSent bool
-	Err     error
+	// Open is true if the daemon may have received a command whose result is not known.
+	Open bool
+	Err  error
 }
 
 // Error implements error.
@@ -133,7 +133,7 @@
 func (c *Client) command(ctx context.Context, path string, cmd any) (Answer, error) {
 	body, err := json.Marshal(cmd)
 	if err != nil {
-		return Answer{}, &Error{Step: path, Peer: c.base, NotSent: true, Err: err}
+		return Answer{}, &Error{Step: path, Peer: c.base, Err: err}
 	}
 	var answer Answer
 	err = c.call(ctx, http.MethodPost, path, nil, body, &answer)
@@ -153,7 +153,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
-		return &Error{Step: path, Peer: c.base, NotSent: true, Err: err}
+		return &Error{Step: path, Peer: c.base, Err: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
 	if body != nil {
@@ -161,7 +161,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return &Error{Step: path, Peer: c.base, NotSent: notSent(err), Err: err}
+		return &Error{Step: path, Peer: c.base, Open: !notSent(err), Err: err}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
@@ -169,7 +169,7 @@
 		err = errors.Errorf("answer is larger than %d bytes", MaxAnswerBytes)
 	}
 	if err != nil {
-		return &Error{Step: path, Peer: c.base, Status: resp.StatusCode, Err: err}
+		return &Error{Step: path, Peer: c.base, Status: resp.StatusCode, Open: true, Err: err}
 	}
 	return c.decode(path, method, resp.StatusCode, data, out)
 }
@@ -181,15 +181,18 @@
 			err = errors.New("answer has no result")
 		}
 		if err != nil {
-			return &Error{Step: path, Peer: c.base, Status: status, Err: errors.Wrap(err, "decode answer")}
+			return &Error{Step: path, Peer: c.base, Status: status, Open: true, Err: errors.Wrap(err, "decode answer")}
 		}
 		return nil
 	}
+	// An answer of another form may come from something between client and daemon.
 	var p Problem
+	open := false
 	if err := json.Unmarshal(data, &p); err != nil || p.Message == "" {
 		p = Problem{Step: path, Message: http.StatusText(status)}
+		open = status >= http.StatusInternalServerError
 	}
-	e := &Error{Step: p.Step, Peer: c.base, Status: status, Err: errors.New(p.Message)}
+	e := &Error{Step: p.Step, Peer: c.base, Status: status, Open: open, Err: errors.New(p.Message)}
 	if p.Peer != "" {
 		e.Err = errors.Errorf("%s (peer %s)", p.Message, p.Peer)
 	}
--- a/node/operator/api/failover.go
+++ b/node/operator/api/failover.go
@@ -32,15 +32,20 @@
 // Clients returns the clients of the pool.
 func (p *Pool) Clients() []*Client { return p.clients }
 
-// Command runs call against one daemon after the other until one knows the command's result. It returns the
-// last Unknown answer or error when none does.
+// Command runs call against one daemon after the other until one knows the command's result. If none does
+// and a daemon may have received the command, the answer's result is Unknown. An error means that the command
+// was not carried out.
 func (p *Pool) Command(ctx context.Context, call func(context.Context, *Client) (Answer, error)) (Answer, error) {
 	var unknown *Answer
 	answer, err := try(ctx, p, func(ctx context.Context, c *Client) (Answer, error) {
 		a, err := call(ctx, c)
+		var e *Error
+		if errors.As(err, &e) && e.Open {
+			unknown = &Answer{Command: a.Command, Result: Unknown, Reason: err.Error(), Step: e.Step, Peer: c.base}
+		}
 		if err == nil && a.Result == Unknown {
 			unknown = &a
-			return a, &Error{Step: a.Step, Peer: c.base, Status: http.StatusGatewayTimeout,
+			return a, &Error{Step: a.Step, Peer: c.base, Status: http.StatusGatewayTimeout, Open: true,
 				Err: errors.Errorf("result is unknown: %s", a.Reason)}
 		}
 		return a, err
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -10,7 +10,8 @@
 
 // Commands carries out operators' commands. Each method uses the command id as the id of the record that it
 // appends, waits until the record is read back and returns what the state machine decided. A repeat with the
-// same id returns the decision about the first record. A command whose outcome is open is answered with
+// same id returns the decision about the first record: an implementation looks for the id in the log before
+// it judges anything else, because a base version that was current at first no longer is. A command whose outcome is open is answered with
 // api.Unknown and a nil error; an error means that nothing was appended.
 type Commands interface {
 	// PublishConfig publishes a document.
--- a/node/operator/operator_test.go
+++ b/node/operator/operator_test.go
@@ -236,7 +236,25 @@
 		})
 	var e *api.Error
 	is.True(errors.As(err, &e))
-	is.True(e.NotSent)
+	is.True(!e.Open)
+}
+
+// Guards against "failed" for a command that a daemon may have carried out before its answer was lost.
+func TestPoolLostAnswer(t *testing.T) {
+	is := is.New(t)
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	notReady := &daemon{err: ErrNotReady}
+	_, b := start(t, notReady)
+	a := api.NewClient(cut.URL, token, cut.Client())
+	answer, err := api.NewPool([]*api.Client{a, b}, 1).Command(t.Context(),
+		func(ctx context.Context, c *api.Client) (api.Answer, error) {
+			return c.CancelJob(ctx, api.CancelJob{Command: uuid.New(), Job: "j"})
+		})
+	is.NoErr(err)
+	is.Equal(answer.Result, api.Unknown)
+	is.Equal(answer.Peer, cut.URL)
+	is.Equal(len(notReady.commands), 1)
 }
 
 // Guards against a token file that is accepted without a usable token, or quoted in an error.
