Add the operators' command line

Every command takes one id, which the command line repeats at the next daemon until the result is known.

--- /dev/null
+++ b/cmd/waxwingslip/job.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/node/operator/api"
+)
+
+func jobGroup(a *app) subcommands.Command {
+	return &group{app: a, name: "job", synopsis: "submit, show and cancel batch jobs",
+		commands: []subcommands.Command{jobSubmit(a), jobStatus(a), jobCancel(a)}}
+}
+
+func jobSubmit(a *app) subcommands.Command {
+	var id commandID
+	var jobID, zone string
+	var dry bool
+	return &command{app: a, name: "submit", args: "FILE", minArgs: 1, maxArgs: 1, synopsis: "submit a batch job",
+		detail: "  The first job of an id is accepted; submitting the same job again changes nothing.\n",
+		flags: func(f *flag.FlagSet) {
+			id.flag(f)
+			f.StringVar(&jobID, "id", "", "job `id` instead of the one in the file")
+			f.StringVar(&zone, "zone", "", "`zone` where the job is admitted first; default is the daemon's choice")
+			f.BoolVar(&dry, "dry-run", false, "check the job against the current configuration and submit nothing")
+		},
+		run: func(ctx context.Context, args []string) error {
+			data, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			spec, err := environment.ParseJob(data, jobID)
+			if err != nil {
+				return nameFile(args[0], err)
+			}
+			if dry {
+				return jobDryRun(ctx, a, spec)
+			}
+			command, err := id.get(a)
+			if err != nil {
+				return err
+			}
+			_, err = a.send(ctx, command, func(ctx context.Context, c *api.Client) (api.Answer, error) {
+				return c.SubmitJob(ctx, api.SubmitJob{Command: command, Job: spec, Zone: zone})
+			})
+			if err == nil {
+				a.say("job %s: accepted, %d tasks", spec.ID, spec.Tasks)
+			}
+			return err
+		}}
+}
+
+func jobDryRun(ctx context.Context, a *app, spec record.JobSpec) error {
+	c, err := config(ctx, a, 0)
+	if err != nil {
+		return err
+	}
+	doc, err := environment.Parse([]byte(c.Document))
+	if err != nil {
+		return err
+	}
+	if problems := environment.CheckJob(doc, spec); len(problems) > 0 {
+		return answerError(api.Answer{Result: api.Rejected, Problems: problems,
+			Reason: fmt.Sprintf("job %s can never run under version %d", spec.ID, c.Version)})
+	}
+	a.say("job %s is valid under version %d", spec.ID, c.Version)
+	return nil
+}
+
+func jobCancel(a *app) subcommands.Command {
+	var id commandID
+	return &command{app: a, name: "cancel", args: "JOB", minArgs: 1, maxArgs: 1, synopsis: "cancel a batch job",
+		flags: id.flag,
+		run: func(ctx context.Context, args []string) error {
+			command, err := id.get(a)
+			if err != nil {
+				return err
+			}
+			_, err = a.send(ctx, command, func(ctx context.Context, c *api.Client) (api.Answer, error) {
+				return c.CancelJob(ctx, api.CancelJob{Command: command, Job: args[0]})
+			})
+			if err == nil {
+				a.say("job %s: cancellation accepted", args[0])
+			}
+			return err
+		}}
+}
+
+func jobStatus(a *app) subcommands.Command {
+	var q api.JobsQuery
+	var limit limitFlag
+	return &command{app: a, name: "status", args: "[JOB]", maxArgs: 1, synopsis: "show one job, or list jobs",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&q.Team, "team", "", "list jobs of this `team` only")
+			f.StringVar(&q.State, "state", "", "list jobs in this `state` only: queued, active, parked, finished or cancelled")
+			limit.flag(f)
+		},
+		run: func(ctx context.Context, args []string) error {
+			if len(args) == 1 {
+				return showJob(ctx, a, args[0])
+			}
+			if err := limit.check(); err != nil {
+				return err
+			}
+			return listJobs(ctx, a, q, limit.n)
+		}}
+}
+
+func showJob(ctx context.Context, a *app, id string) error {
+	j, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Job, error) { return c.Job(ctx, id) })
+	if err != nil {
+		return err
+	}
+	rows := [][]any{{"job", j.ID}, {"team", j.Team}, {"class", j.Class}, {"state", j.State},
+		{"tasks", j.Tasks}, {"pending", j.Pending}, {"running", j.Running}, {"succeeded", j.Succeeded},
+		{"failed", j.Failed}, {"cancelled", j.Cancelled}, {"size of a task", j.Spec.Size},
+		{"zones", orDash(strings.Join(j.Zones, " "))}}
+	if j.QueuePosition > 0 {
+		rows = append(rows, []any{"position in queue", j.QueuePosition})
+	}
+	if j.Reason != "" {
+		rows = append(rows, []any{"reason", j.Reason})
+	}
+	return a.print(j, nil, rows)
+}
+
+func listJobs(ctx context.Context, a *app, q api.JobsQuery, limit int) error {
+	all := api.Jobs{Jobs: []api.JobSummary{}}
+	for len(all.Jobs) < limit {
+		q.Limit = min(limit-len(all.Jobs), api.DefaultLimit)
+		page, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Jobs, error) { return c.Jobs(ctx, q) })
+		if err != nil {
+			return err
+		}
+		all.Jobs, all.Next = append(all.Jobs, page.Jobs...), page.Next
+		if q.After = page.Next; q.After == "" || len(page.Jobs) == 0 {
+			break
+		}
+	}
+	rows := make([][]any, 0, len(all.Jobs))
+	for _, j := range all.Jobs {
+		rows = append(rows, []any{j.ID, j.Team, j.Class, j.State, j.Tasks, j.Pending, j.Running, j.Succeeded, j.Failed,
+			j.Cancelled, orDash(j.Reason)})
+	}
+	a.noteMore(all.Next)
+	return a.print(all, []any{"JOB", "TEAM", "CLASS", "STATE", "TASKS", "PENDING", "RUNNING", "SUCCEEDED", "FAILED",
+		"CANCELLED", "REASON"}, rows)
+}
--- /dev/null
+++ b/cmd/waxwingslip/status.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/google/subcommands"
+
+	"waxwingslip.example/node/operator/api"
+)
+
+func statusCommand(a *app) subcommands.Command {
+	return &command{app: a, name: "status", synopsis: "show the state of every daemon of -daemon",
+		run: func(ctx context.Context, _ []string) error {
+			pool, err := a.pool()
+			if err != nil {
+				return err
+			}
+			list := []api.Status{}
+			var failed error
+			for _, c := range pool.Clients() {
+				s, err := c.Status(ctx)
+				if err != nil {
+					failed = err
+					a.progress("%v", err)
+					continue
+				}
+				list = append(list, s)
+			}
+			if err := a.printStatus(list); err != nil {
+				return err
+			}
+			if failed != nil {
+				return exitf(exitFailed, "%d of %d daemons did not answer", len(pool.Clients())-len(list), len(pool.Clients()))
+			}
+			return nil
+		}}
+}
+
+func (a *app) printStatus(list []api.Status) error {
+	rows := make([][]any, 0, len(list))
+	for _, s := range list {
+		rows = append(rows, []any{s.Daemon, s.Environment, s.Zone, s.ConfVersion, yesNo(s.MayStart), yesNo(s.Draining),
+			len(s.Shards), len(s.Members), age(s.ControlAgeMs), age(s.ZoneAgeMs), len(s.Alarms)})
+	}
+	err := a.print(list, []any{"DAEMON", "ENVIRONMENT", "ZONE", "VERSION", "MAY START", "DRAINING", "SHARDS", "MEMBERS",
+		"CONTROL AGE", "ZONE AGE", "ALARMS"}, rows)
+	if err != nil || a.output == "json" {
+		return err
+	}
+	for _, s := range list {
+		for _, alarm := range s.Alarms {
+			fmt.Fprintf(a.stdout, "alarm %s at %s for %d s: %s\n", alarm.Name, s.Daemon, alarm.SinceSecs, alarm.Detail)
+		}
+	}
+	return nil
+}
+
+func explainCommand(a *app) subcommands.Command {
+	return &command{app: a, name: "explain", args: "job ID [INDEX] | worker ID | service NAME", minArgs: 2, maxArgs: 3,
+		synopsis: "say why a job, task, worker or service is in its state, and what slowed it down",
+		run: func(ctx context.Context, args []string) error {
+			q, err := explainQuery(args)
+			if err != nil {
+				return err
+			}
+			e, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Explanation, error) { return c.Explain(ctx, q) })
+			if err != nil {
+				return err
+			}
+			return a.printExplanation(e)
+		}}
+}
+
+func explainQuery(args []string) (api.ExplainQuery, error) {
+	q := api.ExplainQuery{Index: -1}
+	switch {
+	case args[0] == "job":
+		q.Job = args[1]
+		if len(args) == 3 {
+			n, err := strconv.ParseInt(args[2], 10, 32)
+			if err != nil || n < 0 {
+				return q, usagef("task index is %q, must be a number from 0", args[2])
+			}
+			q.Index = int(n)
+		}
+	case args[0] == "worker" && len(args) == 2:
+		q.Worker = args[1]
+	case args[0] == "service" && len(args) == 2:
+		q.Service = args[1]
+	default:
+		return q, usagef("explain needs job ID [INDEX], worker ID or service NAME")
+	}
+	return q, nil
+}
+
+func (a *app) printExplanation(e api.Explanation) error {
+	rows := [][]any{{"subject", e.Subject}, {"state", e.State}}
+	for _, r := range e.Reasons {
+		text := r.Text
+		if r.Count > 0 {
+			text = fmt.Sprintf("%s (%d)", r.Text, r.Count)
+		}
+		rows = append(rows, []any{"reason " + r.Code, text})
+	}
+	if v := e.Verdict; v != nil {
+		rows = append(rows, []any{"cause of slowdown", fmt.Sprintf("%s, from %d requests", v.Cause, v.Requests)})
+		for _, ev := range v.Evidence {
+			rows = append(rows, []any{"evidence " + ev.Name, fmt.Sprintf("%g %s, expected %g %s %s", ev.Observed, ev.Unit,
+				ev.Expected, ev.Unit, ev.Detail)})
+		}
+	}
+	return a.print(e, nil, rows)
+}
--- /dev/null
+++ b/cmd/waxwingslip/worker.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"waxwingslip.example/node/operator/api"
+)
+
+func workerGroup(a *app) subcommands.Command {
+	return &group{app: a, name: "worker", synopsis: "list workers and attest their loss",
+		commands: []subcommands.Command{workerList(a), workerLost(a)}}
+}
+
+func workerList(a *app) subcommands.Command {
+	var q api.WorkersQuery
+	var limit limitFlag
+	return &command{app: a, name: "list", synopsis: "list workers of the zones of the daemons of -daemon",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&q.Zone, "zone", "", "list workers of this `zone` only")
+			f.StringVar(&q.State, "state", "", "list workers in this `state` only: usable, quarantined, leaving or unreachable")
+			limit.flag(f)
+		},
+		run: func(ctx context.Context, _ []string) error {
+			if err := limit.check(); err != nil {
+				return err
+			}
+			workers, next, err := listZones(ctx, a, q.Zone, limit.n,
+				func(ctx context.Context, c *api.Client, n int, after string) (page[api.Worker], error) {
+					one := q
+					one.Limit, one.After = n, after
+					w, err := c.Workers(ctx, one)
+					return page[api.Worker]{w.Zone, w.Workers, w.Next}, err
+				})
+			if err != nil {
+				return err
+			}
+			a.noteMore(next)
+			rows := make([][]any, 0, len(workers))
+			for _, w := range workers {
+				rows = append(rows, []any{w.Zone, w.ID, w.Rack, w.State, w.Tasks, used(w.Reserved, w.Capacity), w.Shard,
+					orDash(w.Owner), age(w.HeardAgeMs), orDash(w.Reason)})
+			}
+			return a.print(workers, []any{"ZONE", "WORKER", "RACK", "STATE", "TASKS", "RESERVED", "SHARD", "OWNER", "HEARD",
+				"REASON"}, rows)
+		}}
+}
+
+func workerLost(a *app) subcommands.Command {
+	var id commandID
+	var gone bool
+	return &command{app: a, name: "lost", args: "ZONE WORKER", minArgs: 2, maxArgs: 2,
+		synopsis: "attest that a worker's VM is gone, so that its tasks resume elsewhere at once",
+		detail: "  Attest only what is certain: if the VM still runs, its tasks run in two places. A VM that is cut\n" +
+			"  off or slow is not gone.\n",
+		flags: func(f *flag.FlagSet) {
+			id.flag(f)
+			f.BoolVar(&gone, "vm-is-gone", false, "required: states that the VM was stopped or deleted and runs nothing")
+		},
+		run: func(ctx context.Context, args []string) error {
+			if !gone {
+				return usagef("worker lost needs -vm-is-gone: confirm that VM %s was stopped or deleted", args[1])
+			}
+			command, err := id.get(a)
+			if err != nil {
+				return err
+			}
+			_, err = a.send(ctx, command, func(ctx context.Context, c *api.Client) (api.Answer, error) {
+				return c.WorkerLost(ctx, api.WorkerLost{Command: command, Zone: args[0], Worker: args[1], Author: a.author})
+			})
+			if err == nil {
+				a.say("worker %s: attested as lost", args[1])
+			}
+			return err
+		}}
+}
+
+func formatPercent(n int64) string { return fmt.Sprintf("%d%%", n) }
--- a/core/environment/job.go
+++ b/core/environment/job.go
@@ -52,6 +52,10 @@
 	}
 	setDefault(&j.Size.Slots, DefaultSlots)
 	setDefault(&j.MaxAttempts, DefaultMaxAttempts)
+	if id != "" && !jobIDPattern.MatchString(id) {
+		// The field's name has no place in the file.
+		f.Add("given id", "is %q, allowed are %s", id, jobIDRule)
+	}
 	if f.OK() {
 		checkJobFile(f, j)
 	}
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -20,7 +20,8 @@
 	SubmitJob(ctx context.Context, cmd api.SubmitJob) (api.Answer, error)
 	// CancelJob ends a job.
 	CancelJob(ctx context.Context, cmd api.CancelJob) (api.Answer, error)
-	// SetZoneService publishes the current document with the zone's outOfService field changed.
+	// SetZoneService publishes the current document with the zone's outOfService field changed. If the
+	// zone already is in that state, it is accepted with the current version and publishes nothing.
 	SetZoneService(ctx context.Context, cmd api.SetZoneService) (api.Answer, error)
 	// WorkerLost records that a VM is gone and runs nothing.
 	WorkerLost(ctx context.Context, cmd api.WorkerLost) (api.Answer, error)
