Run trials with waxwingslip dev, and connect daemons over QUIC

Cause: a newcomer needs one command that shows the whole path; zones need to know each other's load, and a daemon without the log needs the control stream. Change: node/peers greets daemons and relays the control stream; dev and standin commands. Verdicts of repeated commands come from the control state.

--- a/cmd/waxwingslip/main.go
+++ b/cmd/waxwingslip/main.go
@@ -20,6 +20,8 @@
 	c.Register(workerGroup(a), "")
 	c.Register(statusCommand(a), "")
 	c.Register(explainCommand(a), "")
+	c.Register(&devCommand{out: a.stdout, errOut: a.stderr}, "trials")
+	registerStandin(c)
 }
 
 func main() {
--- a/node/daemon/adapters.go
+++ b/node/daemon/adapters.go
@@ -6,12 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/replica"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/platform/directory"
 	"waxwingslip.example/platform/worker"
 )
@@ -82,40 +79,25 @@
 	return h, ok
 }
 
-// verdictsKept is how many verdicts on control records are remembered for operators who repeat a command.
-const verdictsKept = 4096
-
-// verdictLog remembers how recent records of the control stream were judged.
-type verdictLog struct {
-	mu sync.Mutex
-	// byID and order are guarded by mu.
-	byID  map[uuid.UUID]stream.Result
-	order []uuid.UUID
-}
-
-func newVerdictLog() *verdictLog { return &verdictLog{byID: map[uuid.UUID]stream.Result{}} }
-
-func (v *verdictLog) add(b stream.Batch) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, a := range b.Applied {
-		if a.Verdict.Duplicate {
-			continue
-		}
-		v.byID[a.Record.ID] = stream.Result{Offset: a.Offset, Accepted: a.Verdict.Accepted, Reason: a.Verdict.Reason}
-		v.order = append(v.order, a.Record.ID)
-		if len(v.order) > verdictsKept {
-			delete(v.byID, v.order[0])
-			v.order = v.order[1:]
+// pressure returns, for each worker heard, the largest share of time in which one of its runs stalled, in
+// thousandths. Workers without stalls are left out.
+func (r *reports) pressure() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int64{}
+	for id, h := range r.byWorker {
+		if p := stallOf(h.report); p > 0 {
+			out[id] = p
 		}
 	}
+	return out
 }
 
-func (v *verdictLog) find(id uuid.UUID) (stream.Result, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	r, ok := v.byID[id]
-	return r, ok
+func stallOf(r worker.Report) (stall int64) {
+	for _, run := range r.Runs {
+		stall = max(stall, run.StallPermille)
+	}
+	return stall
 }
 
 // catalog serves the gateway from the configuration in force.
@@ -181,12 +163,6 @@
 	return rate
 }
 
-// unknownLoads is scheduler.Loads without knowledge of other zones.
-type unknownLoads struct{}
-
-// Room implements scheduler.Loads.
-func (unknownLoads) Room(string) (float64, bool) { return 0, false }
-
 var counters = expvar.NewMap("waxwingslip")
 
 // metrics counts in expvar.
--- a/node/daemon/commands.go
+++ b/node/daemon/commands.go
@@ -109,7 +109,7 @@
 
 // append appends the record of a command under the command's id and translates the verdict.
 func (c commands) append(ctx context.Context, id uuid.UUID, body record.Body) (api.Answer, error) {
-	if known, ok := c.d.verdicts.find(id); ok {
+	if known, ok := c.decided(id); ok {
 		return c.answer(body, known), nil
 	}
 	res, err := c.d.control.Appender.SubmitAs(ctx, id, body)
@@ -123,7 +123,7 @@
 		return api.Answer{}, &operator.StepError{Step: "append", Peer: c.d.set.Platform.LogURL, Err: err}
 	}
 	if res.Duplicate {
-		first, ok := c.d.verdicts.find(id)
+		first, ok := c.decided(id)
 		if !ok {
 			return api.Answer{
 				Result: api.Unknown, Reason: "the command was decided earlier, and this daemon no longer knows how",
@@ -150,6 +150,17 @@
 	return a
 }
 
+// decided returns the verdict on a recent record with the id.
+func (c commands) decided(id uuid.UUID) (res stream.Result, ok bool) {
+	c.d.control.View(func(s *control.State) {
+		var a control.Answer
+		if a, ok = s.Answer(id); ok {
+			res = stream.Result{Offset: a.Offset, Accepted: a.Accepted, Reason: a.Reason}
+		}
+	})
+	return res, ok
+}
+
 func (c commands) version() (v int64) {
 	c.d.control.View(func(s *control.State) { v = s.Version() })
 	return v
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,8 @@
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/ownership"
+	"waxwingslip.example/node/peer"
+	"waxwingslip.example/node/peers"
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/scheduler"
 	"waxwingslip.example/node/settings"
@@ -34,6 +37,7 @@
 	Callers   string `json:"callers"`
 	Operators string `json:"operators"`
 	Health    string `json:"health"`
+	Peers     string `json:"peers"`
 }
 
 // Daemon is one entry VM's process.
@@ -46,7 +50,6 @@
 	control   *replica.Control
 	zone      *replica.Zone
 	authority *authority
-	verdicts  *verdictLog
 	listing   *listing
 	table     *endpoints.Table
 	pool      *executor.Pool
@@ -57,6 +60,12 @@
 	health    *http.Server
 	reports   *reports
 
+	peerServer *peer.Server
+	transport  *peer.Transport
+	peers      *peers.Peers
+	// hellos counts descriptions given to peers.
+	hellos atomic.Int64
+
 	listeners listeners
 	addresses Addresses
 	workers   sync.WaitGroup
@@ -69,12 +78,18 @@
 // New builds a daemon and binds its listeners, so that its addresses are known. Run starts it.
 func New(set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	log = log.With().Str("daemon", set.Name).Str("zone", set.Zone).Logger()
-	d := &Daemon{set: set, log: log, started: time.Now(), verdicts: newVerdictLog(), reports: newReports()}
+	d := &Daemon{set: set, log: log, started: time.Now(), reports: newReports()}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	d.openStreams()
+	if err := d.openPeers(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	if err := d.buildParts(); err != nil {
+		d.peerServer.Close()
+		d.transport.Close()
 		d.closeListeners()
 		return nil, err
 	}
@@ -137,12 +152,12 @@
 		Log: d.log, Now: d.now, OnReport: d.onReport,
 	})
 	d.sched = scheduler.New(scheduler.Config{
-		Zone: d.set.Zone, State: d.zone, Control: d.control, Member: d.authority.Member, Loads: unknownLoads{},
+		Zone: d.set.Zone, State: d.zone, Control: d.control, Member: d.authority.Member, Loads: d.peers,
 		Metrics: metrics{}, Log: d.log, Now: d.now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.owner = ownership.NewRunner(ownership.RunnerConfig{
-		Name: d.set.Name, PeerAddress: d.set.Listen.Peers, Zone: d.zone, Current: d.zoneCurrent, Now: d.now,
+		Name: d.set.Name, PeerAddress: d.addresses.Peers, Zone: d.zone, Current: d.zoneCurrent, Now: d.now,
 		SetMember: d.authority.setMember, Confirm: d.authority.confirm, Log: d.log,
 	})
 	var err error
--- a/node/daemon/queries.go
+++ b/node/daemon/queries.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"waxwingslip.example/core/control"
-	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
+	"waxwingslip.example/node/peers"
 	"waxwingslip.example/platform/worker"
 )
 
@@ -307,35 +307,34 @@
 	for i := range out.Zones {
 		if out.Zones[i].Name == q.d.set.Zone {
 			q.ownZone(&out.Zones[i])
+		} else {
+			q.otherZone(&out.Zones[i])
 		}
 	}
 	return out, nil
 }
 
+// otherZone fills in what peers of another zone said.
+func (q queries) otherZone(out *api.Zone) {
+	load, age, ok := q.d.peers.Zone(out.Name)
+	if !ok {
+		return
+	}
+	out.AgeMs = age.Milliseconds()
+	_, out.Heard = q.d.peers.Room(out.Name)
+	fill(out, load)
+}
+
+func fill(out *api.Zone, l peers.ZoneLoad) {
+	out.ConfigVersion, out.Members, out.Workers, out.Usable = l.ConfigVersion, l.Members, l.Workers, l.Usable
+	out.ServiceTasks, out.BatchTasks, out.PendingTasks = l.ServiceTasks, l.BatchTasks, l.PendingTasks
+	out.Capacity, out.Reserved = l.Capacity, l.Reserved
+	out.Drained = !out.InService && out.BatchTasks == 0
+}
+
 func (q queries) ownZone(out *api.Zone) {
 	out.Heard, out.AgeMs = true, 0
-	q.d.zone.View(func(s *zone.State) {
-		out.ConfigVersion, out.Members, out.Workers = s.Policy.Version, len(s.Members), len(s.Workers)
-		for _, w := range s.Workers {
-			if w.State == record.WorkerUsable {
-				out.Usable++
-			}
-			out.Capacity, out.Reserved = out.Capacity.Add(w.Info.Capacity), out.Reserved.Add(w.Reserved)
-		}
-		for _, j := range s.Jobs {
-			for _, t := range j.Tasks {
-				switch {
-				case t.State == zone.TaskPending:
-					out.PendingTasks++
-				case t.State == zone.TaskBound && j.IsService():
-					out.ServiceTasks++
-				case t.State == zone.TaskBound:
-					out.BatchTasks++
-				}
-			}
-		}
-	})
-	out.Drained = !out.InService && out.BatchTasks == 0
+	q.d.zone.View(func(s *zone.State) { fill(out, loadOf(s)) })
 }
 
 // ConfigInForce implements operator.Queries.
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -24,6 +24,9 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.subscribe(background)
+	if err := d.peerServer.Serve(); err != nil {
+		return err
+	}
 	d.start(background)
 	failed := make(chan error, 3)
 	go func() { failed <- d.gateway.Serve(d.listeners.callers) }()
@@ -64,6 +67,7 @@
 		d.snapshotter(d.zone.Follower, d.zone.Appender, "snapshot/zone"),
 		d.snapshotter(d.control.Follower, d.control.Appender, "snapshot/control"),
 		d.listing.run,
+		d.peers.Run,
 		d.owner.Run,
 		d.sched.Run,
 	} {
@@ -93,6 +97,7 @@
 	drain, cancel := context.WithTimeout(context.Background(), d.set.Limits.Drain())
 	defer cancel()
 	err := d.gateway.Shutdown(drain)
+	d.shutdownPeers(drain)
 	_ = d.operator.Shutdown(drain)
 	_ = d.health.Shutdown(drain)
 	return err
@@ -107,7 +112,6 @@
 		d.sched.ApplyZone(b)
 	})
 	d.control.Follower.Subscribe(func(b stream.Batch) {
-		d.verdicts.add(b)
 		d.attest(b)
 		d.sched.ApplyControl(b)
 	})
@@ -155,6 +159,7 @@
 			leaving[vm.ID] = true
 		}
 	}
+	d.knowPeers(vms)
 	d.table.SetLeaving(leaving)
 	d.pool.SetListing(vms)
 	d.pool.Sync(ctx)
@@ -162,7 +167,7 @@
 
 func (d *Daemon) onReport(r worker.Report) {
 	d.reports.add(r, d.now())
-	d.sched.Report(r)
+	d.sched.Pressure(map[string]int64{r.Worker: stallOf(r)})
 }
 
 func (d *Daemon) operatorTLS() (*tls.Config, error) {
--- a/node/executor/pool.go
+++ b/node/executor/pool.go
@@ -165,14 +165,6 @@
 	}
 }
 
-// leaving reports whether the VM list says that a worker is leaving. The list is only a hint, but a worker
-// that is wrongly called leaving merely gets no new tasks.
-func (p *Pool) leaving(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.listed[id].State == directory.StateLeaving
-}
-
 // Stop ends all agents and waits for them.
 func (p *Pool) Stop() {
 	p.mu.Lock()
--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -9,7 +9,6 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/worker"
 )
 
 // maxBinds limits the binds of one planning round; ten rounds a second carry far more than the peak of 9 starts
@@ -138,15 +137,14 @@
 	s.planner.Index().SetWorker(view)
 }
 
-// Report takes the pressure of a worker from its report: the largest share of time that one of its runs stalled.
-func (s *Scheduler) Report(r worker.Report) {
-	var stall int64
-	for _, run := range r.Runs {
-		stall = max(stall, run.StallPermille)
-	}
+// Pressure takes the contention of workers, as the largest share of time in which one of a worker's runs
+// stalled, in thousandths.
+func (s *Scheduler) Pressure(permille map[string]int64) {
 	s.mu.Lock()
-	s.pressure[r.Worker] = math.Min(1, float64(stall)/1000)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	for id, p := range permille {
+		s.pressure[id] = math.Min(1, float64(p)/1000)
+	}
 }
 
 // plan proposes binds and evictions. The zone's state decides on the binds when it reads them.
