--- a/core/claim/view.go
+++ b/core/claim/view.go
@@ -1,6 +1,10 @@
 package claim
 
-import "slices"
+import (
+	"slices"
+
+	"waxwingslip.example/core/record"
+)
 
 // View is the set of members that grant claims, as the zone's log has it. The zero View has no members.
 type View struct {
@@ -13,6 +17,16 @@
 	Fresh bool
 }
 
+// FromRecord returns the view that a record of the zone's log sets.
+func FromRecord(r record.ClaimView) View {
+	return View{Number: r.Number, Members: slices.Clone(r.Members), FloorUnixMs: r.FloorUnixMs, Fresh: r.Fresh}
+}
+
+// Record returns the record that proposes the view.
+func (v View) Record() *record.ClaimView {
+	return &record.ClaimView{Number: v.Number, Members: v.Members, FloorUnixMs: v.FloorUnixMs, Fresh: v.Fresh}
+}
+
 // Majority returns the number of grants that make a claim.
 func (v View) Majority() int { return len(v.Members)/2 + 1 }
 
--- a/node/gateway/claims/changer.go
+++ b/node/gateway/claims/changer.go
@@ -32,6 +32,9 @@
 	needView    <-chan struct{}
 	checkEvery  time.Duration
 	settleAfter time.Duration
+	// sealedView is the view that was reported as sealed at sealedAt; used by Run only.
+	sealedView int64
+	sealedAt   time.Time
 }
 
 // NewChanger returns a changer that works with the coordinator's voter and peers.
@@ -44,16 +47,14 @@
 func (ch *Changer) Run(ctx context.Context, onError func(error)) {
 	ticker := time.NewTicker(ch.checkEvery)
 	defer ticker.Stop()
-	sealed := false
 	for {
 		changed := ch.members.Changed()
-		if ch.mustPropose(sealed) {
+		if ch.mustPropose() {
 			if err := ch.change(ctx); err != nil && ctx.Err() == nil {
 				onError(err)
 			} else if !ch.awaitView(ctx, ch.voter.View().Number) {
 				return
 			}
-			sealed = false
 		}
 		select {
 		case <-ctx.Done():
@@ -61,20 +62,31 @@
 		case <-changed:
 			// A change may come right after the check; the ticker then retries.
 		case <-ch.needView:
-			sealed = true
+			if number := ch.voter.View().Number; ch.sealedView != number {
+				ch.sealedView, ch.sealedAt = number, time.Now()
+			}
 		case <-ticker.C:
 		}
 	}
 }
 
+// sealedPatience is how long other members wait for the first one to replace a sealed view: the first one may not
+// have heard that it is sealed.
+const sealedPatience = 3 * time.Second
+
 // mustPropose reports whether a new view is needed and this daemon is the one that proposes it: the first of the
 // live members. Racing proposals are safe, because the log decides.
-func (ch *Changer) mustPropose(sealed bool) bool {
+func (ch *Changer) mustPropose() bool {
+	view := ch.voter.View()
 	live := slices.Sorted(slices.Values(ch.members.Live()))
-	if len(live) == 0 || live[0] != ch.voter.member {
+	if !slices.Contains(live, ch.voter.member) {
 		return false
 	}
-	return sealed || !slices.Equal(live, slices.Sorted(slices.Values(ch.voter.View().Members)))
+	sealed := ch.sealedView != 0 && ch.sealedView == view.Number
+	if live[0] == ch.voter.member {
+		return sealed || !slices.Equal(live, slices.Sorted(slices.Values(view.Members)))
+	}
+	return sealed && time.Since(ch.sealedAt) > sealedPatience
 }
 
 // awaitView waits for the proposed view to be read, so that the same change is not proposed again meanwhile.
--- a/node/gateway/claims/claims_test.go
+++ b/node/gateway/claims/claims_test.go
@@ -207,6 +207,29 @@
 	})
 }
 
+// Guards against a zone that stays without claims after a proposer sealed the view and died.
+func TestSealedViewIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(t)
+		defer z.close()
+		_, b, c := z.join("a"), z.join("b"), z.join("c")
+		time.Sleep(10 * time.Second)
+		sealed := z.current().Number
+		for _, member := range []string{"b", "c"} {
+			a, err := z.Seal(t.Context(), member, claim.SealRequest{View: sealed})
+			is.NoErr(err)
+			is.True(a.Sealed)
+		}
+		is.Equal(c.Claim(t.Context(), newKey()).Kind, Undecided) // only c learns that the view is sealed
+		time.Sleep(10 * time.Second)
+		is.Equal(z.current().Number, sealed+1)
+		is.Equal(b.Claim(t.Context(), newKey()).Kind, Won)
+		b.Wait()
+		c.Wait()
+	})
+}
+
 // Guards against keys of a lost view that run again, and against a zone that never grants again after all members
 // of its view have left.
 func TestFreshViewRefusesEarlierKeys(t *testing.T) {
