Keep close-delimited answers from looking whole

An answer whose end is only the end of the connection cannot be told from a truncated one. Endpoint answers without a length or chunks are refused as unknown, and a broken answer to an HTTP/1.0 caller ends in a TCP reset.

--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -137,6 +138,10 @@
 		}
 		return nil, a.timing(), &NotSentError{Step: "endpoint request", Peer: address, Err: err}
 	}
+	if !endIsMarked(resp) {
+		_ = resp.Body.Close()
+		return nil, a.timing(), &SentError{Step: "endpoint answer", Peer: address, Err: errNoLength}
+	}
 	span.SetAttributes(attribute.Int("status", resp.StatusCode))
 	return fromResponse(resp), a.timing(), nil
 }
@@ -145,6 +150,15 @@
 // broke, even if the endpoint had received it.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
+// errNoLength says that the end of an answer could not be told from a broken connection.
+var errNoLength = errors.New("the answer has neither a length nor chunks")
+
+// endIsMarked reports whether the end of an answer's body can be told from a connection that broke. An endpoint that
+// marks the end by closing the connection would make every truncated answer look whole.
+func endIsMarked(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || resp.Body == http.NoBody || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // request builds the endpoint's request so that the transport never repeats one that is not idempotent: bodies have
 // no GetBody, and the transport finds the replay headers only under their canonical names.
 func (cl *client) request(ctx context.Context, c *call, address string) (*http.Request, error) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -109,7 +109,7 @@
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.PathPrefix("/services/{service}").HandlerFunc(g.serveCaller)
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.write(w, r.Method, failure(http.StatusNotFound, OutcomeNotRun, "allowed paths are /services/{service}/..."))
+		g.write(w, r, failure(http.StatusNotFound, OutcomeNotRun, "allowed paths are /services/{service}/..."))
 	})
 	return router
 }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -32,6 +32,37 @@
 	}
 }
 
+// Guards against a broken answer that looks whole because HTTP/1.0, or an endpoint without a length, marks the end
+// of an answer by closing the connection.
+func TestCloseIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		_, _ = io.WriteString(w, "half")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	d := newCluster(t).addZone("a", 1, catalog{}, newSource(e.address()))[0]
+	conn, err := net.Dial("tcp", d.front.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /services/s/ HTTP/1.0\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.ReadAll(conn)
+	is.True(err != nil) // a regular end would be no error
+
+	unmarked := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+		_ = conn.Close()
+	})
+	d = newCluster(t).addZone("a", 1, catalog{}, newSource(unmarked.address()))[0]
+	r := ask(d, "POST", "/", "", "")
+	is.Equal(r.status, http.StatusBadGateway)
+	is.Equal(r.outcome, "unknown")
+	is.Equal(unmarked.runs.Load(), int64(1))
+}
+
 // Guards against bodies that are cut, changed or held back, and against lost trailers and leaked hop-by-hop fields,
 // directly and over another zone.
 func TestLargeStreams(t *testing.T) {
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -21,7 +21,7 @@
 	c, refused := g.parse(w, r)
 	if refused != nil {
 		g.metrics.add(metricRefused, 1)
-		g.write(w, r.Method, refused)
+		g.write(w, r, refused)
 		return
 	}
 	g.metrics.add(metricAccepted, 1)
@@ -39,7 +39,7 @@
 	}
 	span.SetAttributes(attribute.String("outcome", string(a.outcome)), attribute.Int("status", a.status))
 	g.observe(c, a)
-	g.write(w, r.Method, a)
+	g.write(w, r, a)
 }
 
 // handle claims the call's key if it needs to be claimed, and routes the call.
@@ -52,17 +52,33 @@
 
 // write sends the answer to the caller and counts its outcome. During a shutdown the caller is asked to use another
 // connection.
-func (g *Gateway) write(w http.ResponseWriter, method string, a *answer) {
+func (g *Gateway) write(w http.ResponseWriter, r *http.Request, a *answer) {
 	g.metrics.add(metricOutcome+string(a.outcome), 1)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := writeAnswer(w, method, a); err != nil {
+	if err := writeAnswer(w, r.Method, a); err != nil {
 		g.metrics.add(metricBroken, 1)
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset ends a caller's connection with a TCP reset. HTTP/1.0 has no chunks, so that its callers would take a regular
+// close for the end of the answer.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // observe hands the finished routing of a call to the observer.
 func (g *Gateway) observe(c *call, a *answer) {
 	if g.opts.Observer == nil {
