--- a/core/claim/change.go
+++ b/core/claim/change.go
@@ -75,8 +75,7 @@
 	return silent >= c.old.SealCount(), true
 }
 
-// Prepare ends the sealing and returns the pages that each member of the next view must install, in order. The
-// caller fills in Member.
+// Prepare ends the sealing and returns the pages that each member of the next view must install, in order.
 func (c *Change) Prepare(now Now) ([]InstallRequest, error) {
 	ready, fresh := c.Ready()
 	if !ready {
--- a/core/claim/message.go
+++ b/core/claim/message.go
@@ -30,9 +30,6 @@
 	// Block asks for a grant only to keep the key from running. Such grants may use the reserved memory and
 	// are given for keys whose time is ahead.
 	Block bool `cbor:"4,keyasint,omitempty"`
-	// Member is who is asked. A process that took over the address of another member must not answer for it:
-	// its grant would count twice in a view that has both.
-	Member string `cbor:"5,keyasint"`
 }
 
 // GrantAnswer answers a GrantRequest.
@@ -72,8 +69,6 @@
 	View int64 `cbor:"1,keyasint"`
 	// From is 0 for the first page and Next of the previous answer for the others.
 	From int `cbor:"2,keyasint,omitempty"`
-	// Member is who is asked; no other member answers.
-	Member string `cbor:"3,keyasint"`
 }
 
 // SealAnswer answers a SealRequest.
@@ -96,8 +91,6 @@
 	FloorUnixMs int64   `cbor:"3,keyasint,omitempty"`
 	// Last is true for the last page; the member is then ready for the view.
 	Last bool `cbor:"4,keyasint,omitempty"`
-	// Member is who is asked; no other member answers.
-	Member string `cbor:"5,keyasint"`
 }
 
 // InstallAnswer answers an InstallRequest.
--- a/core/claim/round.go
+++ b/core/claim/round.go
@@ -35,15 +35,8 @@
 	return r
 }
 
-// Request is what a member of the view is asked.
-func (r *Round) Request(member string) GrantRequest {
-	request := r.request
-	request.Member = member
-	return request
-}
-
-// Attempt is the id of the round.
-func (r *Round) Attempt() Attempt { return r.request.Attempt }
+// Request is what each member of the view is asked.
+func (r *Round) Request() GrantRequest { return r.request }
 
 // Decision returns the state of the round.
 func (r *Round) Decision() Decision { return r.decision }
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -106,7 +106,7 @@
 	switch {
 	case t.stopped || !t.hasHeard || now.Monotonic-t.heard > Authority:
 		return refuse(NoAuthority)
-	case r.Member != t.member || r.Attempt == Attempt{} || !t.grantsIn(r.View):
+	case r.Attempt == Attempt{} || !t.grantsIn(r.View):
 		return refuse(WrongView)
 	case t.isOld(now, r.Key):
 		return refuse(Old)
--- a/core/claim/tableview.go
+++ b/core/claim/tableview.go
@@ -32,7 +32,7 @@
 func (t *Table) Seal(now Now, r SealRequest) SealAnswer {
 	t.Forget(now)
 	answer := SealAnswer{View: t.view.Number}
-	if r.Member != t.member || t.view.Number > r.View || !t.installed[r.View] || r.From < 0 {
+	if t.view.Number > r.View || !t.installed[r.View] || r.From < 0 {
 		return answer
 	}
 	t.sealed = max(t.sealed, r.View)
@@ -75,9 +75,6 @@
 // Install adds claims that the member must know before it grants in a proposed view. Installing more than needed
 // only refuses more.
 func (t *Table) Install(now Now, r InstallRequest) InstallAnswer {
-	if r.Member != t.member {
-		return InstallAnswer{}
-	}
 	t.Forget(now)
 	for _, e := range r.Entries {
 		if !t.installEntry(now, e) {
--- a/node/gateway/claims/changer.go
+++ b/node/gateway/claims/changer.go
@@ -79,11 +79,11 @@
 func (ch *Changer) mustPropose() bool {
 	view := ch.voter.View()
 	live := slices.Sorted(slices.Values(ch.members.Live()))
-	if !slices.Contains(live, ch.voter.Member()) {
+	if !slices.Contains(live, ch.voter.member) {
 		return false
 	}
 	sealed := ch.sealedView != 0 && ch.sealedView == view.Number
-	if live[0] == ch.voter.Member() {
+	if live[0] == ch.voter.member {
 		return sealed || !slices.Equal(live, slices.Sorted(slices.Values(view.Members)))
 	}
 	return sealed && time.Since(ch.sealedAt) > sealedPatience
@@ -152,7 +152,7 @@
 	mu *sync.Mutex) error {
 	for from := 0; ; {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		a, err := ch.peers.Seal(callCtx, member, claim.SealRequest{View: old.Number, From: from, Member: member})
+		a, err := ch.peers.Seal(callCtx, member, claim.SealRequest{View: old.Number, From: from})
 		cancel()
 		if err != nil {
 			return nil
@@ -171,7 +171,6 @@
 func (ch *Changer) install(ctx context.Context, change *claim.Change, pages []claim.InstallRequest) error {
 	for _, member := range change.Members() {
 		for _, page := range pages {
-			page.Member = member
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			a, err := ch.peers.Install(callCtx, member, page)
 			cancel()
--- a/node/gateway/claims/coordinator.go
+++ b/node/gateway/claims/coordinator.go
@@ -87,7 +87,7 @@
 	for {
 		round := c.runRound(ctx, key, block)
 		if round.Decision() == claim.Won {
-			result := Result{Kind: Won, Attempt: round.Attempt()}
+			result := Result{Kind: Won, Attempt: round.Request().Attempt}
 			if block {
 				result.Kind, result.Reason = Blocked, blockReason
 			}
@@ -196,7 +196,7 @@
 	for _, member := range view.Members {
 		c.background.Go(func() {
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			a, err := c.peers.Grant(callCtx, member, round.Request(member))
+			a, err := c.peers.Grant(callCtx, member, round.Request())
 			cancel()
 			answers <- memberAnswer{member, a, err}
 			<-decided
@@ -221,7 +221,7 @@
 func (c *Coordinator) withdraw(member string, round *claim.Round) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	r := claim.WithdrawRequest{Key: round.Request(member).Key, Attempt: round.Attempt()}
+	r := claim.WithdrawRequest{Key: round.Request().Key, Attempt: round.Request().Attempt}
 	_ = c.peers.Withdraw(ctx, member, r)
 }
 
--- a/node/gateway/claims/local.go
+++ b/node/gateway/claims/local.go
@@ -13,14 +13,14 @@
 }
 
 func (w withLocal) Grant(ctx context.Context, m string, r claim.GrantRequest) (claim.GrantAnswer, error) {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		return w.voter.Grant(r), nil
 	}
 	return w.peers.Grant(ctx, m, r)
 }
 
 func (w withLocal) Withdraw(ctx context.Context, m string, r claim.WithdrawRequest) error {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		w.voter.Withdraw(r)
 		return nil
 	}
@@ -28,7 +28,7 @@
 }
 
 func (w withLocal) Finish(ctx context.Context, m string, r claim.FinishRequest) error {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		w.voter.Finish(r)
 		return nil
 	}
@@ -36,21 +36,21 @@
 }
 
 func (w withLocal) Lookup(ctx context.Context, m string, r claim.LookupRequest) (claim.LookupAnswer, error) {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		return w.voter.Lookup(r), nil
 	}
 	return w.peers.Lookup(ctx, m, r)
 }
 
 func (w withLocal) Seal(ctx context.Context, m string, r claim.SealRequest) (claim.SealAnswer, error) {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		return w.voter.Seal(r), nil
 	}
 	return w.peers.Seal(ctx, m, r)
 }
 
 func (w withLocal) Install(ctx context.Context, m string, r claim.InstallRequest) (claim.InstallAnswer, error) {
-	if m == w.voter.Member() {
+	if m == w.voter.member {
 		return w.voter.Install(r), nil
 	}
 	return w.peers.Install(ctx, m, r)
--- a/node/gateway/claims/voter.go
+++ b/node/gateway/claims/voter.go
@@ -33,35 +33,19 @@
 
 // Voter is this daemon's own claim table. It answers the requests that peers send. It is safe for concurrent use.
 type Voter struct {
-	limits claim.Limits
+	member string
 	clock  Clock
 	mu     sync.Mutex
-	// member and table are guarded by mu.
-	member string
-	table  *claim.Table
+	table  *claim.Table // guarded by mu
 }
 
 // NewVoter returns the voter of a member, which must be a new one for each start of the process.
 func NewVoter(member string, limits claim.Limits, clock Clock) *Voter {
-	return &Voter{member: member, limits: limits, clock: clock, table: claim.NewTable(member, limits)}
+	return &Voter{member: member, clock: clock, table: claim.NewTable(member, limits)}
 }
 
 // Member returns the voter's member id.
-func (v *Voter) Member() string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.member
-}
-
-// Rejoin makes the voter another member with an empty table, after the daemon was expired and has joined again. An
-// empty id means that the daemon is no member at the moment. The newest view must be stated again.
-func (v *Voter) Rejoin(member string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if member != v.member {
-		v.member, v.table = member, claim.NewTable(member, v.limits)
-	}
-}
+func (v *Voter) Member() string { return v.member }
 
 // ReadView states a view that was read from the zone's log.
 func (v *Voter) ReadView(view claim.View) {
@@ -77,14 +61,12 @@
 	return v.table.View()
 }
 
-// ConfirmHeartbeat states that a heartbeat (or the join) of a member was read back from the log. sent is the clock's
-// monotonic time before it was appended. Heartbeats of an earlier member of this process do not count.
-func (v *Voter) ConfirmHeartbeat(member string, sent time.Duration) {
+// ConfirmHeartbeat states that a heartbeat of this member was read back from the log. sent is the clock's monotonic
+// time before it was appended.
+func (v *Voter) ConfirmHeartbeat(sent time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if member == v.member {
-		v.table.ConfirmHeartbeat(sent)
-	}
+	v.table.ConfirmHeartbeat(sent)
 }
 
 // Stop ends all granting. It is called before the member's Leave is appended.
