--- /dev/null
+++ b/node/telemetry/registry.go
@@ -0,0 +1,184 @@
+package telemetry
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// Counter only rises. It is safe for concurrent use and does not allocate.
+type Counter struct{ value expvar.Int }
+
+// Add adds n.
+func (c *Counter) Add(n int64) { c.value.Add(n) }
+
+// Inc adds one.
+func (c *Counter) Inc() { c.value.Add(1) }
+
+// Value returns the sum so far.
+func (c *Counter) Value() int64 { return c.value.Value() }
+
+// String implements expvar.Var.
+func (c *Counter) String() string { return c.value.String() }
+
+// Gauge holds the newest value. It is safe for concurrent use and does not allocate.
+type Gauge struct{ value expvar.Int }
+
+// Set replaces the value.
+func (g *Gauge) Set(v int64) { g.value.Set(v) }
+
+// Add changes the value by n.
+func (g *Gauge) Add(n int64) { g.value.Add(n) }
+
+// Value returns the newest value.
+func (g *Gauge) Value() int64 { return g.value.Value() }
+
+// String implements expvar.Var.
+func (g *Gauge) String() string { return g.value.String() }
+
+const (
+	// maxLatencyUs is the largest recorded latency, ten minutes; longer ones count as this.
+	maxLatencyUs = int64(10 * time.Minute / time.Microsecond)
+	// latencyDigits gives an error below 1% and takes 25 KB for each of the two windows.
+	latencyDigits = 2
+	// window is how long a histogram collects before the older half is dropped.
+	window = time.Minute
+)
+
+// Histogram is a distribution of latencies over the last one to two windows. It is safe for concurrent use and
+// recording does not allocate.
+type Histogram struct {
+	now func() time.Time
+
+	mu       sync.Mutex // guards the fields below
+	started  time.Time  // of current
+	current  *hdrhistogram.Histogram
+	previous *hdrhistogram.Histogram
+	total    int64
+}
+
+func newHistogram(now func() time.Time) *Histogram {
+	return &Histogram{
+		now: now, started: now(),
+		current:  hdrhistogram.New(1, maxLatencyUs, latencyDigits),
+		previous: hdrhistogram.New(1, maxLatencyUs, latencyDigits),
+	}
+}
+
+// Record adds one latency.
+func (h *Histogram) Record(d time.Duration) {
+	us := min(max(d.Microseconds(), 0), maxLatencyUs)
+	now := h.now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(now)
+	h.total++
+	_ = h.current.RecordValue(us) // cannot fail: us is within the range
+}
+
+// rotate is called with mu held.
+func (h *Histogram) rotate(now time.Time) {
+	age := now.Sub(h.started)
+	if age < window {
+		return
+	}
+	h.current, h.previous = h.previous, h.current
+	h.current.Reset()
+	if age >= 2*window {
+		h.previous.Reset()
+	}
+	h.started = now
+}
+
+// Summary is what a Histogram shows. All times are in microseconds.
+type Summary struct {
+	// Total counts all latencies since the start of the process, Count those of the window.
+	Total int64 `json:"total"`
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	P999  int64 `json:"p999"`
+	Max   int64 `json:"max"`
+}
+
+// Summary returns the distribution of the last one to two windows.
+func (h *Histogram) Summary() Summary {
+	now := h.now()
+	h.mu.Lock()
+	h.rotate(now)
+	merged, total := h.current.Clone(), h.total
+	merged.Merge(h.previous)
+	h.mu.Unlock()
+	q := merged.ValueAtPercentilesSlice([]float64{50, 95, 99, 99.9})
+	return Summary{
+		Total: total, Count: merged.TotalCount(), P50: q[0], P95: q[1], P99: q[2], P999: q[3], Max: merged.Max(),
+	}
+}
+
+// String implements expvar.Var.
+func (h *Histogram) String() string { return expvar.Func(func() any { return h.Summary() }).String() }
+
+// Registry holds one metric for each row of Table.
+type Registry struct {
+	counters   map[string]*Counter
+	gauges     map[string]*Gauge
+	histograms map[string]*Histogram
+	unknown    *Counter
+	vars       expvar.Map
+}
+
+// New returns a Registry with all values at zero.
+func New(now func() time.Time) *Registry {
+	r := &Registry{counters: map[string]*Counter{}, gauges: map[string]*Gauge{}, histograms: map[string]*Histogram{}}
+	r.vars.Init()
+	for _, m := range Table {
+		switch m.Type {
+		case TypeCounter:
+			r.counters[m.Name] = &Counter{}
+			r.vars.Set(m.Name, r.counters[m.Name])
+		case TypeGauge:
+			r.gauges[m.Name] = &Gauge{}
+			r.vars.Set(m.Name, r.gauges[m.Name])
+		case TypeHistogram:
+			r.histograms[m.Name] = newHistogram(now)
+			r.vars.Set(m.Name, r.histograms[m.Name])
+		}
+	}
+	r.unknown = r.counters["telemetry_unknown_names"]
+	return r
+}
+
+// Counter returns the counter with the name. It panics if Table has none, which is an error of the program that
+// shows at its start.
+func (r *Registry) Counter(name string) *Counter { return lookup(r.counters, name) }
+
+// Gauge is like Counter for gauges.
+func (r *Registry) Gauge(name string) *Gauge { return lookup(r.gauges, name) }
+
+// Histogram is like Counter for histograms.
+func (r *Registry) Histogram(name string) *Histogram { return lookup(r.histograms, name) }
+
+func lookup[T any](m map[string]*T, name string) *T {
+	v, ok := m[name]
+	if !ok {
+		panic(errors.Errorf("telemetry: metric %q is not in the table", name))
+	}
+	return v
+}
+
+// Count adds one to the counter with the name. It serves code that cannot hold a Counter; a name that is not in
+// Table is counted as such.
+func (r *Registry) Count(name string) {
+	c, ok := r.counters[name]
+	if !ok {
+		c = r.unknown
+	}
+	c.Inc()
+}
+
+// String returns all metrics as a JSON object, so a Registry is an expvar.Var.
+func (r *Registry) String() string { return r.vars.String() }
--- /dev/null
+++ b/node/telemetry/table.go
@@ -0,0 +1,89 @@
+// Package telemetry holds the daemon's counters, log, traces and health endpoints.
+package telemetry
+
+// Type says how a metric is read.
+type Type uint8
+
+// Types of metrics.
+const (
+	// TypeCounter only rises, from 0 at the start of the process.
+	TypeCounter Type = iota + 1
+	// TypeGauge is the newest value.
+	TypeGauge
+	// TypeHistogram is the distribution over the last one to two minutes.
+	TypeHistogram
+)
+
+// String returns the type's name.
+func (t Type) String() string {
+	switch t {
+	case TypeCounter:
+		return "counter"
+	case TypeGauge:
+		return "gauge"
+	case TypeHistogram:
+		return "histogram"
+	}
+	return "invalid"
+}
+
+// Metric describes one metric.
+type Metric struct {
+	Name string
+	Type Type
+	// Unit is what the value counts; every histogram is in microseconds.
+	Unit string
+	Help string
+}
+
+// Table lists every metric of the daemon, grouped by the part that sets it. docs/metrics.md is generated from it.
+var Table = []Metric{
+	{"log_appends", TypeCounter, "appends", "Appends that the log confirmed."},
+	{"log_appends_ambiguous", TypeCounter, "appends", "Appends without a definite answer; their records may or may not be in the log."},
+	{"log_records_repeated", TypeCounter, "records", "Records sent again with the same id because they were missing after an ambiguous append."},
+	{"log_posts_dropped", TypeCounter, "records", "Records posted without waiting, such as heartbeats, that were not sent in time."},
+	{"log_records_applied", TypeCounter, "records", "Records read from the log and passed to the state machines."},
+	{"log_records_undecodable", TypeCounter, "records", "Entries skipped because they do not decode."},
+	{"log_read_errors", TypeCounter, "reads", "Reads of the log that failed."},
+	{"log_restores", TypeCounter, "restores", "Times that a state was replaced by a snapshot."},
+	{"log_snapshots_written", TypeCounter, "snapshots", "Complete snapshots written by this daemon."},
+	{"log_submit_latency", TypeHistogram, "us", "Time from the submission of a record until it was read back and judged."},
+
+	{"control_version", TypeGauge, "version", "Version of the configuration in force."},
+	{"control_age", TypeGauge, "ms", "Time since the control state was known to be complete; starts stop above 3,000."},
+	{"zone_age", TypeGauge, "ms", "Time since the zone state was known to be complete."},
+	{"zone_tasks_running", TypeGauge, "tasks", "Tasks of the zone that are bound to a worker."},
+	{"zone_tasks_pending", TypeGauge, "tasks", "Tasks of the zone that wait for a worker."},
+	{"zone_members", TypeGauge, "daemons", "Members of the zone."},
+	{"zone_shards_owned", TypeGauge, "shards", "Shards of workers that this daemon owns."},
+
+	{"scheduler_binds", TypeCounter, "binds", "Placements proposed to the log."},
+	{"scheduler_binds_rejected", TypeCounter, "binds", "Placements rejected because the state had changed."},
+	{"scheduler_preemptions", TypeCounter, "tasks", "Tasks stopped to make room for more urgent ones."},
+	{"scheduler_plan_time", TypeHistogram, "us", "Time to plan placements once."},
+	{"scheduler_urgent_wait", TypeHistogram, "us", "Time from an urgent task's becoming pending until its start."},
+
+	{"executor_starts", TypeCounter, "commands", "Start commands accepted by workers."},
+	{"executor_starts_withheld", TypeCounter, "commands", "Starts not sent because the configuration was not known to be current."},
+	{"executor_starts_refused", TypeCounter, "commands", "Start commands that workers refused."},
+	{"executor_start_errors", TypeCounter, "commands", "Start commands without a definite answer; they are repeated."},
+	{"executor_stops", TypeCounter, "commands", "Stop and checkpoint commands accepted by workers."},
+	{"executor_stop_errors", TypeCounter, "commands", "Stop and checkpoint commands without a definite answer; they are repeated."},
+	{"executor_ack_errors", TypeCounter, "commands", "Acknowledgements of end states without a definite answer; they are repeated."},
+	{"executor_contact_errors", TypeCounter, "renewals", "Lease renewals that workers did not answer."},
+
+	{"requests_answered", TypeCounter, "requests", "Requests whose outcome was answered."},
+	{"requests_not_run", TypeCounter, "requests", "Requests whose outcome was not-run."},
+	{"requests_unknown", TypeCounter, "requests", "Requests whose outcome was unknown."},
+	{"requests_retries", TypeCounter, "attempts", "Attempts after the first one."},
+	{"requests_hedges", TypeCounter, "attempts", "Attempts made while an earlier one was still running."},
+	{"requests_forwarded", TypeCounter, "requests", "Requests sent to another zone."},
+	{"requests_in_flight", TypeGauge, "requests", "Requests being served."},
+	{"requests_total_time", TypeHistogram, "us", "Time from the arrival of a request until the end of its answer."},
+	{"requests_wait_time", TypeHistogram, "us", "Part of a request's time spent waiting in the daemon."},
+	{"requests_network_time", TypeHistogram, "us", "Part of a request's time spent on the network."},
+	{"requests_endpoint_time", TypeHistogram, "us", "Part of a request's time spent in the endpoint."},
+
+	{"trace_export_errors", TypeCounter, "exports", "Batches of spans that the exporter could not deliver."},
+	{"telemetry_unknown_names", TypeCounter, "counts", "Counts under a name that is not in this table."},
+}
