--- a/cmd/waxwingslip/cli_test.go
+++ b/cmd/waxwingslip/cli_test.go
@@ -209,6 +209,7 @@
 	c.expect(exitOK, "in force in 1 of 2 zones, waiting for cusco-a (version 0)", "config", "publish", "-base", "0", trial)
 	is.Equal(len(d.docs), 1)
 	c.expect(exitConflict, "nothing was changed", "config", "publish", "-base", "0", trial)
+	c.expect(exitConflict, "version 1 by rosa is current", "config", "publish", "-base", "0", "-dry-run", trial)
 	c.expect(exitUsage, "-base", "config", "publish", trial)
 	d.lag = 1 << 30
 	c.expect(exitTimeout, "waiting for cusco-a", "config", "publish", "-base", "current", "-timeout", "30ms", trial)
--- a/cmd/waxwingslip/publish.go
+++ b/cmd/waxwingslip/publish.go
@@ -76,23 +76,22 @@
 	return v, nil
 }
 
-// dryRun compares doc with the version that it is based on.
+// dryRun compares doc with the current version, on which it must be based.
 func dryRun(ctx context.Context, a *app, base int64, doc *environment.Document) error {
-	if base == 0 {
+	c, err := config(ctx, a, 0)
+	switch {
+	case codeOf(err) == exitNotFound && base == 0:
 		return a.printChanges(environment.Diff(nil, doc))
-	}
-	c, err := config(ctx, a, base)
-	if err != nil {
+	case err != nil:
 		return err
+	case c.Version != base:
+		return exitf(exitConflict, "conflict: the file is based on version %d, but version %d by %s is current", base,
+			c.Version, orDash(c.Author))
 	}
 	old, err := parseNamed(fmt.Sprintf("version %d", base), []byte(c.Document))
 	if err != nil {
 		return err
 	}
-	if current, err := config(ctx, a, 0); err == nil && current.Version != base {
-		a.progress("version %d by %s is current: publishing with -base %d would end with a conflict",
-			current.Version, orDash(current.Author), base)
-	}
 	if problems := environment.CheckSuccessor(old, doc); len(problems) > 0 {
 		return answerError(api.Answer{Result: api.Rejected, Reason: "the document cannot follow the current one",
 			Problems: problems})
--- a/core/environment/edit_test.go
+++ b/core/environment/edit_test.go
@@ -142,7 +142,7 @@
 		{"tasks: 10", "tasks: 11", "tasks: 11 tasks need slots 11, the quota of team rentals is 10"},
 		{"[lima-a]", "[cusco]", `zones[0]: "cusco" is not declared in environment trial`},
 		{"team: rentals", "team: rental", `team: "rental" is not declared in environment trial`},
-		{"tasks: 10", "tasks: 1000000", "line 4: tasks: is 1000000, allowed are 1 to 50000 tasks"},
+		{"tasks: 10", "tasks: 1000000", "line 4: tasks: is 1000000, allowed are 1 to 20000 tasks"},
 		{"id: nightly", "id: service/x", `line 1: id: is "service/x", allowed are lower-case letters`},
 		{"milliCPU: 4000", "milliCPU: 4", ""},
 		{"tasks: 10", "tasks: 1\nurgent: yes", `line 5: urgent: is "yes", must be true or false`},
--- a/core/environment/errors_test.go
+++ b/core/environment/errors_test.go
@@ -67,7 +67,7 @@
 		{"larger than any worker", "milliCPU: 4000,", "milliCPU: 40000,", "line 18: services[0].size.milliCPU: is 40000, the largest worker of zone lima-a has 32000"},
 		{"replicas do not fit", "lima-b: 2}", "lima-b: 17}", "line 17: services[0].replicas.lima-b: is 17, but the 4 workers of zone lima-b hold at most 16 replicas, limited by connections"},
 		{"replicas exclude each other", "[statement]", "[booking]\n  - {class: x, notWith: [y]}\n", ""},
-		{"negative", "lima-b: 2}", "lima-b: -2}", "is -2, allowed are 0 to 100000 replicas"},
+		{"negative", "lima-b: 2}", "lima-b: -2}", "is -2, allowed are 0 to 20000 replicas"},
 		{"quota", "slots: 10,", "slots: 65,", "line 12: teams[0].quota.slots: is 65, beyond the total capacity of all zones, 64"},
 		{"path", "[/search]", `["search"]`, `services[0].idempotentPaths[0]: is "search", must be a path that starts with /`},
 		{"missing size", ", memoryMB: 8000", "", "services[0].size.memoryMB: is missing, a task reserves at least 1"},
--- a/core/environment/job.go
+++ b/core/environment/job.go
@@ -15,7 +15,8 @@
 
 // Limits of batch jobs.
 const (
-	MaxTasksPerJob = 50_000
+	// MaxTasksPerJob is the limit of the control stream's and the zone streams' state.
+	MaxTasksPerJob = 20_000
 	MaxAttempts    = 100
 	// MaxRunSeconds is 30 days.
 	MaxRunSeconds = 30 * 24 * 60 * 60
--- a/core/environment/parse.go
+++ b/core/environment/parse.go
@@ -35,7 +35,8 @@
 	MaxPathBytes       = 256
 	MaxPayloadBytes    = 16 << 10
 	MaxWorkersPerZone  = 10_000
-	MaxReplicas        = 100_000
+	// MaxReplicas limits one service in one zone, as its replicas are the tasks of one job there.
+	MaxReplicas = MaxTasksPerJob
 	// MaxTimeoutMs is 24 h, because pole watchers keep a request open for hours.
 	MaxTimeoutMs          = 24 * 60 * 60 * 1000
 	MaxLatencyTargetMs    = 10 * 60 * 1000
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -20,8 +20,7 @@
 	SubmitJob(ctx context.Context, cmd api.SubmitJob) (api.Answer, error)
 	// CancelJob ends a job.
 	CancelJob(ctx context.Context, cmd api.CancelJob) (api.Answer, error)
-	// SetZoneService publishes the current document with the zone's outOfService field changed. If the
-	// zone already is in that state, it is accepted with the current version and publishes nothing.
+	// SetZoneService publishes the current document with the zone's outOfService field changed.
 	SetZoneService(ctx context.Context, cmd api.SetZoneService) (api.Answer, error)
 	// WorkerLost records that a VM is gone and runs nothing.
 	WorkerLost(ctx context.Context, cmd api.WorkerLost) (api.Answer, error)
@@ -32,7 +31,8 @@
 type Queries interface {
 	// Status describes the daemon.
 	Status(ctx context.Context) (api.Status, error)
-	// Config returns a configuration version; 0 selects the current one.
+	// Config returns a configuration version; 0 selects the current one. Older versions may be gone
+	// (ErrNotFound).
 	Config(ctx context.Context, version int64) (api.Config, error)
 	// ConfigInForce tells which version is in force in each zone.
 	ConfigInForce(ctx context.Context) (api.ConfigInForce, error)
