--- a/cmd/waxwingslip/cli_test.go
+++ b/cmd/waxwingslip/cli_test.go
@@ -219,7 +219,10 @@
 	c.expect(exitOK, "cusco-a", "config", "show", "-in-force")
 	c.expect(exitOK, "no changes", "config", "diff", trial)
 	c.expect(exitOK, "environment: name trial -> production", "config", "diff", trial, sacudidores+"production.yaml")
-	c.expect(exitRejected, `environment: is "production"`, "config", "publish", "-dry-run", "-base", "3", sacudidores+"production.yaml")
+	for _, dry := range []string{"-dry-run=true", "-dry-run=false"} {
+		c.expect(exitRejected, `environment: is "production"`, "config", "publish", dry, "-base", "3", sacudidores+"production.yaml")
+	}
+	is.Equal(len(d.docs), 3)
 }
 
 // Guards against a lost answer that is reported as failure, and a repeat with another id.
--- a/cmd/waxwingslip/publish.go
+++ b/cmd/waxwingslip/publish.go
@@ -60,6 +60,9 @@
 			if p.dryRun {
 				return dryRun(ctx, a, version, doc)
 			}
+			if err := checkSuccessor(ctx, a, version, doc); err != nil {
+				return err
+			}
 			return publish(ctx, a, &p, version, data)
 		}}
 }
@@ -92,13 +95,35 @@
 	if err != nil {
 		return err
 	}
-	if problems := environment.CheckSuccessor(old, doc); len(problems) > 0 {
-		return answerError(api.Answer{Result: api.Rejected, Reason: "the document cannot follow the current one",
-			Problems: problems})
+	if err := successorError(old, doc); err != nil {
+		return err
 	}
 	return a.printChanges(environment.Diff(old, doc))
 }
 
+func successorError(old, doc *environment.Document) error {
+	problems := environment.CheckSuccessor(old, doc)
+	if len(problems) == 0 {
+		return nil
+	}
+	return answerError(api.Answer{Result: api.Rejected, Reason: "the document cannot follow the current one",
+		Problems: problems})
+}
+
+// checkSuccessor compares doc with the current version if that is the base. Any other case is left to the
+// daemon: a repeated command finds its own version as the current one.
+func checkSuccessor(ctx context.Context, a *app, base int64, doc *environment.Document) error {
+	c, err := config(ctx, a, 0)
+	if err != nil || c.Version != base {
+		return nil
+	}
+	old, err := environment.Parse([]byte(c.Document))
+	if err != nil {
+		return nil
+	}
+	return successorError(old, doc)
+}
+
 func publish(ctx context.Context, a *app, p *publishFlags, base int64, data []byte) error {
 	id, err := p.id.get(a)
 	if err != nil {
@@ -197,6 +222,11 @@
 	if err != nil {
 		return err
 	}
+	if current != nil {
+		if err := successorError(current, doc); err != nil {
+			return err
+		}
+	}
 	changes := environment.Diff(current, doc)
 	if !allowZones {
 		for _, c := range changes {
