Ask a daemon of each zone for the state of that zone

In a trial with 'waxwingslip dev', 'zone out' waited until its timeout, because the first daemon did not hear the other zones. Every named daemon is asked now, and the newest answer about a zone is used.

--- a/cmd/waxwingslip/cli_test.go
+++ b/cmd/waxwingslip/cli_test.go
@@ -135,7 +135,7 @@
 }
 
 func (d *fakeDaemon) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
-	return api.Explanation{Subject: "service " + q.Service, State: "slow",
+	return api.Explanation{Subject: "service " + q.Service, State: "slow in " + d.zone,
 		Verdict: &api.Verdict{Cause: "neighbours", Requests: 500}}, nil
 }
 
@@ -279,6 +279,26 @@
 	c.expect(exitOK, "replicas in zone lima-a 20 -> 19", "config", "promote", "-from", other.serve(t))
 }
 
+// Guards against a wait that trusts another zone's old summary although a daemon of the zone itself answers.
+func TestMergedZones(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		heard       bool
+		age         int64
+		oldHeard    bool
+		oldAge      int64
+		preferNewer bool
+	}{
+		{true, 0, true, 2000, true}, {true, 2000, true, 0, false}, {true, 9000, false, -1, true},
+		{false, -1, true, 9000, false}, {false, -1, false, 5, false}, {false, 5, false, -1, true},
+	} {
+		is.Equal(better(c.heard, c.age, c.oldHeard, c.oldAge), c.preferNewer)
+	}
+	stale, current := &fakeDaemon{docs: []string{"x"}, lag: 1 << 30}, &fakeDaemon{docs: []string{"x", "y"}}
+	c := newCLI(t, stale.serve(t), "http://127.0.0.1:1", current.serve(t))
+	c.expect(exitOK, "newest version 2", "config", "show", "-in-force")
+}
+
 // Guards against job and worker commands that send something else than what was asked for.
 func TestJobsAndWorkers(t *testing.T) {
 	is := is.New(t)
@@ -310,7 +330,10 @@
 	is.Equal(len(tasks), 2)
 	c.expect(exitNotFound, `serves zone "x"`, "task", "list", "-zone", "x")
 	c.expect(exitOK, "alarm log-unreachable at entry-cusco-a for 12 s", "status")
-	c.expect(exitOK, "neighbours, from 500 requests", "explain", "service", "bookings")
+	var told []explanation
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "explain", "service", "bookings")), &told))
+	is.Equal(len(told), 2)
+	c.expect(exitOK, "neighbours, from 500 requests", "explain", "worker", "w1")
 	c.expect(exitUsage, "explain needs", "explain", "zone", "x")
 	c.expect(exitUsage, "allowed are table and json", "-o", "xml", "status")
 	c.expect(exitUsage, "wrong number of arguments", "zone", "out")
--- a/cmd/waxwingslip/config.go
+++ b/cmd/waxwingslip/config.go
@@ -144,9 +144,7 @@
 }
 
 func showInForce(ctx context.Context, a *app) error {
-	in, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.ConfigInForce, error) {
-		return c.ConfigInForce(ctx)
-	})
+	in, err := inForce(ctx, a)
 	if err != nil {
 		return err
 	}
--- a/cmd/waxwingslip/exit.go
+++ b/cmd/waxwingslip/exit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -66,9 +67,14 @@
 func answerError(answer api.Answer) error {
 	where := ""
 	if answer.Step != "" {
-		where = fmt.Sprintf(" (step %s, peer %s)", answer.Step, answer.Peer)
+		where = " (step " + answer.Step
+		if answer.Peer != "" {
+			where += ", peer " + answer.Peer
+		}
+		where += ")"
 	}
-	text := fmt.Sprintf("%s: %s%s", answer.Result, answer.Reason, where)
+	reason := strings.TrimPrefix(answer.Reason, string(answer.Result)+": ")
+	text := fmt.Sprintf("%s: %s%s", answer.Result, reason, where)
 	for _, p := range answer.Problems {
 		text += "\n  " + p
 	}
--- a/cmd/waxwingslip/status.go
+++ b/cmd/waxwingslip/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"github.com/google/subcommands"
@@ -65,14 +67,37 @@
 			if err != nil {
 				return err
 			}
-			e, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Explanation, error) { return c.Explain(ctx, q) })
+			list, err := explain(ctx, a, q)
 			if err != nil {
 				return err
 			}
-			return a.printExplanation(e)
+			return a.printExplanations(list)
 		}}
 }
 
+// explanation is one daemon's answer.
+type explanation struct {
+	Daemon string `json:"daemon"`
+	api.Explanation
+}
+
+// explain returns the different answers of all named daemons: tasks and workers are known in their own zone,
+// and each daemon measures the requests that it serves.
+func explain(ctx context.Context, a *app, q api.ExplainQuery) ([]explanation, error) {
+	all, err := gather(ctx, a, func(ctx context.Context, c *api.Client) (explanation, error) {
+		e, err := c.Explain(ctx, q)
+		return explanation{Daemon: c.Address(), Explanation: e}, err
+	})
+	var list []explanation
+	for _, e := range all {
+		same := func(o explanation) bool { return reflect.DeepEqual(o.Explanation, e.Explanation) }
+		if !slices.ContainsFunc(list, same) {
+			list = append(list, e)
+		}
+	}
+	return list, err
+}
+
 func explainQuery(args []string) (api.ExplainQuery, error) {
 	q := api.ExplainQuery{Index: -1}
 	switch {
@@ -95,7 +120,16 @@
 	return q, nil
 }
 
-func (a *app) printExplanation(e api.Explanation) error {
+func (a *app) printExplanations(list []explanation) error {
+	var rows [][]any
+	for _, e := range list {
+		rows = append(rows, []any{"daemon", e.Daemon})
+		rows = append(rows, explanationRows(e.Explanation)...)
+	}
+	return a.print(list, nil, rows)
+}
+
+func explanationRows(e api.Explanation) [][]any {
 	rows := [][]any{{"subject", e.Subject}, {"state", e.State}}
 	for _, r := range e.Reasons {
 		text := r.Text
@@ -111,5 +145,5 @@
 				ev.Expected, ev.Unit, ev.Detail)})
 		}
 	}
-	return a.print(e, nil, rows)
+	return rows
 }
--- a/cmd/waxwingslip/wait.go
+++ b/cmd/waxwingslip/wait.go
@@ -43,9 +43,7 @@
 // waitInForce waits until a version or a newer one is in force in every zone.
 func waitInForce(ctx context.Context, a *app, version int64, timeout time.Duration) error {
 	err := a.wait(ctx, timeout, func(ctx context.Context) (bool, string, error) {
-		in, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.ConfigInForce, error) {
-			return c.ConfigInForce(ctx)
-		})
+		in, err := inForce(ctx, a)
 		if err != nil {
 			return false, "", err
 		}
@@ -75,11 +73,11 @@
 // waitDrained waits until a zone that follows version holds no batch task.
 func waitDrained(ctx context.Context, a *app, zone string, version int64, timeout time.Duration) error {
 	err := a.wait(ctx, timeout, func(ctx context.Context) (bool, string, error) {
-		zones, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Zones, error) { return c.Zones(ctx) })
+		all, err := zones(ctx, a)
 		if err != nil {
 			return false, "", err
 		}
-		for _, z := range zones.Zones {
+		for _, z := range all.Zones {
 			if z.Name != zone {
 				continue
 			}
--- a/cmd/waxwingslip/zone.go
+++ b/cmd/waxwingslip/zone.go
@@ -8,7 +8,6 @@
 	"github.com/google/subcommands"
 
 	"waxwingslip.example/core/environment"
-	"waxwingslip.example/node/operator/api"
 )
 
 // defaultDrainTimeout leaves time for the bounded rate at which batch tasks are moved.
@@ -74,16 +73,16 @@
 func zoneList(a *app) subcommands.Command {
 	return &command{app: a, name: "list", synopsis: "list zones with their load",
 		run: func(ctx context.Context, _ []string) error {
-			zones, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Zones, error) { return c.Zones(ctx) })
+			all, err := zones(ctx, a)
 			if err != nil {
 				return err
 			}
 			var rows [][]any
-			for _, z := range zones.Zones {
+			for _, z := range all.Zones {
 				rows = append(rows, []any{z.Name, z.Region, yesNo(z.InService), yesNo(z.Drained), z.ConfigVersion, z.Members,
 					z.Usable, z.Workers, z.ServiceTasks, z.BatchTasks, z.PendingTasks, used(z.Reserved, z.Capacity), age(z.AgeMs)})
 			}
-			return a.print(zones, []any{"ZONE", "REGION", "IN SERVICE", "DRAINED", "VERSION", "DAEMONS", "USABLE", "WORKERS",
+			return a.print(all, []any{"ZONE", "REGION", "IN SERVICE", "DRAINED", "VERSION", "DAEMONS", "USABLE", "WORKERS",
 				"SERVICE", "BATCH", "PENDING", "RESERVED", "AGE"}, rows)
 		}}
 }
