Sum a job's tasks over zones and check the name of a lost worker

A daemon counts the tasks of its own zone only, so 'job status' showed 0 running tasks for a job in another zone. 'worker lost' accepted any name.

--- a/cmd/waxwingslip/cli_test.go
+++ b/cmd/waxwingslip/cli_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/record"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
 )
@@ -129,6 +130,27 @@
 	return api.Tasks{Zone: d.zone, Tasks: []api.Task{{Zone: d.zone, Job: "b"}}}, nil
 }
 
+func (d *fakeDaemon) Workers(_ context.Context, q api.WorkersQuery) (api.Workers, error) {
+	if q.Zone != d.zone {
+		return api.Workers{}, operator.ErrOtherZone
+	}
+	return api.Workers{Zone: d.zone, Workers: []api.Worker{{WorkerInfo: record.WorkerInfo{ID: "w7"}}}}, nil
+}
+
+func (d *fakeDaemon) Jobs(_ context.Context, q api.JobsQuery) (api.Jobs, error) {
+	if q.After != "" {
+		return api.Jobs{Jobs: []api.JobSummary{{ID: "b", Running: 1}}}, nil
+	}
+	return api.Jobs{Jobs: []api.JobSummary{{ID: "a", Tasks: 9, Running: 2, Succeeded: 4}}, Next: "a"}, nil
+}
+
+func (d *fakeDaemon) Job(_ context.Context, id string) (api.Job, error) {
+	if id != "a" {
+		return api.Job{}, operator.ErrNotFound
+	}
+	return api.Job{JobSummary: api.JobSummary{ID: "a", Running: 2, Succeeded: 4}}, nil
+}
+
 func (d *fakeDaemon) Status(context.Context) (api.Status, error) {
 	return api.Status{Daemon: "entry-" + d.zone, Zone: d.zone,
 		Alarms: []api.Alarm{{Name: "log-unreachable", SinceSecs: 12, Detail: "10.0.0.5:7000"}}}, nil
@@ -302,7 +324,7 @@
 // Guards against job and worker commands that send something else than what was asked for.
 func TestJobsAndWorkers(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDaemon{docs: []string{example(t, sacudidores+"production.yaml")}}
+	d := &fakeDaemon{zone: "lima-a", docs: []string{example(t, sacudidores+"production.yaml")}}
 	c := newCLI(t, d.serve(t))
 	file := sacudidores + "statement.job.yaml"
 	c.expect(exitOK, "valid under version 1", "job", "submit", "-dry-run", file)
@@ -312,7 +334,9 @@
 	c.expect(exitRejected, `statement.job.yaml: given id: is "No"`, "job", "submit", "-id", "No", file)
 	c.expect(exitRejected, "no job x", "job", "cancel", "x")
 	c.expect(exitUsage, "-vm-is-gone", "worker", "lost", "lima-a", "w7")
+	c.expect(exitNotFound, `no worker "w8"`, "worker", "lost", "-vm-is-gone", "lima-a", "w8")
 	is.Equal(d.lastLost.Worker, "")
+	c.expect(exitOK, "is not checked", "worker", "lost", "-vm-is-gone", "lima-b", "w8")
 	c.expect(exitOK, "attested", "worker", "lost", "-vm-is-gone", "lima-a", "w7")
 	is.Equal(d.lastLost.Worker, "w7")
 	is.Equal(d.lastLost.Author, "inti")
@@ -328,6 +352,13 @@
 	is.Equal(tasks, []api.Task{{Zone: "lima-a", Job: "a"}, {Zone: "lima-a", Job: "b"}, {Zone: "cusco-a", Job: "a"}, {Zone: "cusco-a", Job: "b"}})
 	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "task", "list", "-zone", "cusco-a")), &tasks))
 	is.Equal(len(tasks), 2)
+	var jobs api.Jobs
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "job", "status")), &jobs))
+	is.Equal(jobs.Jobs, []api.JobSummary{{ID: "a", Tasks: 9, Running: 4, Succeeded: 4}, {ID: "b", Running: 2}})
+	var job api.Job
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "job", "status", "a")), &job))
+	is.Equal(job.Running, 4)
+	c.expect(exitNotFound, "not found", "job", "status", "x")
 	c.expect(exitNotFound, `serves zone "x"`, "task", "list", "-zone", "x")
 	c.expect(exitOK, "alarm log-unreachable at entry-cusco-a for 12 s", "status")
 	var told []explanation
--- a/cmd/waxwingslip/job.go
+++ b/cmd/waxwingslip/job.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"strings"
 
 	"github.com/google/subcommands"
 
@@ -111,44 +110,3 @@
 			return listJobs(ctx, a, q, limit.n)
 		}}
 }
-
-func showJob(ctx context.Context, a *app, id string) error {
-	j, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Job, error) { return c.Job(ctx, id) })
-	if err != nil {
-		return err
-	}
-	rows := [][]any{{"job", j.ID}, {"team", j.Team}, {"class", j.Class}, {"state", j.State},
-		{"tasks", j.Tasks}, {"pending", j.Pending}, {"running", j.Running}, {"succeeded", j.Succeeded},
-		{"failed", j.Failed}, {"cancelled", j.Cancelled}, {"size of a task", j.Spec.Size},
-		{"zones", orDash(strings.Join(j.Zones, " "))}}
-	if j.QueuePosition > 0 {
-		rows = append(rows, []any{"position in queue", j.QueuePosition})
-	}
-	if j.Reason != "" {
-		rows = append(rows, []any{"reason", j.Reason})
-	}
-	return a.print(j, nil, rows)
-}
-
-func listJobs(ctx context.Context, a *app, q api.JobsQuery, limit int) error {
-	all := api.Jobs{Jobs: []api.JobSummary{}}
-	for len(all.Jobs) < limit {
-		q.Limit = min(limit-len(all.Jobs), api.DefaultLimit)
-		page, err := query(ctx, a, func(ctx context.Context, c *api.Client) (api.Jobs, error) { return c.Jobs(ctx, q) })
-		if err != nil {
-			return err
-		}
-		all.Jobs, all.Next = append(all.Jobs, page.Jobs...), page.Next
-		if q.After = page.Next; q.After == "" || len(page.Jobs) == 0 {
-			break
-		}
-	}
-	rows := make([][]any, 0, len(all.Jobs))
-	for _, j := range all.Jobs {
-		rows = append(rows, []any{j.ID, j.Team, j.Class, j.State, j.Tasks, j.Pending, j.Running, j.Succeeded, j.Failed,
-			j.Cancelled, orDash(j.Reason)})
-	}
-	a.noteMore(all.Next)
-	return a.print(all, []any{"JOB", "TEAM", "CLASS", "STATE", "TASKS", "PENDING", "RUNNING", "SUCCEEDED", "FAILED",
-		"CANCELLED", "REASON"}, rows)
-}
--- a/cmd/waxwingslip/list.go
+++ b/cmd/waxwingslip/list.go
@@ -110,7 +110,7 @@
 			f.StringVar(&q.Zone, "zone", "", "list tasks of this `zone` only")
 			f.StringVar(&q.Job, "job", "", "list tasks of this `job` only")
 			f.StringVar(&q.Worker, "worker", "", "list tasks of this `worker` only")
-			f.StringVar(&q.State, "state", "", "list tasks in this `state` only: pending, bound, running or ended")
+			f.StringVar(&q.State, "state", "", "list tasks in this `state` only: pending, bound, running, ended or released")
 			limit.flag(f)
 		},
 		run: func(ctx context.Context, _ []string) error {
--- a/cmd/waxwingslip/worker.go
+++ b/cmd/waxwingslip/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 
 	"github.com/google/subcommands"
 
@@ -68,6 +69,9 @@
 			if err != nil {
 				return err
 			}
+			if err := checkWorker(ctx, a, args[0], args[1]); err != nil {
+				return err
+			}
 			_, err = a.send(ctx, command, func(ctx context.Context, c *api.Client) (api.Answer, error) {
 				return c.WorkerLost(ctx, api.WorkerLost{Command: command, Zone: args[0], Worker: args[1], Author: a.author})
 			})
@@ -78,4 +82,22 @@
 		}}
 }
 
+// checkWorker guards against a mistyped name. If no daemon of the zone answers, which is likely in the very
+// case that needs an attestation, the name cannot be checked.
+func checkWorker(ctx context.Context, a *app, zone, id string) error {
+	workers, _, err := listZones(ctx, a, zone, maxListed,
+		func(ctx context.Context, c *api.Client, n int, after string) (page[api.Worker], error) {
+			w, err := c.Workers(ctx, api.WorkersQuery{Zone: zone, Limit: n, After: after})
+			return page[api.Worker]{w.Zone, w.Workers, w.Next}, err
+		})
+	if err != nil {
+		a.progress("no daemon of zone %s answers, the name of the worker is not checked", zone)
+		return nil
+	}
+	if !slices.ContainsFunc(workers, func(w api.Worker) bool { return w.ID == id }) {
+		return exitf(exitNotFound, "zone %s has no worker %q; nothing was changed", zone, id)
+	}
+	return nil
+}
+
 func formatPercent(n int64) string { return fmt.Sprintf("%d%%", n) }
--- a/node/operator/api/query.go
+++ b/node/operator/api/query.go
@@ -116,8 +116,8 @@
 	Priority record.Priority `json:"priority"`
 	State    string          `json:"state"`
 	Tasks    int             `json:"tasks"`
-	// Pending, Running, Succeeded, Failed and Cancelled count tasks. Pending and Running cover the zones
-	// that the daemon has heard.
+	// Pending and Running count the tasks in the zone of the daemon that answers; Succeeded, Failed and
+	// Cancelled count those of all zones.
 	Pending   int    `json:"pending"`
 	Running   int    `json:"running"`
 	Succeeded int    `json:"succeeded"`
@@ -152,6 +152,8 @@
 	TaskBound   = "bound"
 	TaskRunning = "running"
 	TaskEnded   = "ended"
+	// TaskReleased is a task that the zone has handed to another one.
+	TaskReleased = "released"
 )
 
 // Tasks is a list of tasks of one zone.
