Keep unread bodies from blocking other calls between daemons

A few bodies that nobody reads filled the connection's flow-control window, and every other call to that peer then waited. Each stream now has a window of 256 KiB, the connection's window covers all streams, and bodies rank behind frames. The transport also tells the round trip time and packet loss of a path.

--- a/node/peer/body.go
+++ b/node/peer/body.go
@@ -8,9 +8,14 @@
 	"github.com/quic-go/quic-go"
 )
 
+// bodyUrgency ranks bodies behind frames, which have the default 3, so that claims and relays of the control
+// stream do not wait for bodies when a link is full.
+const bodyUrgency = 5
+
 // sendBody copies a body to the stream and ends the stream. If the body cannot be read to its end, it resets
 // the stream, so that the reader sees an error.
 func sendBody(stream *quic.Stream, w io.Writer, body io.Reader) error {
+	stream.SetPriority(bodyUrgency, true)
 	if _, err := io.Copy(w, body); err != nil {
 		stream.CancelWrite(streamBodyCut)
 		return errors.Wrap(err, "send body")
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -31,7 +31,7 @@
 var timing = peer.Timing{Dial: time.Second, Silence: time.Second, RedialMin: 10 * time.Millisecond,
 	RedialMax: 50 * time.Millisecond, BreakerOpen: 50 * time.Millisecond}
 
-func credentials(t *testing.T, a *devcert.Authority, name string) *peer.Credentials {
+func credentials(t testing.TB, a *devcert.Authority, name string) *peer.Credentials {
 	t.Helper()
 	files, err := a.Write(t.TempDir(), name)
 	if err != nil {
@@ -53,7 +53,7 @@
 }
 
 // connect returns a server with the methods that all tests use, and a client.
-func connect(t *testing.T, change func(*peer.ServerOptions)) *pair {
+func connect(t testing.TB, change func(*peer.ServerOptions)) *pair {
 	t.Helper()
 	is := is.New(t)
 	a, err := devcert.NewAuthority()
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -85,7 +85,7 @@
 func NewServer(opts ServerOptions) (*Server, error) {
 	opts.Timing = opts.Timing.withDefaults()
 	if opts.MaxStreams == 0 {
-		opts.MaxStreams = 256
+		opts.MaxStreams = defaultMaxStreams
 	}
 	if opts.MaxHandlers == 0 {
 		opts.MaxHandlers = 2048
@@ -133,14 +133,12 @@
 
 // Serve starts to answer calls and returns.
 func (s *Server) Serve() error {
-	l, err := s.quic.Listen(s.opts.Credentials.serverTLS(), &quic.Config{
-		HandshakeIdleTimeout:       s.opts.Timing.Dial,
-		MaxIdleTimeout:             s.opts.Timing.Silence,
-		MaxStreamReceiveWindow:     streamWindowBytes,
-		MaxConnectionReceiveWindow: connWindowBytes,
-		MaxIncomingStreams:         int64(s.opts.MaxStreams),
-		MaxIncomingUniStreams:      -1,
-	})
+	l, err := s.quic.Listen(s.opts.Credentials.serverTLS(), flowControl(&quic.Config{
+		HandshakeIdleTimeout:  s.opts.Timing.Dial,
+		MaxIdleTimeout:        s.opts.Timing.Silence,
+		MaxIncomingStreams:    int64(s.opts.MaxStreams),
+		MaxIncomingUniStreams: -1,
+	}, s.opts.MaxStreams))
 	if err != nil {
 		return errors.Wrapf(err, "serve peers at %s", s.Address())
 	}
--- a/node/peer/transport.go
+++ b/node/peer/transport.go
@@ -46,13 +46,23 @@
 	return t
 }
 
-// Windows of flow control. They bound the memory for bodies that their reader does not take: with a round
-// trip of 40 ms between regions, 2 MiB allow far more than the 30 Mbit/s of the link.
 const (
-	streamWindowBytes = 2 << 20
-	connWindowBytes   = 8 << 20
+	// defaultMaxStreams limits the streams of one connection at a time.
+	defaultMaxStreams = 256
+	// streamWindowBytes bounds the memory for one body that its reader does not take. With a round trip of
+	// 40 ms between regions it allows 50 Mbit/s to one body, more than the 30 Mbit/s of the link.
+	streamWindowBytes = 256 << 10
 )
 
+// flowControl lets every stream of a connection fill its own window. A smaller window of the connection would
+// let a few bodies that nobody reads block all other calls.
+func flowControl(c *quic.Config, maxStreams int) *quic.Config {
+	c.InitialStreamReceiveWindow, c.MaxStreamReceiveWindow = streamWindowBytes, streamWindowBytes
+	conn := uint64(maxStreams) * streamWindowBytes
+	c.InitialConnectionReceiveWindow, c.MaxConnectionReceiveWindow = conn, conn
+	return c
+}
+
 // maxLinks is the number of peer addresses above which unconnected ones are forgotten.
 const maxLinks = 256
 
@@ -116,15 +126,13 @@
 }
 
 func (t *Transport) quicConfig() *quic.Config {
-	return &quic.Config{
-		HandshakeIdleTimeout:       t.opts.Timing.Dial,
-		MaxIdleTimeout:             t.opts.Timing.Silence,
-		KeepAlivePeriod:            t.opts.Timing.Silence / 3,
-		MaxStreamReceiveWindow:     streamWindowBytes,
-		MaxConnectionReceiveWindow: connWindowBytes,
-		MaxIncomingStreams:         -1, // only callers open streams
-		MaxIncomingUniStreams:      1,  // announces the server's shutdown
-	}
+	return flowControl(&quic.Config{
+		HandshakeIdleTimeout:  t.opts.Timing.Dial,
+		MaxIdleTimeout:        t.opts.Timing.Silence,
+		KeepAlivePeriod:       t.opts.Timing.Silence / 3,
+		MaxIncomingStreams:    -1, // only callers open streams
+		MaxIncomingUniStreams: 1,  // announces the server's shutdown
+	}, defaultMaxStreams)
 }
 
 // link returns the state kept for a peer address.
@@ -160,6 +168,31 @@
 	return true
 }
 
+// Path is what is measured of the network to a peer.
+type Path struct {
+	SmoothedRTT time.Duration
+	MinRTT      time.Duration
+	// PacketsSent and PacketsLost count since the connection was made.
+	PacketsSent uint64
+	PacketsLost uint64
+}
+
+// Path returns measurements of the connection to an address, and false if there is none.
+func (t *Transport) Path(address string) (Path, bool) {
+	t.mu.Lock()
+	l := t.links[address]
+	t.mu.Unlock()
+	if l == nil {
+		return Path{}, false
+	}
+	c := l.current()
+	if c == nil || c.quic.Context().Err() != nil {
+		return Path{}, false
+	}
+	s := c.quic.ConnectionStats()
+	return Path{SmoothedRTT: s.SmoothedRTT, MinRTT: s.MinRTT, PacketsSent: s.PacketsSent, PacketsLost: s.PacketsLost}, true
+}
+
 // Shutdown refuses new calls, waits for the running ones until the context ends, and closes the transport.
 func (t *Transport) Shutdown(ctx context.Context) {
 	t.mu.Lock()
