Leave the body of a failed call usable for another peer

Stream closed the body even if the peer could not be reached, so a forwarded request could not go to the next peer of the zone. The caller now keeps the body, and CallError.BodyRead tells whether any of it was read.

--- a/node/peer/body.go
+++ b/node/peer/body.go
@@ -23,10 +23,39 @@
 	return errors.Wrap(stream.Close(), "send body")
 }
 
-func closeBody(body io.Reader) {
-	if c, ok := body.(io.Closer); ok {
-		_ = c.Close()
+// errUploadStopped ends an upload that is not needed any more.
+var errUploadStopped = errors.New("upload was stopped")
+
+// upload is the body of a request. It knows whether the body was touched, and touches it no more after stop.
+type upload struct {
+	body io.Reader
+
+	mu      sync.Mutex
+	begun   bool
+	stopped bool
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	stopped := u.stopped
+	u.begun = u.begun || !stopped
+	u.mu.Unlock()
+	if stopped {
+		return 0, errUploadStopped
+	}
+	return u.body.Read(p)
+}
+
+// stop lets no more reads begin and reports whether any has begun. It does nothing without a body.
+func (u *upload) stop() (begun bool) {
+	if u == nil {
+		return false
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopped = true
+	return u.begun
 }
 
 // errBodyClosed is returned by reads after Close.
--- a/node/peer/call.go
+++ b/node/peer/call.go
@@ -33,9 +33,12 @@
 }
 
 // Stream sends header and body to a method of the peer at an IP:port address, decodes the header of the answer
-// into respHeader and returns its body. The body that is sent may be nil; it is closed at its end if it is an
-// io.Closer, and may be read after Stream returned. The returned body must be closed; it returns io.EOF only
-// if it is whole. The context governs the call until then. Every error is a CallError.
+// into respHeader and returns its body. The returned body must be closed; it returns io.EOF only if it is
+// whole. The context governs the call until then. Every error is a CallError.
+//
+// The body that is sent may be nil and is not closed. It may be read until Stream fails or the returned body
+// ends or is closed. No read begins after that, but one that is blocked stays so until the caller closes the
+// body.
 func (t *Transport) Stream(ctx context.Context, address, method string, header, respHeader any, body io.Reader) (io.ReadCloser, error) {
 	c, err := t.begin(ctx, address, method, header, body)
 	if err != nil {
@@ -56,6 +59,7 @@
 	address   string
 	method    string
 	answer    responseHeader
+	upload    *upload     // nil without a body
 	stop      func() bool // stops the watch of the context
 	ctx       context.Context
 	ended     atomic.Bool
@@ -64,7 +68,10 @@
 func (t *Transport) begin(ctx context.Context, address, method string, header any, body io.Reader) (*call, error) {
 	t.Counters.Calls.Add(1)
 	c := &call{transport: t, address: address, method: method, ctx: ctx}
-	err := c.run(header, body)
+	if body != nil {
+		c.upload = &upload{body: body}
+	}
+	err := c.run(header)
 	if err == nil {
 		return c, nil
 	}
@@ -82,9 +89,7 @@
 }
 
 // run sends the request and reads the answer's header. After an error nothing of the call is left.
-func (c *call) run(header any, body io.Reader) error {
-	closeLater := body
-	defer func() { closeBody(closeLater) }()
+func (c *call) run(header any) error {
 	frame, err := c.requestFrame(header)
 	if err != nil {
 		return c.fail("encode", false, err)
@@ -94,7 +99,7 @@
 		return c.fail("connect", false, err)
 	}
 	_, err = l.breaker.Execute(func() (struct{}, error) {
-		err := c.exchange(l, frame, body, &closeLater)
+		err := c.exchange(l, frame)
 		if err != nil && callerGaveUp(c.ctx, err) {
 			return struct{}{}, &gaveUp{err}
 		}
@@ -104,10 +109,11 @@
 	if err != nil && !errors.As(err, &callErr) {
 		callErr = c.fail("connect", false, err) // the breaker is open
 	}
-	if callErr != nil {
-		return callErr
+	if callErr == nil {
+		return nil
 	}
-	return nil
+	callErr.BodyRead = c.upload.stop()
+	return callErr
 }
 
 func (c *call) requestFrame(header any) ([]byte, error) {
@@ -137,7 +143,7 @@
 }
 
 // exchange opens a stream, sends the request and reads the header of the answer.
-func (c *call) exchange(l *link, frame []byte, body io.Reader, closeLater *io.Reader) error {
+func (c *call) exchange(l *link, frame []byte) error {
 	fault := (*c.transport.fault.Load())(c.address, c.method)
 	if fault.Unreachable {
 		return c.fail("connect", false, errUnreachable)
@@ -151,7 +157,7 @@
 	if err := c.open(l); err != nil {
 		return err
 	}
-	c.send(frame, body, closeLater)
+	c.send(frame)
 	err := c.receive()
 	if err == nil && fault.DropAnswer {
 		err = c.fail("receive", true, lose(c.ctx))
@@ -193,21 +199,19 @@
 
 // send writes the request. Its errors show when the answer is read. The upload of a body goes on while the
 // answer is read, because a peer may answer before it has read everything.
-func (c *call) send(frame []byte, body io.Reader, closeLater *io.Reader) {
+func (c *call) send(frame []byte) {
 	w := countingWriter{c.stream, &c.transport.Counters.BytesSent}
-	if body == nil {
+	if c.upload == nil {
 		if _, err := w.Write(frame); err == nil {
 			_ = c.stream.Close()
 		}
 		return
 	}
-	*closeLater = nil // the upload closes the body
 	go func() {
-		defer closeBody(body)
 		if _, err := w.Write(frame); err != nil {
 			return
 		}
-		if sendBody(c.stream, w, body) != nil {
+		if sendBody(c.stream, w, c.upload) != nil {
 			c.transport.Counters.BodiesCut.Add(1)
 		}
 	}()
@@ -245,6 +249,7 @@
 		return
 	}
 	c.stop()
+	c.upload.stop()
 	c.conn.release()
 	c.transport.Counters.Active.Add(-1)
 }
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -9,7 +9,7 @@
 )
 
 // ErrNotSent is matched by the error of a call that no handler of the peer has seen and none will see. Any
-// other error leaves open whether the call ran. The body of a Stream may have been read in part.
+// other error leaves open whether the call ran. CallError.BodyRead tells whether the body was touched.
 var ErrNotSent = errors.New("call did not reach the peer's handler")
 
 // Code classifies the error that a peer answers with.
@@ -58,7 +58,10 @@
 	Step string
 	// Sent tells whether a handler of the peer may have seen the call.
 	Sent bool
-	Err  error
+	// BodyRead tells whether any of the body of a Stream was read. If it is false, the body is as before the
+	// call and may be sent elsewhere.
+	BodyRead bool
+	Err      error
 }
 
 // Error implements error.
--- a/node/peer/failure_test.go
+++ b/node/peer/failure_test.go
@@ -311,3 +311,37 @@
 	p.True(p.echo(ctx, "x") != nil) // refused by the open breaker
 	eventually(t, func() error { return p.echo(ctx, "x") })
 }
+
+// Guards against a body that is lost for the next peer although the first one never saw the call, and against
+// a body that seems untouched although a part of it is gone.
+func TestBodyOfFailedCall(t *testing.T) {
+	p := connect(t, nil)
+	for _, c := range []struct {
+		name, method string
+		fault        peer.Fault
+		notSent      bool
+	}{
+		{"unreachable", "digest", peer.Fault{Unreachable: true}, true},
+		{"refused by the handler", "refuses", peer.Fault{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p.server.Handle("refuses", func(_ context.Context, r *peer.Request) (*peer.Response, error) {
+				_, err := io.ReadFull(r.Body, make([]byte, 10))
+				is.NoErr(err)
+				return nil, errors.New("no")
+			})
+			p.client.SetFault(func(string, string) peer.Fault { return c.fault })
+			defer p.client.SetFault(nil)
+			body := bytes.NewReader(randomBytes(1000))
+			_, err := p.client.Stream(ctx, p.address, c.method, nil, nil, body)
+			var callErr *peer.CallError
+			is.True(errors.As(err, &callErr))
+			is.Equal(errors.Is(err, peer.ErrNotSent), c.notSent)
+			is.Equal(callErr.BodyRead, !c.notSent)
+			if !callErr.BodyRead {
+				is.Equal(body.Len(), 1000)
+			}
+		})
+	}
+}
--- a/node/peer/load_test.go
+++ b/node/peer/load_test.go
@@ -18,13 +18,15 @@
 	p.server.Handle("big", func(context.Context, *peer.Request) (*peer.Response, error) {
 		return &peer.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, 1<<20)))}, nil
 	})
+	limited, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
 	var bodies []io.ReadCloser
 	for range 100 {
-		body, err := p.client.Stream(ctx, p.address, "big", nil, nil, nil)
+		body, err := p.client.Stream(limited, p.address, "big", nil, nil, nil)
 		p.NoErr(err)
 		bodies = append(bodies, body)
 	}
-	p.NoErr(p.echo(ctx, "x"))
+	p.NoErr(p.echo(limited, "x"))
 	got, err := io.ReadAll(bodies[99])
 	p.NoErr(err)
 	p.Equal(len(got), 1<<20)
