Let calls that are about to be sent finish at a client's shutdown

Shutdown waited for open streams only and cut calls that were connecting. It now waits for every call that has begun. A refused handshake proves that a call did not run only until the first answer on the connection, and links whose connection is lost are forgotten as well.

--- a/node/peer/call.go
+++ b/node/peer/call.go
@@ -62,6 +62,7 @@
 	upload    *upload     // nil without a body
 	stop      func() bool // stops the watch of the context
 	ctx       context.Context
+	begun     bool // the call counts as running until end
 	ended     atomic.Bool
 }
 
@@ -71,9 +72,13 @@
 	if body != nil {
 		c.upload = &upload{body: body}
 	}
-	err := c.run(header)
-	if err == nil {
-		return c, nil
+	var err error = c.fail("connect", false, errors.New("transport is closed"))
+	if t.enter() {
+		if err = c.run(header); err == nil {
+			c.begun = true
+			return c, nil
+		}
+		t.leave()
 	}
 	if errors.Is(err, ErrNotSent) {
 		t.Counters.NotSent.Add(1)
@@ -90,14 +95,14 @@
 
 // run sends the request and reads the answer's header. After an error nothing of the call is left.
 func (c *call) run(header any) error {
-	frame, err := c.requestFrame(header)
-	if err != nil {
+	if err := c.ctx.Err(); err != nil {
 		return c.fail("encode", false, err)
 	}
-	l, err := c.transport.link(c.address)
+	frame, err := c.requestFrame(header)
 	if err != nil {
-		return c.fail("connect", false, err)
+		return c.fail("encode", false, err)
 	}
+	l := c.transport.link(c.address)
 	_, err = l.breaker.Execute(func() (struct{}, error) {
 		err := c.exchange(l, frame)
 		if err != nil && callerGaveUp(c.ctx, err) {
@@ -221,7 +226,7 @@
 func (c *call) receive() error {
 	r := countingReader{c.stream, &c.transport.Counters.BytesReceived}
 	if err := readFrame(r, &c.answer); err != nil {
-		if notHandled(err) {
+		if notHandled(err) && !c.conn.proven.Load() {
 			return c.fail("connect", false, err)
 		}
 		if ctxErr := c.ctx.Err(); ctxErr != nil {
@@ -229,6 +234,7 @@
 		}
 		return c.fail("receive", true, err)
 	}
+	c.conn.proven.Store(true)
 	if c.answer.Code == CodeOK {
 		return nil
 	}
@@ -252,6 +258,9 @@
 	c.upload.stop()
 	c.conn.release()
 	c.transport.Counters.Active.Add(-1)
+	if c.begun {
+		c.transport.leave()
+	}
 }
 
 // abort ends a call whose stream is not complete.
--- a/node/peer/failure_test.go
+++ b/node/peer/failure_test.go
@@ -254,8 +254,8 @@
 	<-stopped
 }
 
-// Guards against a client shutdown that cuts its running calls, and against connections that stay open.
-func TestClientShutdownAndIdleClose(t *testing.T) {
+// Guards against a client shutdown that cuts calls that run or are about to be sent.
+func TestClientShutdownLetsCallsFinish(t *testing.T) {
 	p := connect(t, nil)
 	entered, release := make(chan struct{}), make(chan struct{})
 	p.server.Handle("hold", func(context.Context, *peer.Request) (*peer.Response, error) {
@@ -266,20 +266,23 @@
 	done := make(chan error, 1)
 	go func() { done <- p.client.Call(ctx, p.address, "hold", nil, nil) }()
 	<-entered
+	delayed, connecting := make(chan error, 1), make(chan struct{})
+	p.client.SetFault(func(string, string) peer.Fault {
+		close(connecting)
+		return peer.Fault{Delay: 50 * time.Millisecond}
+	})
+	go func() { delayed <- p.echo(ctx, "delayed") }()
+	<-connecting
 	stopped := make(chan struct{})
 	go func() {
 		p.client.Shutdown(ctx)
 		close(stopped)
 	}()
-	eventually(t, func() error {
-		if p.echo(ctx, "x") == nil {
-			return errors.New("a call was begun during the shutdown")
-		}
-		return nil
-	})
+	p.NoErr(<-delayed)
 	close(release)
 	p.NoErr(<-done)
 	<-stopped
+	p.True(errors.Is(p.echo(ctx, "x"), peer.ErrNotSent))
 }
 
 // Guards against idle connections that are kept for ever, and against a call that such a close fails.
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -68,7 +69,8 @@
 func (l *link) unused() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.conn == nil && l.dialing == nil
+	lost := l.conn == nil || l.conn.quic.Context().Err() != nil
+	return lost && l.dialing == nil
 }
 
 // acquire returns a connection with one more active call, and dials if there is none.
@@ -185,6 +187,9 @@
 	peer      string
 	idleAfter time.Duration
 
+	// proven is set by the first answer: from then on a lost connection proves nothing.
+	proven atomic.Bool
+
 	mu       sync.Mutex
 	active   int
 	draining bool
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -25,7 +25,7 @@
 	payload []byte
 }
 
-// Decode reads the header that the caller sent.
+// Decode reads the header that the caller sent. It fails if there is none.
 func (r *Request) Decode(v any) error {
 	if err := decodePayload(r.payload, v); err != nil {
 		return &RemoteError{Code: CodeInternal, Message: "decode request: " + err.Error()}
--- a/node/peer/transport.go
+++ b/node/peer/transport.go
@@ -95,6 +95,8 @@
 	links  map[string]*link
 	conns  map[*pooledConn]struct{}
 	closed bool
+	calls  int           // calls that have begun and not ended
+	noCall chan struct{} // closed when calls becomes 0, nil if nothing waits for that
 }
 
 // NewTransport opens a UDP socket for outgoing calls.
@@ -135,15 +137,34 @@
 	}, defaultMaxStreams)
 }
 
-// link returns the state kept for a peer address.
-func (t *Transport) link(address string) (*link, error) {
+// enter begins a call, unless the transport is closed.
+func (t *Transport) enter() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
-		return nil, errors.New("transport is closed")
+		return false
+	}
+	t.calls++
+	return true
+}
+
+// leave ends a call that enter began.
+func (t *Transport) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls--
+	if t.calls == 0 && t.noCall != nil {
+		close(t.noCall)
+		t.noCall = nil
 	}
+}
+
+// link returns the state kept for a peer address.
+func (t *Transport) link(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if l := t.links[address]; l != nil {
-		return l, nil
+		return l
 	}
 	if len(t.links) >= maxLinks {
 		for a, l := range t.links {
@@ -154,7 +175,7 @@
 	}
 	l := newLink(t, address)
 	t.links[address] = l
-	return l, nil
+	return l
 }
 
 // startTask runs f until Close waits for it, and reports false after Close.
@@ -197,17 +218,15 @@
 func (t *Transport) Shutdown(ctx context.Context) {
 	t.mu.Lock()
 	t.closed = true
-	var conns []*pooledConn
-	for c := range t.conns {
-		conns = append(conns, c)
+	noCall := t.noCall
+	if t.calls > 0 && noCall == nil {
+		noCall = make(chan struct{})
+		t.noCall = noCall
 	}
 	t.mu.Unlock()
-	for _, c := range conns {
-		c.drain()
-	}
-	for _, c := range conns {
+	if noCall != nil {
 		select {
-		case <-c.quic.Context().Done():
+		case <-noCall:
 		case <-ctx.Done():
 		}
 	}
