Let stand-in endpoints state their own time and refuse requests

The verdict on slow requests needs the endpoint's share of the time, and the second form of leaving, status 503 with Connection: close, had no stand-in.

--- a/standin/endpointd/endpoint.go
+++ b/standin/endpointd/endpoint.go
@@ -18,6 +18,8 @@
 const (
 	HeaderRequestID = "Idempotency-Key"
 	HeaderLeaving   = "Waxwingslip-Leaving"
+	// HeaderEndpointUs is the time of the request at the endpoint in microseconds, until its answer begins.
+	HeaderEndpointUs = "Waxwingslip-Endpoint-Us"
 	// HeaderReplica names the replica in each answer.
 	HeaderReplica = "Echo-Replica"
 )
@@ -66,8 +68,9 @@
 //
 // A request counts as executed, and stands in the journal, as soon as its whole body has arrived.
 type Endpoint struct {
-	opts    Options
-	leaving atomic.Bool
+	opts     Options
+	leaving  atomic.Bool
+	refusing atomic.Bool
 
 	mu      sync.Mutex
 	journal []Execution
@@ -80,6 +83,9 @@
 // SetLeaving makes the endpoint say that it is leaving.
 func (e *Endpoint) SetLeaving(leaving bool) { e.leaving.Store(leaving) }
 
+// SetRefusing makes the endpoint answer 503 with "Connection: close" and execute nothing.
+func (e *Endpoint) SetRefusing(refusing bool) { e.refusing.Store(refusing) }
+
 // Journal returns the executed requests in order.
 func (e *Endpoint) Journal() []Execution {
 	e.mu.Lock()
@@ -99,6 +105,12 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begin := time.Now()
+	if e.refusing.Load() {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "endpoint is leaving", http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -119,6 +131,7 @@
 	if !pause(r.Context(), q.delay) {
 		return
 	}
+	w.Header().Set(HeaderEndpointUs, strconv.FormatInt(time.Since(begin).Microseconds(), 10))
 	e.answer(w, r, q, body)
 }
 
--- a/standin/workerd/endpoints.go
+++ b/standin/workerd/endpoints.go
@@ -23,8 +23,10 @@
 	mu      sync.Mutex
 	running map[worker.RunKey]*endpoint
 	closed  []*endpointd.Endpoint // kept for their journals
-	leaving bool
-	closing sync.WaitGroup
+	// leaving and refusing apply to all running and future endpoints.
+	leaving  bool
+	refusing bool
+	closing  sync.WaitGroup
 }
 
 type endpoint struct {
@@ -42,6 +44,7 @@
 		Wait:  e.awake,
 	})
 	echo.SetLeaving(e.leaving)
+	echo.SetRefusing(e.refusing)
 	server, err := listen.Serve("127.0.0.1:0", echo)
 	if err != nil {
 		return "", err
@@ -86,12 +89,13 @@
 	return ctx.Err()
 }
 
-func (e *endpoints) setLeaving(leaving bool) {
+func (e *endpoints) set(leaving, refusing bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = leaving
+	e.leaving, e.refusing = leaving, refusing
 	for _, end := range e.running {
 		end.echo.SetLeaving(leaving)
+		end.echo.SetRefusing(refusing)
 	}
 }
 
--- a/standin/workerd/workerd.go
+++ b/standin/workerd/workerd.go
@@ -162,7 +162,7 @@
 // SetCondition changes the health of the worker and of its endpoints.
 func (w *Worker) SetCondition(c fake.Condition) {
 	w.Fake.SetCondition(c)
-	w.endpoints.setLeaving(c.Leaving)
+	w.endpoints.set(c.Leaving, c.Refusing)
 }
 
 // Journal returns the requests that the worker's endpoints executed.
--- a/standin/workerd/workerd_test.go
+++ b/standin/workerd/workerd_test.go
@@ -87,13 +87,19 @@
 	r.Equal(journal[1].RequestID, "id-2")
 }
 
-// Guards against an endpoint that hides that it is leaving.
+// Guards against an endpoint that hides that it is leaving, or that executes what it refuses.
 func TestLeaving(t *testing.T) {
 	r := startReplica(t, 3600_000)
 	r.worker.SetCondition(fake.Condition{Leaving: true})
 	resp, _, err := r.post(ctx, "/", "", "")
 	r.NoErr(err)
 	r.Equal(resp.Header.Get(endpointd.HeaderLeaving), "1")
+	r.worker.SetCondition(fake.Condition{Refusing: true})
+	resp, _, err = r.post(ctx, "/", "", "")
+	r.NoErr(err)
+	r.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	r.True(resp.Close)
+	r.Equal(len(r.worker.Journal()), 1)
 }
 
 // Guards against an endpoint that serves after its run was stopped, or after its lease lapsed with nobody
