Keep services together and away from batch work

Every pair of unknown classes had the same prior, so replicas of services avoided each other as much as batch work and ended up beside it. Now the prior of a service as a neighbour is a tenth of that of batch work, and replicas of different services are packed.

--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -23,13 +23,11 @@
 	MaxProfiles, MaxPairs, MaxBaselines int
 	// MinSamples is the weight of reports below which nothing is said about use or run time.
 	MinSamples float32
-	// UnknownEffect is the effect that is assumed while nothing is known about a pair.
-	UnknownEffect float64
 }
 
 // DefaultOptions returns bounds that keep a model below 10 MB.
 func DefaultOptions() Options {
-	return Options{HalfLife: 2 * time.Hour, MaxProfiles: 2048, MaxPairs: 16384, MaxBaselines: 1024, MinSamples: 8, UnknownEffect: 0.3}
+	return Options{HalfLife: 2 * time.Hour, MaxProfiles: 2048, MaxPairs: 16384, MaxBaselines: 1024, MinSamples: 8}
 }
 
 // Key names the tasks that share a profile.
@@ -204,20 +202,11 @@
 	return v / valueScale, float64(max(b.alone.total, b.all.total/4))
 }
 
-// Effect returns the expected slowdown of a victim next to a neighbour that uses a whole worker: 0 is none, 1
-// is twice the time. Unknown pairs have the prior of Options.
-func (m *Model) Effect(victim, neighbour string) float64 {
-	e, _ := m.EffectConfidence(victim, neighbour)
-	return e
-}
-
-// EffectConfidence returns the expected slowdown and a confidence between 0 (nothing known) and 1. The less is
-// known, the closer the result is to the prior.
-func (m *Model) EffectConfidence(victim, neighbour string) (slowdown, confidence float64) {
+// Effect returns the learned slowdown of a victim next to a neighbour that uses a whole worker: 0 is none, 1 is
+// twice the time. The confidence is 0 if nothing is known, and approaches 1.
+func (m *Model) Effect(victim, neighbour string) (slowdown, confidence float64) {
 	mean, variance := m.combinedEffect(pairKey{victim, neighbour})
-	confidence = 1 - variance/priorVariance
-	mean = confidence*mean + (1-confidence)*m.opts.UnknownEffect
-	return math.Expm1(min(mean, 4)), confidence
+	return math.Expm1(min(mean, 4)), 1 - variance/priorVariance
 }
 
 // combinedEffect weighs the estimates of all daemons by their certainty.
--- a/core/interference/model_test.go
+++ b/core/interference/model_test.go
@@ -64,11 +64,11 @@
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			is := is.New(t)
 			m := New(DefaultOptions())
-			_, confidence := m.EffectConfidence("book", "noisy")
+			_, confidence := m.Effect("book", "noisy")
 			is.Equal(confidence, 0.0)
 			teach(m, seed, 600)
-			noisy, c1 := m.EffectConfidence("book", "noisy")
-			quiet, c2 := m.EffectConfidence("book", "quiet")
+			noisy, c1 := m.Effect("book", "noisy")
+			quiet, c2 := m.Effect("book", "quiet")
 			is.True(noisy > 1.2 && noisy < 4) // truth: e^1.2-1 = 2.3
 			is.True(quiet < 0.6)
 			is.True(c1 > 0.8 && c2 > 0.8)
@@ -91,8 +91,8 @@
 		is.NoErr(err)
 		is.NoErr(b.Absorb("a", d))
 	}
-	want, wantConfidence := a.EffectConfidence("book", "noisy")
-	got, confidence := b.EffectConfidence("book", "noisy")
+	want, wantConfidence := a.Effect("book", "noisy")
+	got, confidence := b.Effect("book", "noisy")
 	is.True(math.Abs(want-got) < 0.01 && math.Abs(wantConfidence-confidence) < 0.01)
 	for i := range 10 {
 		_, ok := b.Use("t", fmt.Sprint(i))
@@ -101,7 +101,7 @@
 	echo, err := b.Digest(start, 100)
 	is.NoErr(err)
 	is.NoErr(a.Absorb("b", echo))
-	again, _ := a.EffectConfidence("book", "noisy")
+	again, _ := a.Effect("book", "noisy")
 	is.Equal(again, want)
 	is.True(b.Absorb("a", []byte{0xff}) != nil)
 }
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -12,8 +12,8 @@
 type pairTable struct{}
 
 func (pairTable) Use(string, string) (resource.Vector, bool) { return resource.Vector{}, false }
-func (pairTable) Effect(victim, neighbour string) float64 {
-	return float64(len(victim)+int(neighbour[len(neighbour)-1])%7) / 20
+func (pairTable) Effect(victim, neighbour string) (slowdown, confidence float64) {
+	return float64(len(victim)+int(neighbour[len(neighbour)-1])%7) / 20, 1
 }
 
 // fullZone has 1,400 workers with 16 runs of 300 classes each and room for a few more.
--- a/core/placement/classes.go
+++ b/core/placement/classes.go
@@ -15,9 +15,24 @@
 	excluded   [][]bool
 	exclusions []record.Exclusion
 	estimator  Estimator
+	// service[a] is true if tasks of class a are replicas of services; it decides the prior.
+	service                  []bool
+	batchPrior, servicePrior float64
 }
 
-func newClassTable() *classTable { return &classTable{ids: map[string]classID{}} }
+func newClassTable(w *Weights) *classTable {
+	return &classTable{ids: map[string]classID{}, batchPrior: w.BatchPrior, servicePrior: w.ServicePrior}
+}
+
+// ofTask returns the number of the class of a task.
+func (t *classTable) ofTask(name string, p record.Priority) classID {
+	id := t.id(name)
+	if p == record.PriorityService && !t.service[id] {
+		t.service[id] = true
+		t.refresh(id)
+	}
+	return id
+}
 
 // id returns the number of a class and adds the class if it is new.
 func (t *classTable) id(name string) classID {
@@ -27,6 +42,7 @@
 	id := classID(len(t.names))
 	t.ids[name] = id
 	t.names = append(t.names, name)
+	t.service = append(t.service, false)
 	for i := range t.suffers {
 		t.suffers[i] = append(t.suffers[i], t.effect(classID(i), id))
 		t.causes[i] = append(t.causes[i], t.effect(id, classID(i)))
@@ -49,11 +65,25 @@
 	return row
 }
 
+// effect mixes the learned slowdown with the prior by confidence.
 func (t *classTable) effect(victim, neighbour classID) float32 {
+	prior := t.batchPrior
+	if t.service[neighbour] {
+		prior = t.servicePrior
+	}
 	if t.estimator == nil {
-		return 0
+		return float32(prior)
+	}
+	slowdown, confidence := t.estimator.Effect(t.names[victim], t.names[neighbour])
+	return float32(confidence*slowdown + (1-confidence)*prior)
+}
+
+// refresh reads the effects of one class as a neighbour again.
+func (t *classTable) refresh(id classID) {
+	t.causes[id] = t.row(id, true)
+	for victim := range t.suffers {
+		t.suffers[victim][id] = t.causes[id][victim]
 	}
-	return float32(t.estimator.Effect(t.names[victim], t.names[neighbour]))
 }
 
 // setEstimator reads all effects again, which costs one call per pair of classes.
--- a/core/placement/feasible.go
+++ b/core/placement/feasible.go
@@ -24,7 +24,7 @@
 
 func (x *Index) request(p *Pending, now time.Time) request {
 	j := p.Job
-	id := x.classes.id(j.Class)
+	id := x.classes.ofTask(j.Class, j.Priority)
 	return request{
 		task: p.Task, class: id, service: j.Service, priority: j.Priority, size: reservation(j.Size),
 		use: x.expectedUse(j.Team, j.Class, j.Size), excluded: x.classes.excluded[id],
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -49,9 +49,9 @@
 	inService    bool
 }
 
-func newIndex() *Index {
+func newIndex(w *Weights) *Index {
 	return &Index{
-		classes: newClassTable(), byID: map[string]int{}, racks: map[string]int32{},
+		classes: newClassTable(w), byID: map[string]int{}, racks: map[string]int32{},
 		rackReplicas: map[string][]int32{}, teamUse: map[string]resource.Vector{}, inService: true,
 	}
 }
@@ -230,7 +230,7 @@
 }
 
 func (x *Index) addClass(n *node, r *Run) {
-	id := x.classes.id(r.Class)
+	id := x.classes.ofTask(r.Class, r.Priority)
 	use := x.expectedUse(r.Team, r.Class, r.Size)
 	n.use = n.use.Add(use)
 	load := float32(use.MilliCPU) * n.perCPU
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -43,7 +43,8 @@
 		cost += float32(w.Accelerator) * max(share(r.size.MilliCPU, n.free.MilliCPU), share(r.size.Slots, n.free.Slots))
 	}
 	if r.priority == record.PriorityService {
-		return cost + x.crowding(n, r, w)
+		// Replicas of different services go together, which leaves other workers to batch work.
+		return cost + x.crowding(n, r, w) + float32(w.Pack)*n.leftover(r)
 	}
 	return cost + float32(w.Fit)*n.leftover(r)
 }
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -70,9 +70,9 @@
 type Estimator interface {
 	// Use returns the expected use of one task, false if too little is known.
 	Use(team, class string) (resource.Vector, bool)
-	// Effect returns the expected slowdown of a victim when a neighbour uses a whole worker's processors:
-	// 0 is none, 1 means that the victim takes twice as long.
-	Effect(victim, neighbour string) float64
+	// Effect returns the learned slowdown of a victim when a neighbour uses a whole worker's processors: 0 is
+	// none, 1 means that the victim takes twice as long. The confidence is 0 if nothing is known, at most 1.
+	Effect(victim, neighbour string) (slowdown, confidence float64)
 }
 
 // Weights balances the terms of the ranking. Each weight multiplies a term that is roughly in 0 to 1.
@@ -83,12 +83,14 @@
 	Overuse float64
 	// Pressure weighs contention that the worker reports.
 	Pressure float64
-	// Fit weighs the room that is left after a batch task is placed.
-	Fit float64
+	// Fit weighs the room that is left after a batch task is placed, Pack that after a replica of a service.
+	Fit, Pack float64
 	// Accelerator weighs the blocking of free accelerators by tasks that need none.
 	Accelerator float64
 	// Spread weighs replicas of the same service in the same rack.
 	Spread float64
+	// BatchPrior and ServicePrior are the slowdowns that are assumed of neighbours of unknown effect.
+	BatchPrior, ServicePrior float64
 }
 
 // Options configures a Planner.
@@ -115,7 +117,11 @@
 // DefaultOptions returns the options that the daemons use.
 func DefaultOptions() Options {
 	return Options{
-		Weights: Weights{ServiceHarm: 4, BatchHarm: 0.5, Overuse: 3, Pressure: 1, Fit: 0.3, Accelerator: 1, Spread: 1},
+		Weights: Weights{
+			ServiceHarm: 4, BatchHarm: 0.5, Overuse: 3, Pressure: 1, Fit: 0.3, Pack: 1, Accelerator: 1, Spread: 1,
+			// Services vary less than batch work, and together they leave other workers to batch work.
+			BatchPrior: 0.3, ServicePrior: 0.03,
+		},
 		// Four tries fit into the urgent start limit of 2.5 s and leave 1.5 s for the log and the start.
 		UrgentRetry:    250 * time.Millisecond,
 		BatchRetry:     time.Second,
--- a/core/policysim/policies.go
+++ b/core/policysim/policies.go
@@ -295,7 +295,8 @@
 	worst := 0.0
 	for _, s := range m.lagging {
 		if s.run.priority == record.PriorityService {
-			worst = max(worst, model.Effect(s.run.class.name, batch.class.name))
+			slowdown, confidence := model.Effect(s.run.class.name, batch.class.name)
+			worst = max(worst, confidence*slowdown+(1-confidence)*0.3)
 		}
 	}
 	return worst
