--- a/cmd/waxwingslip/cli_test.go
+++ b/cmd/waxwingslip/cli_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/record"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
 )
@@ -129,13 +130,34 @@
 	return api.Tasks{Zone: d.zone, Tasks: []api.Task{{Zone: d.zone, Job: "b"}}}, nil
 }
 
+func (d *fakeDaemon) Workers(_ context.Context, q api.WorkersQuery) (api.Workers, error) {
+	if q.Zone != d.zone {
+		return api.Workers{}, operator.ErrOtherZone
+	}
+	return api.Workers{Zone: d.zone, Workers: []api.Worker{{WorkerInfo: record.WorkerInfo{ID: "w7"}}}}, nil
+}
+
+func (d *fakeDaemon) Jobs(_ context.Context, q api.JobsQuery) (api.Jobs, error) {
+	if q.After != "" {
+		return api.Jobs{Jobs: []api.JobSummary{{ID: "b", Running: 1}}}, nil
+	}
+	return api.Jobs{Jobs: []api.JobSummary{{ID: "a", Tasks: 9, Running: 2, Succeeded: 4}}, Next: "a"}, nil
+}
+
+func (d *fakeDaemon) Job(_ context.Context, id string) (api.Job, error) {
+	if id != "a" {
+		return api.Job{}, operator.ErrNotFound
+	}
+	return api.Job{JobSummary: api.JobSummary{ID: "a", Running: 2, Succeeded: 4}}, nil
+}
+
 func (d *fakeDaemon) Status(context.Context) (api.Status, error) {
 	return api.Status{Daemon: "entry-" + d.zone, Zone: d.zone,
 		Alarms: []api.Alarm{{Name: "log-unreachable", SinceSecs: 12, Detail: "10.0.0.5:7000"}}}, nil
 }
 
 func (d *fakeDaemon) Explain(_ context.Context, q api.ExplainQuery) (api.Explanation, error) {
-	return api.Explanation{Subject: "service " + q.Service, State: "slow",
+	return api.Explanation{Subject: "service " + q.Service, State: "slow in " + d.zone,
 		Verdict: &api.Verdict{Cause: "neighbours", Requests: 500}}, nil
 }
 
@@ -209,6 +231,7 @@
 	c.expect(exitOK, "in force in 1 of 2 zones, waiting for cusco-a (version 0)", "config", "publish", "-base", "0", trial)
 	is.Equal(len(d.docs), 1)
 	c.expect(exitConflict, "nothing was changed", "config", "publish", "-base", "0", trial)
+	c.expect(exitConflict, "version 1 by rosa is current", "config", "publish", "-base", "0", "-dry-run", trial)
 	c.expect(exitUsage, "-base", "config", "publish", trial)
 	d.lag = 1 << 30
 	c.expect(exitTimeout, "waiting for cusco-a", "config", "publish", "-base", "current", "-timeout", "30ms", trial)
@@ -218,7 +241,10 @@
 	c.expect(exitOK, "cusco-a", "config", "show", "-in-force")
 	c.expect(exitOK, "no changes", "config", "diff", trial)
 	c.expect(exitOK, "environment: name trial -> production", "config", "diff", trial, sacudidores+"production.yaml")
-	c.expect(exitRejected, `environment: is "production"`, "config", "publish", "-dry-run", "-base", "3", sacudidores+"production.yaml")
+	for _, dry := range []string{"-dry-run=true", "-dry-run=false"} {
+		c.expect(exitRejected, `environment: is "production"`, "config", "publish", dry, "-base", "3", sacudidores+"production.yaml")
+	}
+	is.Equal(len(d.docs), 3)
 }
 
 // Guards against a lost answer that is reported as failure, and a repeat with another id.
@@ -275,10 +301,30 @@
 	c.expect(exitOK, "replicas in zone lima-a 20 -> 19", "config", "promote", "-from", other.serve(t))
 }
 
+// Guards against a wait that trusts another zone's old summary although a daemon of the zone itself answers.
+func TestMergedZones(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		heard       bool
+		age         int64
+		oldHeard    bool
+		oldAge      int64
+		preferNewer bool
+	}{
+		{true, 0, true, 2000, true}, {true, 2000, true, 0, false}, {true, 9000, false, -1, true},
+		{false, -1, true, 9000, false}, {false, -1, false, 5, false}, {false, 5, false, -1, true},
+	} {
+		is.Equal(better(c.heard, c.age, c.oldHeard, c.oldAge), c.preferNewer)
+	}
+	stale, current := &fakeDaemon{docs: []string{"x"}, lag: 1 << 30}, &fakeDaemon{docs: []string{"x", "y"}}
+	c := newCLI(t, stale.serve(t), "http://127.0.0.1:1", current.serve(t))
+	c.expect(exitOK, "newest version 2", "config", "show", "-in-force")
+}
+
 // Guards against job and worker commands that send something else than what was asked for.
 func TestJobsAndWorkers(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDaemon{docs: []string{example(t, sacudidores+"production.yaml")}}
+	d := &fakeDaemon{zone: "lima-a", docs: []string{example(t, sacudidores+"production.yaml")}}
 	c := newCLI(t, d.serve(t))
 	file := sacudidores + "statement.job.yaml"
 	c.expect(exitOK, "valid under version 1", "job", "submit", "-dry-run", file)
@@ -288,7 +334,9 @@
 	c.expect(exitRejected, `statement.job.yaml: given id: is "No"`, "job", "submit", "-id", "No", file)
 	c.expect(exitRejected, "no job x", "job", "cancel", "x")
 	c.expect(exitUsage, "-vm-is-gone", "worker", "lost", "lima-a", "w7")
+	c.expect(exitNotFound, `no worker "w8"`, "worker", "lost", "-vm-is-gone", "lima-a", "w8")
 	is.Equal(d.lastLost.Worker, "")
+	c.expect(exitOK, "is not checked", "worker", "lost", "-vm-is-gone", "lima-b", "w8")
 	c.expect(exitOK, "attested", "worker", "lost", "-vm-is-gone", "lima-a", "w7")
 	is.Equal(d.lastLost.Worker, "w7")
 	is.Equal(d.lastLost.Author, "inti")
@@ -304,9 +352,19 @@
 	is.Equal(tasks, []api.Task{{Zone: "lima-a", Job: "a"}, {Zone: "lima-a", Job: "b"}, {Zone: "cusco-a", Job: "a"}, {Zone: "cusco-a", Job: "b"}})
 	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "task", "list", "-zone", "cusco-a")), &tasks))
 	is.Equal(len(tasks), 2)
+	var jobs api.Jobs
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "job", "status")), &jobs))
+	is.Equal(jobs.Jobs, []api.JobSummary{{ID: "a", Tasks: 9, Running: 4, Succeeded: 4}, {ID: "b", Running: 2}})
+	var job api.Job
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "job", "status", "a")), &job))
+	is.Equal(job.Running, 4)
+	c.expect(exitNotFound, "not found", "job", "status", "x")
 	c.expect(exitNotFound, `serves zone "x"`, "task", "list", "-zone", "x")
 	c.expect(exitOK, "alarm log-unreachable at entry-cusco-a for 12 s", "status")
-	c.expect(exitOK, "neighbours, from 500 requests", "explain", "service", "bookings")
+	var told []explanation
+	is.NoErr(json.Unmarshal([]byte(c.expect(exitOK, "", "-o", "json", "explain", "service", "bookings")), &told))
+	is.Equal(len(told), 2)
+	c.expect(exitOK, "neighbours, from 500 requests", "explain", "worker", "w1")
 	c.expect(exitUsage, "explain needs", "explain", "zone", "x")
 	c.expect(exitUsage, "allowed are table and json", "-o", "xml", "status")
 	c.expect(exitUsage, "wrong number of arguments", "zone", "out")
