--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -118,7 +118,8 @@
 func (f *Follower) Ready() bool { return f.Next() > 0 }
 
 // CurrentAsOf returns the latest monotonic time at which the state is known to have held every entry of the
-// stream, zero if never.
+// stream, zero if never. A decision that needs a fresh state must read it before View and compute its age after:
+// in the other order, the process may pause in between and take a new time for an old view.
 func (f *Follower) CurrentAsOf() time.Time {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
