Log why a stream cannot be loaded

The first failure and each change of its sort are now logged. A test lets two operators publish at the same time while the log is healthy, slow or loses answers.

Checked with: go test -race ./node/stream

--- a/node/stream/follow_test.go
+++ b/node/stream/follow_test.go
@@ -113,6 +113,7 @@
 				fresh := start(t, store)
 				time.Sleep(5 * time.Second)
 				is.Equal(fresh.f.Ready(), row.ok)
+				is.Equal(fresh.f.failure == "", row.ok)
 				if row.ok {
 					is.Equal(fresh.jobs(), old.jobs())
 					is.Equal(fresh.f.Next(), old.f.Next())
--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -71,6 +71,8 @@
 	first, end int64
 	asOf       time.Time
 	reachable  bool
+	// failure is what readFailed logged last, empty while reads succeed.
+	failure string
 	// covered is the offset that the newest complete snapshot covers, coveredAt when it was seen.
 	covered   int64
 	coveredAt time.Time
@@ -223,14 +225,19 @@
 	return page, nil
 }
 
+// readFailed counts a failure and logs it if the one before was of another sort.
 func (f *Follower) readFailed(err error) {
 	f.opts.ReadErrors.Add(1)
+	sort := "log unreachable"
+	if errors.Is(err, ErrNoSnapshot) {
+		sort = "stream cannot be loaded"
+	}
 	f.mu.Lock()
-	was := f.reachable
-	f.reachable = false
+	was := f.failure
+	f.reachable, f.failure = false, sort
 	f.mu.Unlock()
-	if was {
-		f.opts.Log.Warn().Err(err).Str("step", "read").Str("stream", f.opts.Stream).Msg("log unreachable")
+	if was != sort {
+		f.opts.Log.Warn().Err(err).Str("step", "read").Str("stream", f.opts.Stream).Msg(sort)
 	}
 }
 
@@ -255,7 +262,7 @@
 	if !f.reachable {
 		f.opts.Log.Info().Str("step", "read").Str("stream", f.opts.Stream).Int64("offset", f.next).Msg("log reachable")
 	}
-	f.reachable = true
+	f.reachable, f.failure = true, ""
 	f.wake()
 }
 
--- /dev/null
+++ b/node/stream/race_test.go
@@ -0,0 +1,87 @@
+package stream_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/node/replica"
+	"waxwingslip.example/node/stream"
+	"waxwingslip.example/platform/fault"
+	"waxwingslip.example/platform/logstore/fake"
+)
+
+// parseName accepts any text and takes it as the document's name.
+func parseName(b []byte) (*environment.Document, error) {
+	if len(b) == 0 {
+		return nil, errors.New("empty document")
+	}
+	return &environment.Document{Environment: "trial"}, nil
+}
+
+// Guards against two operators who both believe that their document is in force, whatever happens to the answers
+// of the log, and against daemons that disagree about it.
+func TestOperatorsRace(t *testing.T) {
+	faults := map[string]fault.Setting{
+		"healthy":      {},
+		"answers lost": {LoseAnswers: 2, Operations: []string{fake.OpAppend}},
+		"slow":         {DelayMs: 700, AnswerDelayMs: 700},
+	}
+	for name, set := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := fake.New(nil)
+				var wg sync.WaitGroup
+				ctx, cancel := context.WithCancel(t.Context())
+				var daemons []*replica.Control
+				for range 2 {
+					c := replica.NewControl(store, parseName, stream.FollowerOptions{Stream: "trial.control"}, stream.AppenderOptions{})
+					wg.Go(func() { _ = c.Follower.Run(ctx) })
+					wg.Go(func() { _ = c.Appender.Run(ctx) })
+					daemons = append(daemons, c)
+				}
+				time.Sleep(time.Second)
+				store.Faults.Set(set)
+				results := make([]stream.Result, 2)
+				var commands sync.WaitGroup
+				for i, c := range daemons {
+					commands.Go(func() {
+						limit, stop := context.WithTimeout(ctx, 20*time.Second)
+						defer stop()
+						r, err := c.Submit(limit, &record.Configure{Document: []byte{byte('a' + i)}})
+						if err != nil {
+							t.Error(err)
+						}
+						results[i] = r
+					})
+				}
+				commands.Wait()
+				time.Sleep(10 * time.Second)
+				cancel()
+				wg.Wait()
+				winner := 0
+				if results[1].Accepted {
+					winner = 1
+				}
+				is.True(results[winner].Accepted && !results[1-winner].Accepted)
+				is.True(strings.Contains(results[1-winner].Reason, "conflict"))
+				for _, c := range daemons {
+					c.View(func(s *control.State) {
+						is.Equal(s.Version(), results[winner].Offset)
+						is.Equal(string(s.Raw()), string(rune('a'+winner)))
+					})
+				}
+			})
+		})
+	}
+}
