Learn interference, guard services and serve metrics in the daemon

Cause: reports and requests were not used for decisions, and counters were one global map. Change: node/contention feeds the learned model, verdicts, guards and quarantine; telemetry registry and tracing per daemon; throttle commands; trace context between daemons; dev knows its peers. Conclusion: explain can name network, neighbours or own load.

--- a/cmd/internal/dev/dev.go
+++ b/cmd/internal/dev/dev.go
@@ -116,7 +116,8 @@
 		"name: " + name, "environment: dev", "region: " + region, "zone: " + zone,
 		"listen: {callers: '" + anyPort + "', operators: '" + anyPort + "', health: '" + anyPort + "', peers: '" + anyPort + "'}",
 		"platform: {logURL: '" + t.PlatformURL + "', directoryURL: '" + t.PlatformURL + "'}",
-		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA + "'}",
+		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
+			"', seeds: [" + strings.Join(t.seeds(), ", ") + "]}",
 		"operators: {tokenFile: '" + t.TokenFile + "'}",
 	}, "\n")
 	set, err := settings.Parse(name, []byte(text))
@@ -132,6 +133,14 @@
 	return nil
 }
 
+// seeds returns the peer addresses of the daemons started so far.
+func (t *Trial) seeds() (out []string) {
+	for _, d := range t.Daemons {
+		out = append(out, "'"+d.Addresses.Peers+"'")
+	}
+	return out
+}
+
 // publish publishes the document through the first daemon.
 func (t *Trial) publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
--- /dev/null
+++ b/node/contention/observe.go
@@ -0,0 +1,258 @@
+package contention
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/interference"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/resource"
+	"waxwingslip.example/core/verdict"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/stream"
+	"waxwingslip.example/platform/worker"
+)
+
+// Usual times of a request that does not wait, used until a daemon has measured its own.
+const (
+	usualWait    = 2 * time.Millisecond
+	usualNetwork = 5 * time.Millisecond
+	// windowLength is the time that one verdict covers.
+	windowLength = time.Minute
+)
+
+// serviceWindows holds the requests of a service in the current and the last window.
+type serviceWindows struct {
+	target        time.Duration
+	current, last *verdict.Window
+	started       time.Time
+}
+
+func newServiceWindows(target time.Duration, now time.Time) *serviceWindows {
+	return &serviceWindows{target: target, current: verdict.NewWindow(target, verdict.DefaultLimits()), started: now}
+}
+
+func (s *serviceWindows) rotate(now time.Time) {
+	if now.Sub(s.started) >= windowLength {
+		s.last, s.current, s.started = s.current, verdict.NewWindow(s.target, verdict.DefaultLimits()), now
+	}
+}
+
+// verdict judges the current window, or the last one while the current one has too few requests.
+func (s *serviceWindows) verdict() verdict.Verdict {
+	v := s.current.Verdict()
+	if s.last != nil && v.Evidence.Requests < verdict.DefaultLimits().MinRequests {
+		return s.last.Verdict()
+	}
+	return v
+}
+
+// Observe implements gateway.Observer.
+func (m *Manager) Observe(o gateway.Observation) {
+	if o.Endpoint.Run == "" || o.Outcome != gateway.OutcomeAnswered {
+		return
+	}
+	doc := m.cfg.Document()
+	svc, ok := findService(doc, o.Service)
+	if !ok {
+		return
+	}
+	key, ok := parseRun(o.Endpoint.Run)
+	if !ok {
+		return
+	}
+	now := m.cfg.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.endpoints[key]
+	if e == nil {
+		e = newLatencies(m.expect(svc, key, o.Endpoint.Worker, now))
+		m.endpoints[key] = e
+	}
+	e.add(o.Split.Endpoint)
+	w := m.services[o.Service]
+	target := time.Duration(svc.LatencyTargetMs) * time.Millisecond
+	if w == nil || w.target != target {
+		w = newServiceWindows(target, now)
+		m.services[o.Service] = w
+	}
+	w.current.Add(verdict.Timing{Wait: o.Split.Wait, Network: o.Split.Network, Endpoint: o.Split.Endpoint}, e.expected)
+}
+
+func findService(doc *environment.Document, name string) (environment.Service, bool) {
+	if doc == nil {
+		return environment.Service{}, false
+	}
+	for _, s := range doc.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return environment.Service{}, false
+}
+
+// parseRun reads a run name of the endpoint table: job, index and epoch.
+func parseRun(name string) (worker.RunKey, bool) {
+	rest, epochText, ok := cutLast(name)
+	if !ok {
+		return worker.RunKey{}, false
+	}
+	job, indexText, ok := cutLast(rest)
+	epoch, errEpoch := strconv.ParseInt(epochText, 10, 64)
+	index, errIndex := strconv.Atoi(indexText)
+	return worker.RunKey{Job: job, Index: index, Epoch: epoch}, ok && errEpoch == nil && errIndex == nil
+}
+
+func cutLast(s string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
+// expect says what is usual for requests to an endpoint in this interval. It must be called with mu held.
+func (m *Manager) expect(svc environment.Service, key worker.RunKey, workerID string, now time.Time) verdict.Expectation {
+	load := m.rates[key]
+	alone, samples := m.model.Baseline(svc.Class, load)
+	e := verdict.Expectation{
+		Wait: usualWait, Network: usualNetwork, UsualLoad: millis(alone), AtLoad: millis(alone), Samples: samples,
+	}
+	h, ok := m.reports[workerID]
+	if !ok {
+		return e
+	}
+	e.ReportAge = now.Sub(h.at)
+	for _, rs := range h.report.Runs {
+		if rs.RunKey == key {
+			e.StallPermille = rs.StallPermille
+		}
+	}
+	for _, n := range h.neighbours(key) {
+		slowdown, confidence := m.model.Effect(svc.Class, n.Class)
+		e.Neighbours = append(e.Neighbours, verdict.Neighbour{
+			Class: n.Class, Load: n.Load, Slowdown: slowdown * n.Load, Confidence: confidence,
+		})
+	}
+	return e
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// neighbours returns the other running tasks on a worker by class.
+func (h heard) neighbours(victim worker.RunKey) []interference.Neighbour {
+	loads := map[string]float64{}
+	for _, rs := range h.report.Runs {
+		if rs.RunKey != victim && rs.State == worker.RunRunning {
+			loads[h.classes[rs.RunKey].class] += loadOf(rs, h.report.Capacity)
+		}
+	}
+	out := make([]interference.Neighbour, 0, len(loads))
+	for class, load := range loads {
+		out = append(out, interference.Neighbour{Class: class, Load: load})
+	}
+	return out
+}
+
+// taskInfo is what the zone state says about a run.
+type taskInfo struct {
+	team, class string
+	service     string
+}
+
+// classesOf looks up the runs of a report in the zone state.
+func (m *Manager) classesOf(r worker.Report) map[worker.RunKey]taskInfo {
+	out := make(map[worker.RunKey]taskInfo, len(r.Runs))
+	m.cfg.Zone.View(func(s *zone.State) {
+		for _, rs := range r.Runs {
+			if j := s.Jobs[rs.Job]; j != nil {
+				out[rs.RunKey] = taskInfo{team: j.Spec.Team, class: j.Spec.Class, service: j.Spec.Service}
+			}
+		}
+	})
+	return out
+}
+
+// loadOf returns the processor use of a run as a share of the worker.
+func loadOf(rs worker.RunStatus, capacity resource.Vector) float64 {
+	if capacity.MilliCPU <= 0 {
+		return 0
+	}
+	return float64(rs.Usage.MilliCPU) / float64(capacity.MilliCPU)
+}
+
+// Report learns from the report of an owned worker.
+func (m *Manager) Report(r worker.Report) {
+	classes := m.classesOf(r)
+	now := m.cfg.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, known := m.reports[r.Worker]
+	m.reports[r.Worker] = heard{report: r, classes: classes, at: now, settled: known && sameRuns(before.report, r)}
+	for _, rs := range r.Runs {
+		info, ok := classes[rs.RunKey]
+		if !ok {
+			continue
+		}
+		key := interference.Key{Team: info.team, Class: info.class}
+		switch {
+		case rs.State == worker.RunRunning && !rs.Usage.IsZero():
+			m.model.ObserveUse(key, rs.Usage, now)
+		case rs.State == worker.RunEnded && rs.Outcome == record.OutcomeSucceeded:
+			if _, seen := m.ended[rs.RunKey]; !seen {
+				m.ended[rs.RunKey] = now
+				m.model.ObserveRun(key, time.Duration(rs.RunMs)*time.Millisecond, now)
+			}
+		}
+	}
+}
+
+func sameRuns(a, b worker.Report) bool {
+	if len(a.Runs) != len(b.Runs) {
+		return false
+	}
+	before := make(map[worker.RunKey]worker.RunState, len(a.Runs))
+	for _, rs := range a.Runs {
+		before[rs.RunKey] = rs.State
+	}
+	for _, rs := range b.Runs {
+		if before[rs.RunKey] != rs.State {
+			return false
+		}
+	}
+	return true
+}
+
+// ApplyZone counts failures and successes of runs on workers that this daemon owned. It is a subscriber of the
+// zone's follower.
+func (m *Manager) ApplyZone(b stream.Batch) {
+	self := m.cfg.Member()
+	for _, a := range b.Applied {
+		end, ok := a.Record.Body.(*record.End)
+		if !ok || !a.Verdict.Accepted || end.Owner.Member != self {
+			continue
+		}
+		m.countEnd(end)
+	}
+}
+
+func (m *Manager) countEnd(end *record.End) {
+	id := end.Run.Worker
+	m.mu.Lock()
+	if end.Outcome != record.OutcomeFailed {
+		m.quarantine.Succeeded(id)
+		m.mu.Unlock()
+		return
+	}
+	effect := m.quarantine.Failed(id, end.Run.Task.Job, end.Reason, m.cfg.Now())
+	m.mu.Unlock()
+	if effect.QuarantineWorker != "" {
+		m.cfg.Metrics.Count("guard_quarantines")
+		m.setWorker(id, record.WorkerQuarantined, effect.QuarantineWorker)
+		m.cfg.Log.Warn().Str("step", "quarantine").Str("worker", id).Str("reason", effect.QuarantineWorker).
+			Msg("worker quarantined")
+	}
+}
--- a/node/daemon/adapters.go
+++ b/node/daemon/adapters.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"expvar"
 	"sync"
 	"time"
 
 	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/environment"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/platform/directory"
@@ -163,10 +163,8 @@
 	return rate
 }
 
-var counters = expvar.NewMap("waxwingslip")
-
-// metrics counts in expvar.
-type metrics struct{}
-
-// Count adds one to a counter.
-func (metrics) Count(name string) { counters.Add(name, 1) }
+// document returns the configuration in force, or nil. Documents are never changed once they are in force.
+func (d *Daemon) document() (doc *environment.Document) {
+	d.control.View(func(s *control.State) { doc = s.Document() })
+	return doc
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/endpoints"
 	"waxwingslip.example/node/executor"
 	"waxwingslip.example/node/gateway"
@@ -23,7 +24,7 @@
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/scheduler"
 	"waxwingslip.example/node/settings"
-	"waxwingslip.example/node/stream"
+	"waxwingslip.example/node/telemetry"
 	"waxwingslip.example/platform/directory"
 	"waxwingslip.example/platform/logstore"
 	"waxwingslip.example/platform/worker"
@@ -59,6 +60,9 @@
 	operator  *operator.Server
 	health    *http.Server
 	reports   *reports
+	registry  *telemetry.Registry
+	tracing   *telemetry.Tracing
+	guards    *contention.Manager
 
 	peerServer *peer.Server
 	transport  *peer.Transport
@@ -78,16 +82,21 @@
 // New builds a daemon and binds its listeners, so that its addresses are known. Run starts it.
 func New(set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	log = log.With().Str("daemon", set.Name).Str("zone", set.Zone).Logger()
-	d := &Daemon{set: set, log: log, started: time.Now(), reports: newReports()}
-	if err := d.listen(); err != nil {
+	d := &Daemon{set: set, log: log, started: time.Now(), reports: newReports(),
+		registry: telemetry.New(time.Now)}
+	var err error
+	if d.tracing, err = d.openTracing(); err != nil {
+		return nil, err
+	}
+	if err = d.listen(); err != nil {
 		return nil, err
 	}
 	d.openStreams()
-	if err := d.openPeers(); err != nil {
+	if err = d.openPeers(); err != nil {
 		d.closeListeners()
 		return nil, err
 	}
-	if err := d.buildParts(); err != nil {
+	if err = d.buildParts(); err != nil {
 		d.peerServer.Close()
 		d.transport.Close()
 		d.closeListeners()
@@ -133,11 +142,9 @@
 func (d *Daemon) openStreams() {
 	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
 	d.control = replica.NewControl(store, environment.Parse,
-		stream.FollowerOptions{Stream: replica.ControlStream(d.set.Environment), TailBytes: relayTailBytes, Log: d.log},
-		stream.AppenderOptions{Log: d.log})
+		d.followerOptions(replica.ControlStream(d.set.Environment), relayTailBytes), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
-		stream.FollowerOptions{Stream: replica.ZoneStream(d.set.Environment, d.set.Zone), Log: d.log},
-		stream.AppenderOptions{Log: d.log})
+		d.followerOptions(replica.ZoneStream(d.set.Environment, d.set.Zone), 0), d.appenderOptions())
 	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
 }
 
@@ -148,12 +155,16 @@
 	d.table = endpoints.New(d.zone)
 	d.listing = newListing(directory.NewHTTPClient(d.set.Platform.DirectoryURL), d.set.Zone, d.onListing)
 	d.pool = executor.NewPool(executor.Config{
-		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: metrics{},
+		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
 		Log: d.log, Now: d.now, OnReport: d.onReport,
 	})
+	d.guards = contention.New(contention.Config{
+		Zone: d.zone, Document: d.document, Throttler: d.pool, Member: d.authority.Member, Metrics: d.registry,
+		Log: d.log, Now: time.Now,
+	})
 	d.sched = scheduler.New(scheduler.Config{
 		Zone: d.set.Zone, State: d.zone, Control: d.control, Member: d.authority.Member, Loads: d.peers,
-		Metrics: metrics{}, Log: d.log, Now: d.now,
+		Estimator: d.guards, Probing: d.guards.Probing, Metrics: d.registry, Log: d.log, Now: d.now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.owner = ownership.NewRunner(ownership.RunnerConfig{
@@ -161,10 +172,14 @@
 		SetMember: d.authority.setMember, Confirm: d.authority.confirm, Log: d.log,
 	})
 	var err error
-	d.gateway, err = gateway.New(gateway.Options{Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}})
+	d.gateway, err = gateway.New(gateway.Options{
+		Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}, Observer: observer{d.registry, d.guards},
+		Tracer: d.tracing.Provider.Tracer("gateway"), QueueLimit: d.set.Limits.QueuePerService, Seed: rand.Uint64(),
+	})
 	if err != nil {
 		return err
 	}
+	d.publishMetrics()
 	return d.buildOperator()
 }
 
--- a/node/daemon/explain.go
+++ b/node/daemon/explain.go
@@ -6,6 +6,7 @@
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/verdict"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
@@ -51,9 +52,40 @@
 		}
 		out = q.explainTasks(s, "service "+name, j)
 	})
+	if v, ok := q.d.guards.Verdict(name); ok && err == nil {
+		out.Verdict = verdictOf(v)
+	}
 	return out, err
 }
 
+// verdictOf translates a verdict with the evidence that an operator can check.
+func verdictOf(v verdict.Verdict) *api.Verdict {
+	out := &api.Verdict{Cause: v.Cause.String(), Requests: int64(v.Evidence.Requests), Evidence: []api.Evidence{}}
+	add := func(name, unit, detail string, observed, expected float64) {
+		out.Evidence = append(out.Evidence, api.Evidence{
+			Name: name, Observed: observed, Expected: expected, Unit: unit, Detail: detail,
+		})
+	}
+	add("slow requests", "requests", "requests above the latency target", float64(v.Evidence.Slow), 0)
+	for _, part := range []struct {
+		name string
+		q    *verdict.Quantiles
+	}{{"wait p99", v.Evidence.Wait}, {"network p99", v.Evidence.Network}, {"endpoint p99", v.Evidence.Endpoint}} {
+		if part.q != nil {
+			add(part.name, "ms", fmt.Sprintf("median %.2f ms", part.q.P50), part.q.P99, 0)
+		}
+	}
+	add("endpoint without neighbours", "ms", fmt.Sprintf("from %.0f samples", v.Evidence.BaselineSamples),
+		v.Evidence.AloneMs, v.Evidence.AloneMs)
+	for _, n := range v.Evidence.Neighbours {
+		add("neighbour "+n.Class, "share of the VM", fmt.Sprintf("slowdown %.0f%%, confidence %.2f", n.Slowdown*100, n.Confidence), n.Load, 0)
+	}
+	if v.Evidence.Missing != "" {
+		add("missing", "", v.Evidence.Missing, 0, 0)
+	}
+	return out
+}
+
 func (q queries) explainJob(id string, index int) (out api.Explanation, err error) {
 	waiting := ""
 	q.d.control.View(func(s *control.State) {
--- a/node/daemon/health.go
+++ b/node/daemon/health.go
@@ -1,27 +1,28 @@
 package daemon
 
 import (
-	"expvar"
 	"net/http"
 
-	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/node/telemetry"
 )
 
-// healthHandler serves the balancer's checks and the metrics.
+// healthHandler serves the balancer's checks and the metrics. Being cut off from the log does not make a daemon
+// unready, since requests are served without it.
 func (d *Daemon) healthHandler() http.Handler {
-	r := mux.NewRouter()
-	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return r
+	return telemetry.Handler(d.registry,
+		check("draining", "daemon drains", d.gateway.Ready),
+		check("configuration", "no configuration is known yet", func() bool { return commands{d}.version() > 0 }),
+		check("zone", "the zone state is not read yet", d.zone.Follower.Ready),
+	)
 }
 
-// ready reports whether callers may be sent here: the configuration is known and the daemon does not drain.
-// Being cut off from the log does not matter, since requests are served without it.
-func (d *Daemon) ready() bool {
-	return d.gateway.Ready() && commands{d}.version() > 0 && d.zone.Follower.Ready()
+func check(name, problem string, holds func() bool) telemetry.Check {
+	return telemetry.Check{Name: name, Err: func() error {
+		if holds() {
+			return nil
+		}
+		return errors.New(problem)
+	}}
 }
--- /dev/null
+++ b/node/daemon/observability.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"os"
+	"time"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/node/contention"
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/peer"
+	"waxwingslip.example/node/stream"
+	"waxwingslip.example/node/telemetry"
+)
+
+// gaugeInterval is the time between readings of the state for gauges.
+const gaugeInterval = 2 * time.Second
+
+func (d *Daemon) openTracing() (*telemetry.Tracing, error) {
+	return telemetry.NewTracing(context.Background(), telemetry.TraceConfig{
+		Exporter: d.set.Trace.Exporter, EndpointURL: d.set.Trace.EndpointURL, SamplePermille: d.set.Trace.SamplePermille,
+		VM: d.set.Name, Zone: d.set.Zone, Output: os.Stdout, Errors: d.registry.Counter("trace_export_errors"),
+	})
+}
+
+func (d *Daemon) followerOptions(name string, tailBytes int) stream.FollowerOptions {
+	return stream.FollowerOptions{
+		Stream: name, TailBytes: tailBytes, Log: d.log,
+		Records: d.registry.Counter("log_records_applied"), Undecodable: d.registry.Counter("log_records_undecodable"),
+		ReadErrors: d.registry.Counter("log_read_errors"), Restores: d.registry.Counter("log_restores"),
+	}
+}
+
+func (d *Daemon) appenderOptions() stream.AppenderOptions {
+	return stream.AppenderOptions{
+		Log: d.log, Appends: d.registry.Counter("log_appends"), Ambiguous: d.registry.Counter("log_appends_ambiguous"),
+		Repeats: d.registry.Counter("log_records_repeated"), Dropped: d.registry.Counter("log_posts_dropped"),
+	}
+}
+
+// publishMetrics adds the counters that other parts keep.
+func (d *Daemon) publishMetrics() {
+	d.registry.Publish("gateway", d.gateway.Metrics())
+	d.registry.Publish("peer_calls", counterMap(&d.transport.Counters))
+	d.registry.Publish("peer_server", counterMap(&d.peerServer.Counters))
+}
+
+func counterMap(c *peer.Counters) *expvar.Map {
+	m := new(expvar.Map).Init()
+	c.Each(func(name string, v *expvar.Int) { m.Set(name, v) })
+	return m
+}
+
+// watch keeps the gauges up to date until ctx ends.
+func (d *Daemon) watch(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		d.readGauges()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) readGauges() {
+	set := func(name string, v int64) { d.registry.Gauge(name).Set(v) }
+	set("control_age", ageMs(d.control.Follower.CurrentAsOf()))
+	set("zone_age", ageMs(d.zone.Follower.CurrentAsOf()))
+	d.control.View(func(s *control.State) { set("control_version", s.Version()) })
+	self := d.authority.Member()
+	d.zone.View(func(s *zone.State) {
+		load := loadOf(s)
+		owned := 0
+		for _, o := range s.Shard {
+			if self != "" && o.Owner == self {
+				owned++
+			}
+		}
+		set("zone_tasks_running", int64(load.ServiceTasks+load.BatchTasks))
+		set("zone_tasks_pending", int64(load.PendingTasks))
+		set("zone_members", int64(load.Members))
+		set("zone_shards_owned", int64(owned))
+	})
+}
+
+// observer passes finished requests to the metrics and to the guards.
+type observer struct {
+	registry *telemetry.Registry
+	guards   *contention.Manager
+}
+
+// Observe implements gateway.Observer.
+func (o observer) Observe(obs gateway.Observation) {
+	s := obs.Split
+	o.registry.Histogram("requests_total_time").Record(s.Wait + s.Network + s.Endpoint)
+	o.registry.Histogram("requests_wait_time").Record(s.Wait)
+	o.registry.Histogram("requests_network_time").Record(s.Network)
+	o.registry.Histogram("requests_endpoint_time").Record(s.Endpoint)
+	o.guards.Observe(obs)
+}
--- a/node/daemon/peering.go
+++ b/node/daemon/peering.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/propagation"
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
@@ -15,7 +16,11 @@
 
 // pressureEvery is the number of hellos of which one carries the pressure of workers. Two hellos and two answers
 // a second with 52 workers each would cost about 4 KB/s; being odd, it reaches every peer in turn.
-const pressureEvery = 11
+// learnedEvery is the same for what was learned about interference, which changes slowly.
+const (
+	pressureEvery = 11
+	learnedEvery  = 67
+)
 
 // openPeers binds the peer listener and builds the parts that talk to other daemons.
 func (d *Daemon) openPeers() error {
@@ -25,11 +30,11 @@
 	if err != nil {
 		return errors.Wrap(err, "load peer credentials")
 	}
-	d.peerServer, err = peer.NewServer(peer.ServerOptions{Address: d.set.Listen.Peers, Credentials: creds})
+	d.peerServer, err = peer.NewServer(peer.ServerOptions{Address: d.set.Listen.Peers, Credentials: creds, Propagator: propagation.TraceContext{}})
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	d.transport, err = peer.NewTransport(peer.Options{Credentials: creds})
+	d.transport, err = peer.NewTransport(peer.Options{Credentials: creds, Propagator: propagation.TraceContext{}})
 	if err != nil {
 		d.peerServer.Close()
 		return errors.Wrap(err, "open peer transport")
@@ -59,9 +64,14 @@
 	h := peers.Hello{Daemon: d.set.Name, Draining: !d.gateway.Ready()}
 	d.control.View(func(s *control.State) { h.ConfigVersion = s.Version() })
 	d.zone.View(func(s *zone.State) { h.Load = loadOf(s) })
-	if d.hellos.Add(1)%pressureEvery == 0 {
+	h.Member = d.authority.Member()
+	n := d.hellos.Add(1)
+	if n%pressureEvery == 0 {
 		h.Pressure = d.reports.pressure()
 	}
+	if n%learnedEvery == 0 {
+		h.Learned = d.guards.Digest()
+	}
 	return h
 }
 
@@ -91,9 +101,15 @@
 
 // onHello uses what a peer of the same zone knows about workers that it owns.
 func (d *Daemon) onHello(h peers.Hello) {
-	if h.Contact.Zone == d.set.Zone && len(h.Pressure) > 0 {
+	if h.Contact.Zone != d.set.Zone {
+		return
+	}
+	if len(h.Pressure) > 0 {
 		d.sched.Pressure(h.Pressure)
 	}
+	if len(h.Learned) > 0 && h.Member != "" {
+		d.guards.Absorb(h.Member, h.Learned)
+	}
 }
 
 // knowPeers takes entry VMs from the VM list.
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -70,6 +70,8 @@
 		d.peers.Run,
 		d.owner.Run,
 		d.sched.Run,
+		d.guards.Run,
+		d.watch,
 	} {
 		d.workers.Go(func() { loop(ctx) })
 	}
@@ -100,6 +102,7 @@
 	d.shutdownPeers(drain)
 	_ = d.operator.Shutdown(drain)
 	_ = d.health.Shutdown(drain)
+	_ = d.tracing.Shutdown(drain)
 	return err
 }
 
@@ -109,6 +112,7 @@
 		d.zone.View(d.authority.observe)
 		d.table.Apply(b)
 		d.wakeWorkers(ctx, b)
+		d.guards.ApplyZone(b)
 		d.sched.ApplyZone(b)
 	})
 	d.control.Follower.Subscribe(func(b stream.Batch) {
@@ -167,6 +171,7 @@
 
 func (d *Daemon) onReport(r worker.Report) {
 	d.reports.add(r, d.now())
+	d.guards.Report(r)
 	d.sched.Pressure(map[string]int64{r.Worker: stallOf(r)})
 }
 
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -36,7 +36,8 @@
 	cancel  context.CancelFunc
 	wakeup  chan struct{}
 
-	attested atomic.Bool
+	throttles chan throttle
+	attested  atomic.Bool
 
 	clock knownWorker
 	// heard is set once the worker accepted a command under this epoch, which fences earlier owners.
@@ -55,11 +56,12 @@
 
 func newAgent(cfg *Config, t target, cancel context.CancelFunc) *agent {
 	a := &agent{
-		cfg:    cfg,
-		target: t,
-		cancel: cancel,
-		wakeup: make(chan struct{}, 1),
-		posted: map[string]time.Duration{},
+		cfg:       cfg,
+		target:    t,
+		cancel:    cancel,
+		wakeup:    make(chan struct{}, 1),
+		throttles: make(chan throttle, maxThrottles),
+		posted:    map[string]time.Duration{},
 	}
 	a.address.Store(&t.address)
 	return a
@@ -111,6 +113,7 @@
 		a.cfg.OnReport(report)
 	}
 	a.register(report)
+	a.applyThrottles(ctx)
 	if a.act(ctx, report) {
 		return followUp
 	}
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -61,6 +61,9 @@
 	// Pressure gives, for workers that the sender owns, the stall share in thousandths. It is sent within a
 	// zone only.
 	Pressure map[string]int64 `cbor:"8,keyasint,omitempty"`
+	// Member is the sender's member id, and Learned a part of what it learned about interference.
+	Member  string `cbor:"9,keyasint,omitempty"`
+	Learned []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // maxKnown limits the contacts in a Hello and maxTailBytes the entries of one relayed tail.
--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -125,7 +125,8 @@
 	s.mu.Unlock()
 	view := placement.Worker{
 		ID: id, Rack: w.Info.Rack, Capacity: w.Info.Capacity, State: w.State, Pressure: pressure,
-		Runs: make([]placement.Run, 0, len(w.Tasks)),
+		Runs:    make([]placement.Run, 0, len(w.Tasks)),
+		Probing: s.cfg.Probing != nil && s.cfg.Probing(id),
 	}
 	for _, t := range w.Tasks {
 		spec := &t.Job.Spec
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	// repairInterval is the time between looks at the whole state, which repair what a lost record or a change
 	// of members left undone.
 	repairInterval = 2 * time.Second
+	// learnInterval is the time between readings of the learned sizes and effects.
+	learnInterval = 10 * time.Second
 	// repostAfter is how long a record's effect is waited for before it is posted again.
 	repostAfter = 2 * time.Second
 )
@@ -60,8 +62,12 @@
 	State   ZoneReplica
 	Control ControlReplica
 	// Member returns the daemon's member id, or "" while it is not a member.
-	Member  func() string
-	Loads   Loads
+	Member func() string
+	Loads  Loads
+	// Estimator gives learned sizes and effects. It may be nil.
+	Estimator placement.Estimator
+	// Probing reports whether a worker was just released from quarantine. It may be nil.
+	Probing func(worker string) bool
 	Metrics Metrics
 	Log     zerolog.Logger
 	// Now reads the monotonic clock of the process.
@@ -86,6 +92,7 @@
 	planner    *placement.Planner
 	since      map[record.TaskID]time.Time
 	lastRepair time.Duration
+	lastLearn  time.Duration
 	drain      pacer
 }
 
@@ -154,6 +161,10 @@
 		s.lastRepair = now
 		s.repair(self)
 	}
+	if s.cfg.Estimator != nil && now-s.lastLearn >= learnInterval {
+		s.lastLearn = now
+		s.planner.Index().SetEstimator(s.cfg.Estimator)
+	}
 	s.plan()
 	s.drainZone(self)
 }
--- /dev/null
+++ b/node/telemetry/publish.go
@@ -0,0 +1,6 @@
+package telemetry
+
+import "expvar"
+
+// Publish adds a variable that another part keeps, for instance the counters of the gateway.
+func (r *Registry) Publish(name string, v expvar.Var) { r.vars.Set(name, v) }
