--- /dev/null
+++ b/cmd/e2e/cluster_test.go
@@ -0,0 +1,328 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"waxwingslip.example/node/daemon"
+	"waxwingslip.example/node/operator/api"
+	"waxwingslip.example/node/peer/devcert"
+	"waxwingslip.example/platform/directory"
+	"waxwingslip.example/platform/worker/fake"
+	"waxwingslip.example/standin/endpointd"
+	"waxwingslip.example/standin/platformd"
+)
+
+const (
+	environmentName   = "e2e"
+	daemonsPerZone    = 2
+	workersPerZone    = 3
+	workerCapacity    = "slots=8,connections=64,milliCPU=8000,memoryMB=16000"
+	readyTimeout      = 40 * time.Second
+	replicasPerZone   = 2
+	commandLineLimit  = 50 * time.Second
+	operatorCallLimit = 5 * time.Second
+)
+
+// regionOf places the zones of all tests.
+var regionOf = map[string]string{"east-a": "east", "east-b": "east", "west-a": "west"}
+
+// cluster is an environment of processes.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	zones     []string
+	token     string
+	tokenFile string
+	platform  string
+	authority *devcert.Authority
+	// workers holds the command address of each worker by id.
+	workers map[string]string
+	daemons []*entry
+}
+
+// entry is a daemon.
+type entry struct {
+	*process
+	zone      string
+	addresses daemon.Addresses
+}
+
+// startCluster starts the stand-ins and the daemons of the zones, publishes the document with the operators' command
+// and waits until every zone serves requests.
+func startCluster(t *testing.T, zones ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), zones: zones, token: uuid.NewString(), workers: map[string]string{}}
+	c.tokenFile = c.write("tokens", c.token+"\n")
+	var err error
+	if c.authority, err = devcert.NewAuthority(); err != nil {
+		t.Fatal(err)
+	}
+	var platform struct{ URL string }
+	startProcess(t, c.dir, "platform", &platform, "waxwingslip", "standin", "platform")
+	c.platform = platform.URL
+	for _, z := range zones {
+		c.startWorkers(z)
+	}
+	for _, z := range zones {
+		for i := range daemonsPerZone {
+			c.startDaemon(fmt.Sprintf("%s-%d", z, i+1), z)
+		}
+	}
+	if code, out := c.command("config", "publish", "-base", "0", "-wait=false", c.write("environment.yaml", c.document(""))); code != 0 {
+		t.Fatalf("publish the first document: exit code %d\n%s", code, out)
+	}
+	for _, d := range c.daemons {
+		c.waitServing(d)
+	}
+	return c
+}
+
+func (c *cluster) startWorkers(zone string) {
+	c.t.Helper()
+	var ids []string
+	for i := range workersPerZone {
+		ids = append(ids, fmt.Sprintf("%s-w%d", zone, i+1))
+	}
+	var out struct{ Workers map[string]string }
+	startProcess(c.t, c.dir, "workers-"+zone, &out, "waxwingslip", "standin", "worker", "-ids", strings.Join(ids, ","),
+		"-zone", zone, "-capacity", workerCapacity, "-platform", c.platform)
+	for id, address := range out.Workers {
+		c.workers[id] = address
+	}
+}
+
+// startDaemon starts a daemon that knows the running ones, and adds it to the list of VMs.
+func (c *cluster) startDaemon(name, zone string) *entry {
+	c.t.Helper()
+	files, err := c.authority.Write(c.dir, name)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var seeds []string
+	for _, d := range c.daemons {
+		seeds = append(seeds, "'"+d.addresses.Peers+"'")
+	}
+	const any = "'127.0.0.1:0'"
+	path := c.write(name+".yaml", strings.Join([]string{
+		"name: " + name, "environment: " + environmentName, "region: " + regionOf[zone], "zone: " + zone,
+		"listen: {callers: " + any + ", operators: " + any + ", health: " + any + ", peers: " + any + "}",
+		"platform: {logURL: '" + c.platform + "', directoryURL: '" + c.platform + "'}",
+		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
+			"', seeds: [" + strings.Join(seeds, ", ") + "]}",
+		"operators: {tokenFile: '" + c.tokenFile + "'}",
+	}, "\n"))
+	d := &entry{zone: zone}
+	d.process = startProcess(c.t, c.dir, name, &d.addresses, "waxwingslipd", "-settings", path)
+	c.daemons = append(c.daemons, d)
+	err = platformd.Register(c.t.Context(), c.platform, directory.VM{ID: name, Role: directory.RoleEntry, Zone: zone,
+		Address: d.addresses.Peers, State: directory.StateLive})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return d
+}
+
+// forget removes a daemon that ended, or is stopped, from the daemons that the test uses.
+func (c *cluster) forget(d *entry) {
+	var rest []*entry
+	for _, o := range c.daemons {
+		if o != d {
+			rest = append(rest, o)
+		}
+	}
+	c.daemons = rest
+}
+
+// document returns the environment document; extra is added at its end.
+func (c *cluster) document(extra string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "schema: 1\nenvironment: %s\nregions:\n", environmentName)
+	region := ""
+	var replicas []string
+	for _, z := range c.zones {
+		if r := regionOf[z]; r != region {
+			region = r
+			fmt.Fprintf(&b, "  - name: %s\n    zones:\n", r)
+		}
+		fmt.Fprintf(&b, "      - name: %s\n        workers: %d\n"+
+			"        worker: {slots: 8, connections: 64, milliCPU: 8000, memoryMB: 16000}\n", z, workersPerZone)
+		replicas = append(replicas, fmt.Sprintf("%s: %d", z, replicasPerZone))
+	}
+	fmt.Fprintf(&b, `teams:
+  - name: demo
+    quota: {slots: 48, milliCPU: 48000, memoryMB: 96000}
+services:
+  - name: hello
+    team: demo
+    class: web
+    replicas: {%s}
+    size: {slots: 1, connections: 16, milliCPU: 1000, memoryMB: 1000}
+    latencyTargetMs: 100
+    timeoutMs: 5000
+requests:
+  perCallerPerSecond: 1000
+  linkBytesPerSecond: 1000000
+%s`, strings.Join(replicas, ", "), extra)
+	return b.String()
+}
+
+func (c *cluster) write(name, text string) string {
+	c.t.Helper()
+	path := filepath.Join(c.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+// command runs the operators' command against all daemons and returns its exit code and both outputs.
+func (c *cluster) command(args ...string) (int, string) {
+	var urls []string
+	for _, d := range c.daemons {
+		urls = append(urls, "http://"+d.addresses.Operators)
+	}
+	return c.commandAt(strings.Join(urls, ","), args...)
+}
+
+func (c *cluster) commandAt(daemons string, args ...string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandLineLimit)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, filepath.Join(binaries, "waxwingslip"),
+		append([]string{"-daemon", daemons, "-token-file", c.tokenFile, "-author", "e2e", "-o", "json"}, args...)...)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	_ = cmd.Run()
+	return cmd.ProcessState.ExitCode(), out.String()
+}
+
+// operator returns a client of one daemon's operators' listener.
+func (c *cluster) operator(d *entry) *api.Client {
+	return api.NewClient("http://"+d.addresses.Operators, c.token,
+		&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: operatorCallLimit})
+}
+
+// first returns the first known daemon of a zone.
+func (c *cluster) first(zone string) *entry {
+	for _, d := range c.daemons {
+		if d.zone == zone {
+			return d
+		}
+	}
+	c.t.Fatalf("no daemon of zone %s", zone)
+	return nil
+}
+
+// submit submits a batch job with the operators' command.
+func (c *cluster) submit(id string, tasks int, run time.Duration, args ...string) {
+	c.t.Helper()
+	file := c.write(id+".job.yaml", fmt.Sprintf("id: %s\nteam: demo\nclass: count\ntasks: %d\n"+
+		"size: {slots: 1, milliCPU: 500, memoryMB: 100}\nmaxAttempts: 3\npayload: run=%s\n", id, tasks, run))
+	if code, out := c.command(append(append([]string{"job", "submit"}, args...), file)...); code != 0 {
+		c.t.Fatalf("submit job %s: exit code %d\n%s", id, code, out)
+	}
+}
+
+// job returns a job as one daemon sees it.
+func (c *cluster) job(id string) api.Job {
+	for _, d := range c.daemons {
+		if j, err := c.operator(d).Job(c.t.Context(), id); err == nil {
+			return j
+		}
+	}
+	return api.Job{}
+}
+
+// waitFinished waits until a job has finished and all of its tasks have succeeded.
+func (c *cluster) waitFinished(id string, limit time.Duration) {
+	c.t.Helper()
+	var j api.Job
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("job %s: %+v", id, j)
+		}
+	}()
+	eventually(c.t, limit, "job "+id+" finished", func() bool {
+		j = c.job(id)
+		return j.State == api.JobFinished && j.Succeeded == j.Tasks
+	})
+}
+
+// waitServing waits until a daemon is ready, may start tasks and serves requests.
+func (c *cluster) waitServing(d *entry) {
+	c.t.Helper()
+	eventually(c.t, readyTimeout, d.name+" serves requests", func() bool {
+		status, err := c.operator(d).Status(c.t.Context())
+		return err == nil && status.MayStart && getOnce(d, "/ready").status == http.StatusOK
+	})
+}
+
+// history returns the executions of all workers: the record of starts and ends.
+func (c *cluster) history() []fake.Execution {
+	return evidence[fake.Execution](c, "/admin/history")
+}
+
+// journal returns the requests that endpoints executed.
+func (c *cluster) journal() []endpointd.Execution {
+	return evidence[endpointd.Execution](c, "/admin/journal")
+}
+
+func evidence[T any](c *cluster, path string) (all []T) {
+	c.t.Helper()
+	for id, address := range c.workers {
+		var part []T
+		if err := getJSON("http://"+address+path, &part); err != nil {
+			c.t.Fatalf("evidence of worker %s: %v", id, err)
+		}
+		all = append(all, part...)
+	}
+	return all
+}
+
+func getJSON(url string, v any) error {
+	resp, err := plainClient.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// runsOf returns the executions of one job.
+func runsOf(all []fake.Execution, job string) (out []fake.Execution) {
+	for _, e := range all {
+		if e.Job == job {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// checkNoOverlap fails the test if a task ran in two places at once. Batch tasks are compared over all zones. Replicas
+// are numbered within their zone and never leave it, so they are compared within it.
+func (c *cluster) checkNoOverlap() {
+	c.t.Helper()
+	all := c.history()
+	for i, e := range all {
+		if strings.HasPrefix(e.Job, "service/") {
+			all[i].Job = zoneOf(e.Worker) + "/" + e.Job
+		}
+	}
+	for _, o := range fake.Overlaps(all) {
+		c.t.Errorf("a task ran twice at a time: %s", o)
+	}
+}
+
+// zoneOf returns the zone of a worker of startWorkers.
+func zoneOf(worker string) string { return worker[:strings.LastIndex(worker, "-")] }
