Roll services, empty leaving workers and move waiting work to zones with room

Cause: a changed service never reached running replicas, a leaving VM kept its tasks, and waiting tasks stayed in a full zone.

--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -158,6 +158,8 @@
 	Size resource.Vector `cbor:"11,keyasint"`
 	// Revision is the revision of the spec under which the task was bound.
 	Revision int64 `cbor:"12,keyasint,omitempty"`
+	// Class is the class of the bound run; a new revision of a service may have another one.
+	Class string `cbor:"16,keyasint,omitempty"`
 	// Evictions counts runs that were stopped before their end or lost.
 	Evictions int `cbor:"13,keyasint,omitempty"`
 	// Stopping is the reason why the bound run is to be stopped, empty if it is not.
--- a/core/zone/tasks.go
+++ b/core/zone/tasks.go
@@ -20,8 +20,8 @@
 		s.Jobs[b.Job.ID] = j
 	case !j.IsService() || b.Job.Revision <= j.Spec.Revision:
 		return rejected("job %q is known with revision %d", b.Job.ID, j.Spec.Revision)
-	case b.Job.Class != j.Spec.Class || b.Job.Service != j.Spec.Service:
-		return rejected("job %q may not change its class or service", b.Job.ID)
+	case b.Job.Service != j.Spec.Service:
+		return rejected("job %q may not change its service", b.Job.ID)
 	default:
 		j.Spec, j.Parked, j.FailedOn = b.Job, "", nil
 	}
@@ -117,7 +117,7 @@
 		return rejected("class %q may not share worker %q with class %q", t.Job.Spec.Class, b.Worker, class)
 	}
 	t.State, t.Worker = TaskBound, b.Worker
-	t.Size, t.Revision = t.Job.Spec.Size, t.Job.Spec.Revision
+	t.Size, t.Class, t.Revision = t.Job.Spec.Size, t.Job.Spec.Class, t.Job.Spec.Revision
 	s.reserve(t, w)
 	s.taskChanged(t)
 	return accepted
--- a/core/zone/workers.go
+++ b/core/zone/workers.go
@@ -81,7 +81,7 @@
 func (s *State) reserve(t *Task, w *Worker) {
 	w.Reserved = w.Reserved.Add(t.Size)
 	w.Tasks[t.ID()] = t
-	w.classes[t.Job.Spec.Class]++
+	w.classes[t.Class]++
 	s.changed(Change{Kind: ChangeLoad, Worker: w.Info.ID})
 }
 
@@ -89,9 +89,8 @@
 	w := s.Workers[t.Worker]
 	w.Reserved = w.Reserved.Sub(t.Size)
 	delete(w.Tasks, t.ID())
-	class := t.Job.Spec.Class
-	if w.classes[class]--; w.classes[class] == 0 {
-		delete(w.classes, class)
+	if w.classes[t.Class]--; w.classes[t.Class] == 0 {
+		delete(w.classes, t.Class)
 	}
 	s.changed(Change{Kind: ChangeLoad, Worker: w.Info.ID})
 }
--- a/node/executor/act.go
+++ b/node/executor/act.go
@@ -134,6 +134,10 @@
 	if usable {
 		a.setState(record.WorkerUnreachable, "worker does not answer")
 	}
+	if len(runs) == 0 && !usable && a.listed() == "" {
+		// The platform no longer lists the VM and nothing is reserved on it.
+		a.once("remove", &record.RemoveWorker{Owner: a.owner(), Worker: a.target.id})
+	}
 	for _, r := range runs {
 		a.once(fmt.Sprintf("lost/%s/%d/%d", r.Task.Job, r.Task.Index, r.Epoch),
 			&record.Lost{Owner: a.owner(), Run: r, Basis: basis})
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -10,6 +10,7 @@
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/platform/directory"
 	"waxwingslip.example/platform/worker"
 )
 
@@ -35,6 +36,9 @@
 	address atomic.Pointer[string]
 	cancel  context.CancelFunc
 	wakeup  chan struct{}
+	// listed returns what the VM list says about the worker. The list is only a hint: a worker that is wrongly
+	// called leaving merely gets no new tasks.
+	listed func() directory.State
 
 	throttles chan throttle
 	attested  atomic.Bool
@@ -208,10 +212,11 @@
 		a.once("register", &record.RegisterWorker{Owner: a.owner(), Worker: want})
 		return
 	}
+	leaving := report.Leaving || a.listed() == directory.StateLeaving
 	switch {
-	case report.Leaving && state == record.WorkerUsable:
-		a.setState(record.WorkerLeaving, "worker says that it is leaving")
-	case !report.Leaving && state == record.WorkerLeaving, state == record.WorkerUnreachable:
+	case leaving && state == record.WorkerUsable:
+		a.setState(record.WorkerLeaving, "worker or VM list says that it is leaving")
+	case !leaving && state == record.WorkerLeaving, state == record.WorkerUnreachable:
 		a.setState(record.WorkerUsable, "worker reports again")
 	}
 }
--- a/node/executor/pool.go
+++ b/node/executor/pool.go
@@ -118,6 +118,7 @@
 func (p *Pool) startAgent(ctx context.Context, t target) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := newAgent(&p.cfg, t, cancel)
+	a.listed = func() directory.State { return p.listedState(t.id) }
 	p.wg.Go(func() { a.run(ctx) })
 	return a
 }
@@ -165,6 +166,13 @@
 	}
 }
 
+// listedState returns what the VM list says about a worker, "" if it is not listed.
+func (p *Pool) listedState(id string) directory.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed[id].State
+}
+
 // Stop ends all agents and waits for them.
 func (p *Pool) Stop() {
 	p.mu.Lock()
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -94,6 +94,9 @@
 	lastRepair time.Duration
 	lastLearn  time.Duration
 	drain      pacer
+	leaving    pacer
+	spill      pacer
+	admitted   map[string]admission
 }
 
 // New returns a scheduler that is not running.
@@ -104,6 +107,7 @@
 		pressure: map[string]float64{},
 		wakeup:   make(chan struct{}, 1),
 		since:    map[record.TaskID]time.Time{},
+		admitted: map[string]admission{},
 	}
 }
 
@@ -167,6 +171,8 @@
 	}
 	s.plan()
 	s.drainZone(self)
+	s.drainWorkers(self)
+	s.spillPending(self)
 }
 
 // repair compares the whole control state with the zone state.
@@ -178,7 +184,7 @@
 		wanted = s.collectJobs(c)
 		if c.Document() != nil {
 			policy = policyOf(c.Document(), c.Version(), s.cfg.Zone)
-			services = servicesOf(c.Document(), c.Version(), s.cfg.Zone)
+			services = servicesOf(c.Document(), s.cfg.Zone)
 		}
 	})
 	if policy == nil {
