Keep ended jobs from being admitted again or forgotten too early

Cause: a daemon whose control state lags behind its zone state still sees an ended job as active, and admitted it again after its Forget; or it did not know a job yet and forgot the ends of its tasks before they were reported. MayStart paired an old view with a newer freshness if paused in between. Change: the zone state remembers 4,096 forgotten jobs; Forget needs the control state to show the job as finished; freshness is read before the view. The remembered record ids fall from 8,192 to 2,048, 100 s at 20 records/s. Measured: TestForgottenJobIsNotAdmittedAgain fails without the change to core/zone/tasks.go and passes with it. Conclusion: a lagging daemon can neither repeat nor lose a job.

--- a/core/zone/invariant_test.go
+++ b/core/zone/invariant_test.go
@@ -227,6 +227,23 @@
 	})
 }
 
+// Guards against a daemon whose control state lags and admits a job again after it has ended.
+func TestForgottenJobIsNotAdmittedAgain(t *testing.T) {
+	is := is.New(t)
+	s := New("z")
+	offset := int64(0)
+	apply := func(b record.Body) Verdict {
+		offset++
+		return s.Apply(offset, record.New(uuid.New(), b))
+	}
+	job := record.JobSpec{ID: "j", Class: "x", Tasks: 1, Size: resource.Vector{Slots: 1}}
+	is.True(apply(&record.Admit{Job: job}).Accepted)
+	is.True(apply(&record.Cancel{Job: "j"}).Accepted)
+	is.True(apply(&record.Forget{Job: "j"}).Accepted)
+	is.True(!apply(&record.Admit{Job: job}).Accepted)
+	is.True(!apply(&record.Adopt{Job: job, Epoch: 9}).Accepted)
+}
+
 // Guards against a repeat of an append, after a lost answer, that takes effect twice.
 func TestRepeatedRecordHasNoEffect(t *testing.T) {
 	is := is.New(t)
--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -26,7 +26,10 @@
 const (
 	// recentIDs is how many record ids are remembered to drop repeats. A writer repeats a record only while it
 	// waits for it, so the window needs to cover seconds of the highest append rate.
-	recentIDs = 8192
+	recentIDs = 2048
+	// forgottenKept is how many forgotten jobs are remembered. A daemon whose control state lags must not admit
+	// one of them again; at 1,200 jobs a day and zone this covers more than three days.
+	forgottenKept = 4096
 	// MaxJobTasks limits the tasks of one job.
 	MaxJobTasks = 20000
 	// defaultMaxAttempts limits failed runs of a task whose spec states no limit.
@@ -50,6 +53,10 @@
 	Recent  [][]byte             `cbor:"8,keyasint"`
 	Left    map[string]Departure `cbor:"9,keyasint"`
 
+	// Forgotten holds the revision of each job that was forgotten, and ForgottenOrder their ids, oldest first.
+	Forgotten      map[string]int64 `cbor:"10,keyasint,omitempty"`
+	ForgottenOrder []string         `cbor:"11,keyasint,omitempty"`
+
 	seen     map[uuid.UUID]struct{}
 	onChange func(Change)
 }
@@ -218,6 +225,8 @@
 		Workers: map[string]*Worker{},
 		Jobs:    map[string]*Job{},
 		Left:    map[string]Departure{},
+
+		Forgotten: map[string]int64{},
 	}
 	s.seen = map[uuid.UUID]struct{}{}
 	return s
--- a/core/zone/tasks.go
+++ b/core/zone/tasks.go
@@ -15,6 +15,8 @@
 	}
 	j := s.Jobs[b.Job.ID]
 	switch {
+	case s.wasForgotten(b.Job):
+		return rejected("job %q with revision %d has ended and was forgotten", b.Job.ID, b.Job.Revision)
 	case j == nil:
 		j = &Job{Spec: b.Job, Tasks: make(map[int]*Task, b.Job.Tasks)}
 		s.Jobs[b.Job.ID] = j
@@ -75,6 +77,9 @@
 
 func (s *State) applyAdopt(b *record.Adopt) Verdict {
 	j := s.Jobs[b.Job.ID]
+	if s.wasForgotten(b.Job) {
+		return rejected("job %q has ended and was forgotten", b.Job.ID)
+	}
 	if j == nil {
 		j = &Job{Spec: b.Job, Tasks: map[int]*Task{}}
 		s.Jobs[b.Job.ID] = j
@@ -289,6 +294,24 @@
 		return rejected("job %q has %d unfinished tasks", b.Job, j.Unfinished)
 	}
 	delete(s.Jobs, b.Job)
+	s.rememberForgotten(b.Job, j.Spec.Revision)
 	s.changed(Change{Kind: ChangeJob, Job: b.Job})
 	return accepted
 }
+
+// wasForgotten reports whether a job, or this or a later revision of a service, has ended in the zone.
+func (s *State) wasForgotten(spec record.JobSpec) bool {
+	revision, known := s.Forgotten[spec.ID]
+	return known && spec.Revision <= revision
+}
+
+func (s *State) rememberForgotten(id string, revision int64) {
+	if _, known := s.Forgotten[id]; !known {
+		s.ForgottenOrder = append(s.ForgottenOrder, id)
+	}
+	s.Forgotten[id] = revision
+	if len(s.ForgottenOrder) > forgottenKept {
+		delete(s.Forgotten, s.ForgottenOrder[0])
+		s.ForgottenOrder = s.ForgottenOrder[1:]
+	}
+}
--- a/node/daemon/authority.go
+++ b/node/daemon/authority.go
@@ -93,12 +93,18 @@
 
 // controlFresh reports whether the control state is new enough for a start.
 func (a *authority) controlFresh() bool {
-	asOf := a.control.Follower.CurrentAsOf()
+	return fresh(a.control.Follower.CurrentAsOf())
+}
+
+func fresh(asOf time.Time) bool {
 	return !asOf.IsZero() && time.Since(asOf) < lease.ControlFreshness
 }
 
 // MayStart implements executor.Authority.
 func (a *authority) MayStart() bool {
+	// Freshness is read before the state: the state read afterwards is at least as new, however long a pause
+	// lies between them. Its age is judged last.
+	asOf := a.control.Follower.CurrentAsOf()
 	inService := false
 	a.control.View(func(s *control.State) {
 		if d := s.Document(); d != nil {
@@ -106,8 +112,7 @@
 			inService = ok && !z.OutOfService
 		}
 	})
-	// Freshness is read last, so that no pause lies between it and the decision.
-	return inService && a.controlFresh()
+	return inService && fresh(asOf)
 }
 
 // RenewUntil implements executor.Authority. While the log cannot be read, nothing can be started elsewhere, so
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -142,7 +142,7 @@
 func (d *Daemon) openStreams() {
 	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
 	d.control = replica.NewControl(store, environment.Parse,
-		d.followerOptions(replica.ControlStream(d.set.Environment), relayTailBytes), d.appenderOptions())
+		d.controlOptions(), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
 		d.followerOptions(replica.ZoneStream(d.set.Environment, d.set.Zone), 0), d.appenderOptions())
 	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
--- a/node/daemon/observability.go
+++ b/node/daemon/observability.go
@@ -11,6 +11,7 @@
 	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/peer"
+	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/stream"
 	"waxwingslip.example/node/telemetry"
 )
@@ -33,6 +34,16 @@
 	}
 }
 
+// controlWait is how long a read of the control stream waits for entries. The age of the control state at its end
+// rises to twice this time plus a round trip, which must stay well below lease.ControlFreshness.
+const controlWait = 500 * time.Millisecond
+
+func (d *Daemon) controlOptions() stream.FollowerOptions {
+	o := d.followerOptions(replica.ControlStream(d.set.Environment), relayTailBytes)
+	o.Wait = controlWait
+	return o
+}
+
 func (d *Daemon) appenderOptions() stream.AppenderOptions {
 	return stream.AppenderOptions{
 		Log: d.log, Appends: d.registry.Counter("log_appends"), Ambiguous: d.registry.Counter("log_appends_ambiguous"),
--- a/node/scheduler/jobs.go
+++ b/node/scheduler/jobs.go
@@ -44,20 +44,42 @@
 	return out
 }
 
-// syncJobs admits, cancels, adopts, transfers, finishes and forgets jobs.
+// syncJobs admits, cancels, adopts, transfers and finishes jobs.
 func (s *Scheduler) syncJobs(z *zone.State, self string, wanted []job) {
-	active := make(map[string]bool, len(wanted))
 	for i := range wanted {
 		w := &wanted[i]
-		active[w.spec.ID] = true
 		if z.Responsible(w.spec.ID) == self {
 			s.syncJob(z, w)
 		}
 	}
-	for id, j := range z.Jobs {
-		if !j.IsService() && !active[id] && j.Unfinished == 0 && z.Responsible(id) == self {
-			s.post("forget/"+id, &record.Forget{Job: id})
+}
+
+// endedHere lists the jobs that this daemon is responsible for and that have no unfinished task in the zone.
+func (s *Scheduler) endedHere(self string) (out []string) {
+	s.cfg.State.View(func(z *zone.State) {
+		for id, j := range z.Jobs {
+			if !j.IsService() && j.Unfinished == 0 && z.Responsible(id) == self {
+				out = append(out, id)
+			}
 		}
+	})
+	return out
+}
+
+// finishedOf keeps the jobs that the control state shows as finished. A job that is merely absent may be one that a
+// lagging control state does not know yet, so its tasks' ends must be kept.
+func finishedOf(c *control.State, ids []string) (out []string) {
+	for _, id := range ids {
+		if c.Finished(id) != nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) forgetJobs(ids []string) {
+	for _, id := range ids {
+		s.post("forget/"+id, &record.Forget{Job: id})
 	}
 }
 
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -180,8 +180,11 @@
 	var wanted []job
 	var policy *record.Policy
 	var services []record.JobSpec
+	ended := s.endedHere(self)
+	var finished []string
 	s.cfg.Control.View(func(c *control.State) {
 		wanted = s.collectJobs(c)
+		finished = finishedOf(c, ended)
 		if c.Document() != nil {
 			policy = policyOf(c.Document(), c.Version(), s.cfg.Zone)
 			services = servicesOf(c.Document(), s.cfg.Zone)
@@ -194,6 +197,7 @@
 		s.syncPolicy(z, self, policy)
 		s.syncServices(z, self, services, policy.Version)
 		s.syncJobs(z, self, wanted)
+		s.forgetJobs(finished)
 	})
 }
 
