Propose claim views past unreachable members and dead proposers

Cause: a member that is alive by the log but cannot be called failed the install after the old view was sealed, so the zone granted nothing until that member was expired. A view whose proposer died after the seal, with the members unchanged, was replaced only if the first member itself saw a refusal. A daemon that was expired and came back had no way to get a new voter and to hand over the claims of the former membership. Change: the proposer calls the members before it seals and leaves out those that do not answer. A sealed view is due for replacement by itself, and the other members propose after 5 s as well. Voters holds the voters of former memberships while the view names them. Membership names the proposer.

--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -93,6 +93,9 @@
 // View returns the newest view that the member has read.
 func (t *Table) View() View { return t.view }
 
+// Sealed reports whether the member was sealed in the newest view that it has read.
+func (t *Table) Sealed() bool { return t.view.Number > 0 && t.sealed >= t.view.Number }
+
 // Grant answers a request for a grant.
 func (t *Table) Grant(now Now, r GrantRequest) GrantAnswer {
 	t.Forget(now)
--- a/node/gateway/claims/changer.go
+++ b/node/gateway/claims/changer.go
@@ -12,75 +12,99 @@
 
 // Membership tells a Changer about the zone's members by log order. Its methods are safe for concurrent use.
 type Membership interface {
-	// Live returns the members that should grant claims.
+	// Live returns the members that should grant claims, none while they are not known for certain.
 	Live() []string
+	// Proposer returns the live member that proposes views. Racing proposals are safe, because the log decides.
+	Proposer() string
 	// Stopped returns those of the given members that cannot grant any more: they have left gracefully, or this
 	// daemon read their last heartbeat more than claim.Authority ago (with 1% for clock drift) and has since
 	// read the log to its end.
 	Stopped(members []string) []string
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
-	// Propose appends a ClaimView record. It returns before the record is read back.
+	// Propose appends a ClaimView record. The record may be read back after it has returned.
 	Propose(ctx context.Context, view claim.View) error
 }
 
 // Changer keeps the view of the zone equal to its live members.
 type Changer struct {
-	voter       *Voter
+	voters      *Voters
 	peers       Peers
 	members     Membership
-	needView    <-chan struct{}
+	sealedViews <-chan int64
 	checkEvery  time.Duration
 	settleAfter time.Duration
+	// takeOverAfter is how long a view may be due until other members than the proposer propose it as well.
+	takeOverAfter time.Duration
+
+	// The fields below belong to Run.
+	// sealed is the newest view that a member said was sealed, dueSince when the next view became due.
+	sealed   int64
+	dueSince time.Time
 }
 
-// NewChanger returns a changer that works with the coordinator's voter and peers.
+// NewChanger returns a changer that works with the coordinator's voters and peers.
 func NewChanger(c *Coordinator, members Membership) *Changer {
-	return &Changer{voter: c.voter, peers: c.peers, members: members, needView: c.needView,
-		checkEvery: time.Second, settleAfter: 2 * time.Second}
+	return &Changer{voters: c.voters, peers: c.peers, members: members, sealedViews: c.sealedViews,
+		checkEvery: time.Second, settleAfter: 2 * time.Second, takeOverAfter: 5 * time.Second}
 }
 
 // Run changes the view when needed, until ctx is done. onError is called for each change that failed.
 func (ch *Changer) Run(ctx context.Context, onError func(error)) {
 	ticker := time.NewTicker(ch.checkEvery)
 	defer ticker.Stop()
-	sealed := false
 	for {
 		changed := ch.members.Changed()
-		if ch.mustPropose(sealed) {
-			if err := ch.change(ctx); err != nil && ctx.Err() == nil {
+		if ch.mustPropose() {
+			old := ch.voters.Current().View().Number
+			proposed, err := ch.change(ctx)
+			if err != nil && ctx.Err() == nil {
 				onError(err)
-			} else if !ch.awaitView(ctx, ch.voter.View().Number) {
+			}
+			if proposed && !ch.awaitView(ctx, old) {
 				return
 			}
-			sealed = false
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 			// A change may come right after the check; the ticker then retries.
-		case <-ch.needView:
-			sealed = true
+		case view := <-ch.sealedViews:
+			ch.sealed = max(ch.sealed, view)
 		case <-ticker.C:
 		}
 	}
 }
 
-// mustPropose reports whether a new view is needed and this daemon is the one that proposes it: the first of the
-// live members. Racing proposals are safe, because the log decides.
-func (ch *Changer) mustPropose(sealed bool) bool {
-	live := slices.Sorted(slices.Values(ch.members.Live()))
-	if len(live) == 0 || live[0] != ch.voter.member {
+// mustPropose reports whether a new view is needed and this daemon is to propose it. The members of a sealed view
+// grant nothing, so it needs a successor even if its proposer died and nothing else has changed.
+func (ch *Changer) mustPropose() bool {
+	live, voter := ch.live(), ch.voters.Current()
+	view := voter.View()
+	if !slices.Contains(live, voter.member) || !ch.isSealed(voter) && slices.Equal(live, sorted(view.Members)) {
+		ch.dueSince = time.Time{}
 		return false
 	}
-	return sealed || !slices.Equal(live, slices.Sorted(slices.Values(ch.voter.View().Members)))
+	if ch.dueSince.IsZero() {
+		ch.dueSince = time.Now()
+	}
+	return ch.members.Proposer() == voter.member || time.Since(ch.dueSince) >= ch.takeOverAfter
+}
+
+func (ch *Changer) live() []string { return sorted(ch.members.Live()) }
+
+func sorted(s []string) []string { return slices.Sorted(slices.Values(s)) }
+
+func (ch *Changer) isSealed(v *Voter) bool {
+	number := v.View().Number
+	return v.Sealed() || number > 0 && ch.sealed >= number
 }
 
 // awaitView waits for the proposed view to be read, so that the same change is not proposed again meanwhile.
 func (ch *Changer) awaitView(ctx context.Context, old int64) bool {
 	deadline := time.Now().Add(ch.settleAfter)
-	for ch.voter.View().Number == old && time.Now().Before(deadline) {
+	for ch.voters.Current().View().Number == old && time.Now().Before(deadline) {
 		if !pause(ctx, 20*time.Millisecond) {
 			return false
 		}
@@ -88,33 +112,63 @@
 	return ctx.Err() == nil
 }
 
-// change runs one change of the view.
-func (ch *Changer) change(ctx context.Context) error {
-	old := ch.voter.View()
-	change, err := claim.NewChange(old, ch.members.Live())
+// change runs one change of the view and reports whether it proposed one.
+func (ch *Changer) change(ctx context.Context) (proposed bool, err error) {
+	voter := ch.voters.Current()
+	old := voter.View()
+	members := ch.reachable(ctx, old.Number+1)
+	if slices.Equal(members, sorted(old.Members)) && !ch.isSealed(voter) {
+		return false, nil
+	}
+	change, err := claim.NewChange(old, members)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := ch.seal(ctx, old, change); err != nil {
-		return err
+		return false, err
 	}
 	if ready, _ := change.Ready(); !ready {
 		for _, member := range ch.members.Stopped(old.Members) {
 			change.Stopped(member)
 		}
 	}
-	pages, err := change.Prepare(ch.voter.clock())
+	pages, err := change.Prepare(voter.clock())
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := ch.install(ctx, change, pages); err != nil {
-		return err
+		return false, err
 	}
 	view, err := change.View()
 	if err != nil {
-		return err
+		return false, err
+	}
+	return true, errors.Wrapf(ch.members.Propose(ctx, view), "propose claim view %d", view.Number)
+}
+
+// reachable returns the live members that answer. A member that is alive by the log but does not answer must be
+// left out: its install would fail after the old view was sealed, and nothing would grant until it is expired.
+func (ch *Changer) reachable(ctx context.Context, view int64) []string {
+	live := ch.live()
+	answered := make([]bool, len(live))
+	var wait sync.WaitGroup
+	for i, member := range live {
+		wait.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// An empty page has no effect.
+			_, err := ch.peers.Install(callCtx, member, claim.InstallRequest{View: view})
+			answered[i] = err == nil
+		})
+	}
+	wait.Wait()
+	var members []string
+	for i, member := range live {
+		if answered[i] {
+			members = append(members, member)
+		}
 	}
-	return errors.Wrapf(ch.members.Propose(ctx, view), "propose claim view %d", view.Number)
+	return members
 }
 
 // seal seals the old view at all members that can be reached. mu guards change.
--- a/node/gateway/claims/claims_test.go
+++ b/node/gateway/claims/claims_test.go
@@ -82,6 +82,13 @@
 	return slices.Clone(z.live)
 }
 
+func (z *zone) Proposer() string {
+	if live := slices.Sorted(slices.Values(z.Live())); len(live) > 0 {
+		return live[0]
+	}
+	return ""
+}
+
 func (z *zone) Stopped([]string) []string {
 	z.mu.Lock()
 	defer z.mu.Unlock()
--- a/node/gateway/claims/coordinator.go
+++ b/node/gateway/claims/coordinator.go
@@ -60,20 +60,25 @@
 
 // Coordinator claims keys for the requests of this daemon. It is safe for concurrent use.
 type Coordinator struct {
-	voter *Voter
-	peers Peers
+	voters *Voters
+	peers  Peers
 	// newAttempt makes the id of a round.
 	newAttempt func() claim.Attempt
 	background sync.WaitGroup
-	// needView is signalled when members say that their view was sealed.
-	needView chan struct{}
+	// sealedViews receives the number of a view that members say was sealed.
+	sealedViews chan int64
 }
 
 // NewCoordinator returns a coordinator that asks its own voter directly and the others through peers.
 func NewCoordinator(voter *Voter, peers Peers) *Coordinator {
-	return &Coordinator{voter: voter, peers: withLocal{voter, peers},
-		newAttempt: func() claim.Attempt { return claim.Attempt(uuid.New()) },
-		needView:   make(chan struct{}, 1)}
+	return NewCoordinatorOf(&Voters{current: voter}, peers)
+}
+
+// NewCoordinatorOf is NewCoordinator for a daemon whose membership may change.
+func NewCoordinatorOf(voters *Voters, peers Peers) *Coordinator {
+	return &Coordinator{voters: voters, peers: withLocal{voters, peers},
+		newAttempt:  func() claim.Attempt { return claim.Attempt(uuid.New()) },
+		sealedViews: make(chan int64, 1)}
 }
 
 // Wait returns when no message is under way any more. Call it after the last claim has ended.
@@ -82,7 +87,7 @@
 // Claim claims a key. It returns when the key is decided, ctx is done or its patience has ended.
 func (c *Coordinator) Claim(ctx context.Context, key claim.Key) Result {
 	started := time.Now()
-	block := key.UnixMs() > c.voter.clock().UnixMs+claim.Ahead.Milliseconds()
+	block := key.UnixMs() > c.voters.Current().clock().UnixMs+claim.Ahead.Milliseconds()
 	blockReason := ErrFuture
 	for {
 		round := c.runRound(ctx, key, block)
@@ -150,7 +155,7 @@
 func (c *Coordinator) lookup(ctx context.Context, key claim.Key) (*claim.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	members := c.voter.View().Members
+	members := c.voters.Current().View().Members
 	answers := make(chan claim.LookupAnswer, len(members))
 	for _, member := range members {
 		c.background.Go(func() {
@@ -188,7 +193,7 @@
 // runRound asks all members for a grant at once and returns when the round is decided. Calls that are still under
 // way end on their own; their answers are not counted, and their grants are withdrawn if the round was lost.
 func (c *Coordinator) runRound(ctx context.Context, key claim.Key, block bool) *claim.Round {
-	view := c.voter.View()
+	view := c.voters.Current().View()
 	round := claim.NewRound(view, key, c.newAttempt(), block)
 	answers := make(chan memberAnswer, len(view.Members))
 	decided := make(chan struct{})
@@ -231,15 +236,15 @@
 		return
 	}
 	if a.answer.Sealed {
-		c.signalView()
+		c.signalSealed(a.answer.View)
 	}
 	round.Answer(a.member, a.answer)
 }
 
-// signalView tells the Changer that the view was sealed.
-func (c *Coordinator) signalView() {
+// signalSealed tells the Changer that a view was sealed.
+func (c *Coordinator) signalSealed(view int64) {
 	select {
-	case c.needView <- struct{}{}:
+	case c.sealedViews <- view:
 	default:
 	}
 }
@@ -254,7 +259,7 @@
 
 // broadcast sends a message to all members of the view, without waiting for the answers.
 func (c *Coordinator) broadcast(send func(ctx context.Context, member string) error) {
-	for _, member := range c.voter.View().Members {
+	for _, member := range c.voters.Current().View().Members {
 		c.background.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			defer cancel()
--- a/node/gateway/claims/local.go
+++ b/node/gateway/claims/local.go
@@ -6,52 +6,52 @@
 	"waxwingslip.example/core/claim"
 )
 
-// withLocal answers requests to the daemon's own voter without the network.
+// withLocal answers requests to the daemon's own voters without the network.
 type withLocal struct {
-	voter *Voter
-	peers Peers
+	voters *Voters
+	peers  Peers
 }
 
 func (w withLocal) Grant(ctx context.Context, m string, r claim.GrantRequest) (claim.GrantAnswer, error) {
-	if m == w.voter.member {
-		return w.voter.Grant(r), nil
+	if v := w.voters.Of(m); v != nil {
+		return v.Grant(r), nil
 	}
 	return w.peers.Grant(ctx, m, r)
 }
 
 func (w withLocal) Withdraw(ctx context.Context, m string, r claim.WithdrawRequest) error {
-	if m == w.voter.member {
-		w.voter.Withdraw(r)
+	if v := w.voters.Of(m); v != nil {
+		v.Withdraw(r)
 		return nil
 	}
 	return w.peers.Withdraw(ctx, m, r)
 }
 
 func (w withLocal) Finish(ctx context.Context, m string, r claim.FinishRequest) error {
-	if m == w.voter.member {
-		w.voter.Finish(r)
+	if v := w.voters.Of(m); v != nil {
+		v.Finish(r)
 		return nil
 	}
 	return w.peers.Finish(ctx, m, r)
 }
 
 func (w withLocal) Lookup(ctx context.Context, m string, r claim.LookupRequest) (claim.LookupAnswer, error) {
-	if m == w.voter.member {
-		return w.voter.Lookup(r), nil
+	if v := w.voters.Of(m); v != nil {
+		return v.Lookup(r), nil
 	}
 	return w.peers.Lookup(ctx, m, r)
 }
 
 func (w withLocal) Seal(ctx context.Context, m string, r claim.SealRequest) (claim.SealAnswer, error) {
-	if m == w.voter.member {
-		return w.voter.Seal(r), nil
+	if v := w.voters.Of(m); v != nil {
+		return v.Seal(r), nil
 	}
 	return w.peers.Seal(ctx, m, r)
 }
 
 func (w withLocal) Install(ctx context.Context, m string, r claim.InstallRequest) (claim.InstallAnswer, error) {
-	if m == w.voter.member {
-		return w.voter.Install(r), nil
+	if v := w.voters.Of(m); v != nil {
+		return v.Install(r), nil
 	}
 	return w.peers.Install(ctx, m, r)
 }
--- a/node/gateway/claims/voter.go
+++ b/node/gateway/claims/voter.go
@@ -61,6 +61,13 @@
 	return v.table.View()
 }
 
+// Sealed reports whether this member grants nothing until it reads the next view.
+func (v *Voter) Sealed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Sealed()
+}
+
 // ConfirmHeartbeat states that a heartbeat of this member was read back from the log. sent is the clock's monotonic
 // time before it was appended.
 func (v *Voter) ConfirmHeartbeat(sent time.Duration) {
