--- /dev/null
+++ b/node/forward/serve.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/peer"
+)
+
+// codeInvalid answers a request header that does not make sense.
+const codeInvalid = peer.CodeApplication
+
+// Gateway serves forwarded requests; gateway.Gateway implements it.
+type Gateway interface {
+	ServeForward(ctx context.Context, req *gateway.ForwardRequest) *gateway.ForwardAnswer
+}
+
+// Registrar takes handlers; peer.Server implements it.
+type Registrar interface {
+	Handle(method string, h peer.Handler)
+}
+
+// Register makes a server hand forwarded requests to the gateway.
+func Register(s Registrar, g Gateway) {
+	s.Handle(method, func(ctx context.Context, r *peer.Request) (*peer.Response, error) { return serve(ctx, r, g) })
+}
+
+func serve(ctx context.Context, r *peer.Request, g Gateway) (*peer.Response, error) {
+	var h requestHeader
+	if err := r.Decode(&h); err != nil {
+		return nil, err
+	}
+	if err := h.check(); err != nil {
+		return nil, &peer.RemoteError{Code: codeInvalid, Message: err.Error()}
+	}
+	if h.Header == nil {
+		h.Header = http.Header{}
+	}
+	req := &gateway.ForwardRequest{Purpose: h.Purpose, Service: h.Service, Method: h.Method, Path: h.Path,
+		Header: h.Header, ContentLength: h.ContentLength, Timeout: time.Duration(h.TimeoutUs) * time.Microsecond,
+		WholeAnswer: h.WholeAnswer}
+	if h.ContentLength != 0 {
+		req.Body = r.Body
+	}
+	return respond(g.ServeForward(ctx, req)), nil
+}
+
+// respond makes the answer of the call. Trailer fields can only follow a body of unknown length.
+func respond(a *gateway.ForwardAnswer) *peer.Response {
+	h := answerHeader{Status: a.Status, Header: a.Header}
+	h.Chunked = a.Trailer != nil && a.Body != nil && a.Header.Get("Content-Length") == ""
+	if !h.Chunked {
+		return &peer.Response{Header: h, Body: a.Body}
+	}
+	return &peer.Response{Header: h, Body: &chunkWriter{src: a.Body, trailer: a.Trailer}}
+}
