--- a/node/claimview/keeper.go
+++ b/node/claimview/keeper.go
@@ -154,8 +154,7 @@
 func (m membership) Propose(ctx context.Context, view claim.View) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	result, err := m.k.cfg.Zone.Submit(ctx, &record.ClaimView{Number: view.Number, Members: view.Members,
-		Fresh: view.Fresh, FloorUnixMs: view.FloorUnixMs})
+	result, err := m.k.cfg.Zone.Submit(ctx, view.Record())
 	if err == nil && !result.Accepted {
 		return errors.Errorf("claim view %d was rejected: %s", view.Number, result.Reason)
 	}
--- a/node/claimview/members.go
+++ b/node/claimview/members.go
@@ -1,14 +1,12 @@
 package claimview
 
 import (
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"waxwingslip.example/core/claim"
 	"waxwingslip.example/core/lease"
-	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 )
 
@@ -40,16 +38,11 @@
 	return &members{addresses: map[string]string{}, gone: map[string]departure{}, changed: make(chan struct{})}
 }
 
-// viewOf converts the record of a view.
-func viewOf(v record.ClaimView) claim.View {
-	return claim.View{Number: v.Number, Members: slices.Clone(v.Members), FloorUnixMs: v.FloorUnixMs, Fresh: v.Fresh}
-}
-
 // read takes over the zone's state, at a reading of the monotonic clock, and returns the view.
 func (m *members) read(s *zone.State, now time.Duration) claim.View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view = viewOf(s.View)
+	m.view = claim.FromRecord(s.View)
 	m.live = s.MemberIDs()
 	m.proposer = s.Responsible(duty)
 	addresses, gone := make(map[string]string, len(m.live)), map[string]departure{}
--- a/node/gateway/claims/changer_test.go
+++ b/node/gateway/claims/changer_test.go
@@ -34,7 +34,7 @@
 
 // Guards against a zone that grants nothing for ever when the proposer died after it had sealed the view, and the
 // members of the zone are the same as before.
-func TestSealedViewIsReplaced(t *testing.T) {
+func TestSealedViewIsReplacedUnasked(t *testing.T) {
 	for _, sealed := range []string{"a", "c"} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
