Claim keyed requests and forward them between zones in the daemon

Cause: keyed requests were refused and other zones could not be reached. Shutdown drains requests before it ends membership, since requests in flight may need claims.

--- a/cmd/internal/dev/dev.go
+++ b/cmd/internal/dev/dev.go
@@ -119,6 +119,7 @@
 		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
 			"', seeds: [" + strings.Join(t.seeds(), ", ") + "]}",
 		"operators: {tokenFile: '" + t.TokenFile + "'}",
+		"limits: {drainSeconds: 2}",
 	}, "\n")
 	set, err := settings.Parse(name, []byte(text))
 	if err != nil {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,9 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/claimview"
 	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/endpoints"
 	"waxwingslip.example/node/executor"
+	"waxwingslip.example/node/forward"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/ownership"
@@ -64,6 +66,7 @@
 	tracing   *telemetry.Tracing
 	guards    *contention.Manager
 
+	claims     *claimview.Keeper
 	peerServer *peer.Server
 	transport  *peer.Transport
 	peers      *peers.Peers
@@ -169,20 +172,44 @@
 	})
 	d.owner = ownership.NewRunner(ownership.RunnerConfig{
 		Name: d.set.Name, PeerAddress: d.addresses.Peers, Zone: d.zone, Current: d.zoneCurrent, Now: d.now,
-		SetMember: d.authority.setMember, Confirm: d.authority.confirm, Log: d.log,
+		SetMember: d.setMember, Confirm: d.confirmHeartbeat, Log: d.log,
+	})
+	d.claims = claimview.New(claimview.Config{
+		Zone: d.zone, Caller: d.transport, Current: d.zoneCurrent, Now: d.now, Log: d.log,
 	})
 	var err error
 	d.gateway, err = gateway.New(gateway.Options{
 		Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}, Observer: observer{d.registry, d.guards},
 		Tracer: d.tracing.Provider.Tracer("gateway"), QueueLimit: d.set.Limits.QueuePerService, Seed: rand.Uint64(),
+		Forwarder: forward.New(d.transport, d.peers), Claims: d.claims.Coordinator(),
+		ReadyGrace: min(maxReadyGrace, d.set.Limits.Drain()/4),
 	})
 	if err != nil {
 		return err
 	}
+	forward.Register(d.peerServer, d.gateway)
+	d.claims.Register(d.peerServer)
 	d.publishMetrics()
 	return d.buildOperator()
 }
 
+// maxReadyGrace is how long a draining daemon goes on accepting callers, so that the balancer sees in its next
+// checks that it is not ready.
+const maxReadyGrace = 3 * time.Second
+
+// setMember tells the parts that act for a member its id, or "" when the daemon is not a member.
+func (d *Daemon) setMember(id string) {
+	d.registry.Counter("membership_changes").Inc()
+	d.authority.setMember(id)
+	d.claims.SetMember(id)
+}
+
+// confirmHeartbeat extends what a member may do by a heartbeat that was read back.
+func (d *Daemon) confirmHeartbeat(member string, sent time.Duration) {
+	d.authority.confirm(member, sent)
+	d.claims.Confirm(member, sent)
+}
+
 func (d *Daemon) buildOperator() error {
 	tokens, err := operator.ReadTokens(d.set.Operators.TokenFile)
 	if err != nil {
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -18,8 +18,8 @@
 // leaveTimeout limits how long a shutdown waits for the log to show that shards were released.
 const leaveTimeout = 5 * time.Second
 
-// Run runs the daemon until ctx ends, then drains: it stops being ready, hands over its shards, serves the
-// requests in flight and stops.
+// Run runs the daemon until ctx ends, then drains: it stops being ready, serves the requests in flight, hands over
+// its shards and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -69,6 +69,7 @@
 		d.listing.run,
 		d.peers.Run,
 		d.owner.Run,
+		d.claims.Run,
 		d.sched.Run,
 		d.guards.Run,
 		d.watch,
@@ -90,15 +91,16 @@
 
 func (d *Daemon) shutdown() error {
 	d.log.Info().Str("step", "drain").Msg("daemon drains")
-	d.gateway.StartDrain()
+	drain, cancel := context.WithTimeout(context.Background(), d.set.Limits.Drain())
+	defer cancel()
+	err := d.gateway.Shutdown(drain)
+	// Membership ends after the requests in flight, which may need claims.
+	d.claims.Stop()
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.owner.Leave(leave); err != nil {
 		d.log.Warn().Str("step", "hand over").Err(err).Msg("shards were not released, other members expire this one")
 	}
-	drain, cancel := context.WithTimeout(context.Background(), d.set.Limits.Drain())
-	defer cancel()
-	err := d.gateway.Shutdown(drain)
 	d.shutdownPeers(drain)
 	_ = d.operator.Shutdown(drain)
 	_ = d.health.Shutdown(drain)
@@ -110,6 +112,7 @@
 func (d *Daemon) subscribe(ctx context.Context) {
 	d.zone.Follower.Subscribe(func(b stream.Batch) {
 		d.zone.View(d.authority.observe)
+		d.claims.ApplyZone(b)
 		d.table.Apply(b)
 		d.wakeWorkers(ctx, b)
 		d.guards.ApplyZone(b)
