Measure the crowding of a service by shares

Counting replicas made a service with 120 replicas use every worker of a rack, so that batch work found no worker without a service.

--- a/core/placement/feasible.go
+++ b/core/placement/feasible.go
@@ -20,16 +20,28 @@
 	// names maps the numbers of classes to their names.
 	names []string
 	now   time.Time
+	// rackCounts are the replicas of the service by rack; perReplica is the reciprocal of their sum and one.
+	rackCounts []int32
+	perReplica float32
 }
 
 func (x *Index) request(p *Pending, now time.Time) request {
 	j := p.Job
 	id := x.classes.ofTask(j.Class, j.Priority)
-	return request{
+	r := request{
 		task: p.Task, class: id, service: j.Service, priority: j.Priority, size: reservation(j.Size),
 		use: x.expectedUse(j.Team, j.Class, j.Size), excluded: x.classes.excluded[id],
 		names: x.classes.names, now: now,
 	}
+	if j.Service != "" {
+		r.rackCounts = x.rackReplicas[j.Service]
+		total := int32(1)
+		for _, count := range r.rackCounts {
+			total += count
+		}
+		r.perReplica = 1 / float32(total)
+	}
+	return r
 }
 
 // reservation is what a task reserves: its declared size and at least one slot. Learned sizes never lower
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -82,11 +82,12 @@
 		float32(n.free.Slots-r.size.Slots)*n.perSlot) / 3
 }
 
-// crowding counts the replicas of the same service in the worker's rack and, four times, on the worker.
+// crowding is the part of the service that its rack and, four times, its worker would hold. Shares and not
+// counts, so that the replicas of a large service may still be packed.
 func (x *Index) crowding(n *node, r *request, w *Weights) float32 {
 	same := float32(0)
-	if counts := x.rackReplicas[r.service]; int(n.rack) < len(counts) {
-		same = float32(counts[n.rack])
+	if int(n.rack) < len(r.rackCounts) {
+		same = float32(r.rackCounts[n.rack])
 	}
 	for _, runs := range [2][]Run{n.worker.Runs, n.planned} {
 		for i := range runs {
@@ -95,5 +96,5 @@
 			}
 		}
 	}
-	return float32(w.Spread) * same
+	return float32(w.Spread) * same * r.perReplica
 }
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -118,7 +118,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Weights: Weights{
-			ServiceHarm: 4, BatchHarm: 0.5, Overuse: 3, Pressure: 1, Fit: 0.3, Pack: 1, Accelerator: 1, Spread: 1,
+			ServiceHarm: 4, BatchHarm: 0.5, Overuse: 3, Pressure: 1, Fit: 0.3, Pack: 1, Accelerator: 1, Spread: 3,
 			// Services vary less than batch work, and together they leave other workers to batch work.
 			BatchPrior: 0.3, ServicePrior: 0.03,
 		},
