--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,8 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/claimview"
+	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/endpoints"
 	"waxwingslip.example/node/executor"
+	"waxwingslip.example/node/forward"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/ownership"
@@ -23,7 +26,7 @@
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/scheduler"
 	"waxwingslip.example/node/settings"
-	"waxwingslip.example/node/stream"
+	"waxwingslip.example/node/telemetry"
 	"waxwingslip.example/platform/directory"
 	"waxwingslip.example/platform/logstore"
 	"waxwingslip.example/platform/worker"
@@ -59,7 +62,11 @@
 	operator  *operator.Server
 	health    *http.Server
 	reports   *reports
+	registry  *telemetry.Registry
+	tracing   *telemetry.Tracing
+	guards    *contention.Manager
 
+	claims     *claimview.Keeper
 	peerServer *peer.Server
 	transport  *peer.Transport
 	peers      *peers.Peers
@@ -78,16 +85,21 @@
 // New builds a daemon and binds its listeners, so that its addresses are known. Run starts it.
 func New(set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	log = log.With().Str("daemon", set.Name).Str("zone", set.Zone).Logger()
-	d := &Daemon{set: set, log: log, started: time.Now(), reports: newReports()}
-	if err := d.listen(); err != nil {
+	d := &Daemon{set: set, log: log, started: time.Now(), reports: newReports(),
+		registry: telemetry.New(time.Now)}
+	var err error
+	if d.tracing, err = d.openTracing(); err != nil {
+		return nil, err
+	}
+	if err = d.listen(); err != nil {
 		return nil, err
 	}
 	d.openStreams()
-	if err := d.openPeers(); err != nil {
+	if err = d.openPeers(); err != nil {
 		d.closeListeners()
 		return nil, err
 	}
-	if err := d.buildParts(); err != nil {
+	if err = d.buildParts(); err != nil {
 		d.peerServer.Close()
 		d.transport.Close()
 		d.closeListeners()
@@ -133,11 +145,9 @@
 func (d *Daemon) openStreams() {
 	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
 	d.control = replica.NewControl(store, environment.Parse,
-		stream.FollowerOptions{Stream: replica.ControlStream(d.set.Environment), TailBytes: relayTailBytes, Log: d.log},
-		stream.AppenderOptions{Log: d.log})
+		d.controlOptions(), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
-		stream.FollowerOptions{Stream: replica.ZoneStream(d.set.Environment, d.set.Zone), Log: d.log},
-		stream.AppenderOptions{Log: d.log})
+		d.followerOptions(replica.ZoneStream(d.set.Environment, d.set.Zone), 0), d.appenderOptions())
 	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
 }
 
@@ -148,26 +158,58 @@
 	d.table = endpoints.New(d.zone)
 	d.listing = newListing(directory.NewHTTPClient(d.set.Platform.DirectoryURL), d.set.Zone, d.onListing)
 	d.pool = executor.NewPool(executor.Config{
-		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: metrics{},
+		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
 		Log: d.log, Now: d.now, OnReport: d.onReport,
 	})
+	d.guards = contention.New(contention.Config{
+		Zone: d.zone, Document: d.document, Throttler: d.pool, Member: d.authority.Member, Metrics: d.registry,
+		Log: d.log, Now: time.Now,
+	})
 	d.sched = scheduler.New(scheduler.Config{
 		Zone: d.set.Zone, State: d.zone, Control: d.control, Member: d.authority.Member, Loads: d.peers,
-		Metrics: metrics{}, Log: d.log, Now: d.now,
+		Estimator: d.guards, Probing: d.guards.Probing, Metrics: d.registry, Log: d.log, Now: d.now,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.owner = ownership.NewRunner(ownership.RunnerConfig{
 		Name: d.set.Name, PeerAddress: d.addresses.Peers, Zone: d.zone, Current: d.zoneCurrent, Now: d.now,
-		SetMember: d.authority.setMember, Confirm: d.authority.confirm, Log: d.log,
+		SetMember: d.setMember, Confirm: d.confirmHeartbeat, Log: d.log,
+	})
+	d.claims = claimview.New(claimview.Config{
+		Zone: d.zone, Caller: d.transport, Current: d.zoneCurrent, Now: d.now, Log: d.log,
 	})
 	var err error
-	d.gateway, err = gateway.New(gateway.Options{Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}})
+	d.gateway, err = gateway.New(gateway.Options{
+		Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}, Observer: observer{d.registry, d.guards},
+		Tracer: d.tracing.Provider.Tracer("gateway"), QueueLimit: d.set.Limits.QueuePerService, Seed: rand.Uint64(),
+		Forwarder: forward.New(d.transport, d.peers), Claims: d.claims.Coordinator(),
+		ReadyGrace: min(maxReadyGrace, d.set.Limits.Drain()/4),
+	})
 	if err != nil {
 		return err
 	}
+	forward.Register(d.peerServer, d.gateway)
+	d.claims.Register(d.peerServer)
+	d.publishMetrics()
 	return d.buildOperator()
 }
 
+// maxReadyGrace is how long a draining daemon goes on accepting callers, so that the balancer sees in its next
+// checks that it is not ready.
+const maxReadyGrace = 3 * time.Second
+
+// setMember tells the parts that act for a member its id, or "" when the daemon is not a member.
+func (d *Daemon) setMember(id string) {
+	d.registry.Counter("membership_changes").Inc()
+	d.authority.setMember(id)
+	d.claims.SetMember(id)
+}
+
+// confirmHeartbeat extends what a member may do by a heartbeat that was read back.
+func (d *Daemon) confirmHeartbeat(member string, sent time.Duration) {
+	d.authority.confirm(member, sent)
+	d.claims.Confirm(member, sent)
+}
+
 func (d *Daemon) buildOperator() error {
 	tokens, err := operator.ReadTokens(d.set.Operators.TokenFile)
 	if err != nil {
--- a/node/peer/body.go
+++ b/node/peer/body.go
@@ -8,9 +8,14 @@
 	"github.com/quic-go/quic-go"
 )
 
+// bodyUrgency ranks bodies behind frames, which have the default 3, so that claims and relays of the control
+// stream do not wait for bodies when a link is full.
+const bodyUrgency = 5
+
 // sendBody copies a body to the stream and ends the stream. If the body cannot be read to its end, it resets
 // the stream, so that the reader sees an error.
 func sendBody(stream *quic.Stream, w io.Writer, body io.Reader) error {
+	stream.SetPriority(bodyUrgency, true)
 	if _, err := io.Copy(w, body); err != nil {
 		stream.CancelWrite(streamBodyCut)
 		return errors.Wrap(err, "send body")
@@ -18,10 +23,39 @@
 	return errors.Wrap(stream.Close(), "send body")
 }
 
-func closeBody(body io.Reader) {
-	if c, ok := body.(io.Closer); ok {
-		_ = c.Close()
+// errUploadStopped ends an upload that is not needed any more.
+var errUploadStopped = errors.New("upload was stopped")
+
+// upload is the body of a request. It knows whether the body was touched, and touches it no more after stop.
+type upload struct {
+	body io.Reader
+
+	mu      sync.Mutex
+	begun   bool
+	stopped bool
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	stopped := u.stopped
+	u.begun = u.begun || !stopped
+	u.mu.Unlock()
+	if stopped {
+		return 0, errUploadStopped
+	}
+	return u.body.Read(p)
+}
+
+// stop lets no more reads begin and reports whether any has begun. It does nothing without a body.
+func (u *upload) stop() (begun bool) {
+	if u == nil {
+		return false
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopped = true
+	return u.begun
 }
 
 // errBodyClosed is returned by reads after Close.
--- a/node/peer/transport.go
+++ b/node/peer/transport.go
@@ -46,13 +46,23 @@
 	return t
 }
 
-// Windows of flow control. They bound the memory for bodies that their reader does not take: with a round
-// trip of 40 ms between regions, 2 MiB allow far more than the 30 Mbit/s of the link.
 const (
-	streamWindowBytes = 2 << 20
-	connWindowBytes   = 8 << 20
+	// defaultMaxStreams limits the streams of one connection at a time.
+	defaultMaxStreams = 256
+	// streamWindowBytes bounds the memory for one body that its reader does not take. With a round trip of
+	// 40 ms between regions it allows 50 Mbit/s to one body, more than the 30 Mbit/s of the link.
+	streamWindowBytes = 256 << 10
 )
 
+// flowControl lets every stream of a connection fill its own window. A smaller window of the connection would
+// let a few bodies that nobody reads block all other calls.
+func flowControl(c *quic.Config, maxStreams int) *quic.Config {
+	c.InitialStreamReceiveWindow, c.MaxStreamReceiveWindow = streamWindowBytes, streamWindowBytes
+	conn := uint64(maxStreams) * streamWindowBytes
+	c.InitialConnectionReceiveWindow, c.MaxConnectionReceiveWindow = conn, conn
+	return c
+}
+
 // maxLinks is the number of peer addresses above which unconnected ones are forgotten.
 const maxLinks = 256
 
@@ -85,6 +95,8 @@
 	links  map[string]*link
 	conns  map[*pooledConn]struct{}
 	closed bool
+	calls  int           // calls that have begun and not ended
+	noCall chan struct{} // closed when calls becomes 0, nil if nothing waits for that
 }
 
 // NewTransport opens a UDP socket for outgoing calls.
@@ -116,26 +128,43 @@
 }
 
 func (t *Transport) quicConfig() *quic.Config {
-	return &quic.Config{
-		HandshakeIdleTimeout:       t.opts.Timing.Dial,
-		MaxIdleTimeout:             t.opts.Timing.Silence,
-		KeepAlivePeriod:            t.opts.Timing.Silence / 3,
-		MaxStreamReceiveWindow:     streamWindowBytes,
-		MaxConnectionReceiveWindow: connWindowBytes,
-		MaxIncomingStreams:         -1, // only callers open streams
-		MaxIncomingUniStreams:      1,  // announces the server's shutdown
-	}
+	return flowControl(&quic.Config{
+		HandshakeIdleTimeout:  t.opts.Timing.Dial,
+		MaxIdleTimeout:        t.opts.Timing.Silence,
+		KeepAlivePeriod:       t.opts.Timing.Silence / 3,
+		MaxIncomingStreams:    -1, // only callers open streams
+		MaxIncomingUniStreams: 1,  // announces the server's shutdown
+	}, defaultMaxStreams)
 }
 
-// link returns the state kept for a peer address.
-func (t *Transport) link(address string) (*link, error) {
+// enter begins a call, unless the transport is closed.
+func (t *Transport) enter() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
-		return nil, errors.New("transport is closed")
+		return false
 	}
+	t.calls++
+	return true
+}
+
+// leave ends a call that enter began.
+func (t *Transport) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls--
+	if t.calls == 0 && t.noCall != nil {
+		close(t.noCall)
+		t.noCall = nil
+	}
+}
+
+// link returns the state kept for a peer address.
+func (t *Transport) link(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if l := t.links[address]; l != nil {
-		return l, nil
+		return l
 	}
 	if len(t.links) >= maxLinks {
 		for a, l := range t.links {
@@ -146,7 +175,7 @@
 	}
 	l := newLink(t, address)
 	t.links[address] = l
-	return l, nil
+	return l
 }
 
 // startTask runs f until Close waits for it, and reports false after Close.
@@ -160,21 +189,44 @@
 	return true
 }
 
+// Path is what is measured of the network to a peer.
+type Path struct {
+	SmoothedRTT time.Duration
+	MinRTT      time.Duration
+	// PacketsSent and PacketsLost count since the connection was made.
+	PacketsSent uint64
+	PacketsLost uint64
+}
+
+// Path returns measurements of the connection to an address, and false if there is none.
+func (t *Transport) Path(address string) (Path, bool) {
+	t.mu.Lock()
+	l := t.links[address]
+	t.mu.Unlock()
+	if l == nil {
+		return Path{}, false
+	}
+	c := l.current()
+	if c == nil || c.quic.Context().Err() != nil {
+		return Path{}, false
+	}
+	s := c.quic.ConnectionStats()
+	return Path{SmoothedRTT: s.SmoothedRTT, MinRTT: s.MinRTT, PacketsSent: s.PacketsSent, PacketsLost: s.PacketsLost}, true
+}
+
 // Shutdown refuses new calls, waits for the running ones until the context ends, and closes the transport.
 func (t *Transport) Shutdown(ctx context.Context) {
 	t.mu.Lock()
 	t.closed = true
-	var conns []*pooledConn
-	for c := range t.conns {
-		conns = append(conns, c)
+	noCall := t.noCall
+	if t.calls > 0 && noCall == nil {
+		noCall = make(chan struct{})
+		t.noCall = noCall
 	}
 	t.mu.Unlock()
-	for _, c := range conns {
-		c.drain()
-	}
-	for _, c := range conns {
+	if noCall != nil {
 		select {
-		case <-c.quic.Context().Done():
+		case <-noCall:
 		case <-ctx.Done():
 		}
 	}
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	// repairInterval is the time between looks at the whole state, which repair what a lost record or a change
 	// of members left undone.
 	repairInterval = 2 * time.Second
+	// learnInterval is the time between readings of the learned sizes and effects.
+	learnInterval = 10 * time.Second
 	// repostAfter is how long a record's effect is waited for before it is posted again.
 	repostAfter = 2 * time.Second
 )
@@ -60,8 +62,12 @@
 	State   ZoneReplica
 	Control ControlReplica
 	// Member returns the daemon's member id, or "" while it is not a member.
-	Member  func() string
-	Loads   Loads
+	Member func() string
+	Loads  Loads
+	// Estimator gives learned sizes and effects. It may be nil.
+	Estimator placement.Estimator
+	// Probing reports whether a worker was just released from quarantine. It may be nil.
+	Probing func(worker string) bool
 	Metrics Metrics
 	Log     zerolog.Logger
 	// Now reads the monotonic clock of the process.
@@ -86,7 +92,11 @@
 	planner    *placement.Planner
 	since      map[record.TaskID]time.Time
 	lastRepair time.Duration
+	lastLearn  time.Duration
 	drain      pacer
+	leaving    pacer
+	spill      pacer
+	admitted   map[string]admission
 }
 
 // New returns a scheduler that is not running.
@@ -97,6 +107,7 @@
 		pressure: map[string]float64{},
 		wakeup:   make(chan struct{}, 1),
 		since:    map[record.TaskID]time.Time{},
+		admitted: map[string]admission{},
 	}
 }
 
@@ -154,8 +165,14 @@
 		s.lastRepair = now
 		s.repair(self)
 	}
+	if s.cfg.Estimator != nil && now-s.lastLearn >= learnInterval {
+		s.lastLearn = now
+		s.planner.Index().SetEstimator(s.cfg.Estimator)
+	}
 	s.plan()
 	s.drainZone(self)
+	s.drainWorkers(self)
+	s.spillPending(self)
 }
 
 // repair compares the whole control state with the zone state.
@@ -163,11 +180,14 @@
 	var wanted []job
 	var policy *record.Policy
 	var services []record.JobSpec
+	ended := s.endedHere(self)
+	var finished []string
 	s.cfg.Control.View(func(c *control.State) {
 		wanted = s.collectJobs(c)
+		finished = finishedOf(c, ended)
 		if c.Document() != nil {
 			policy = policyOf(c.Document(), c.Version(), s.cfg.Zone)
-			services = servicesOf(c.Document(), c.Version(), s.cfg.Zone)
+			services = servicesOf(c.Document(), s.cfg.Zone)
 		}
 	})
 	if policy == nil {
@@ -177,6 +197,7 @@
 		s.syncPolicy(z, self, policy)
 		s.syncServices(z, self, services, policy.Version)
 		s.syncJobs(z, self, wanted)
+		s.forgetJobs(finished)
 	})
 }
 
