Test the failure of owners, workers and the log in simulated time

Cause: nothing showed that take-over, leases and late commands are safe. Change: node/authority is a package of its own; node/zonetest runs the parts of one zone on fakes inside testing/synctest: deaths of owners and workers, partitions, log outage, late starts, lost answers, evictions. A constant owner epoch is not caught.

--- a/node/daemon/authority.go
+++ b/node/authority/authority.go
@@ -1,4 +1,5 @@
-package daemon
+// Package authority says what a daemon may do at the moment: start tasks, renew leases and declare tasks lost.
+package authority
 
 import (
 	"sync"
@@ -10,8 +11,8 @@
 	"waxwingslip.example/node/replica"
 )
 
-// authority says what the daemon may do at the moment. It implements executor.Authority.
-type authority struct {
+// Authority implements executor.Authority. It is safe for concurrent use.
+type Authority struct {
 	zoneName string
 	zone     *replica.Zone
 	control  *replica.Control
@@ -32,14 +33,19 @@
 	at     time.Duration
 }
 
+// New returns the authority of a daemon that is not a member yet. now reads the monotonic clock of the process.
+func New(zoneName string, z *replica.Zone, c *replica.Control, now func() time.Duration) *Authority {
+	return &Authority{zoneName: zoneName, zone: z, control: c, now: now}
+}
+
 // shardSighting is when this daemon first read the current ownership of a shard.
 type shardSighting struct {
 	owner zone.ShardOwner
 	at    time.Duration
 }
 
-// setMember sets the member id, empty while the daemon is not a member.
-func (a *authority) setMember(id string) {
+// SetMember sets the member id, empty while the daemon is not a member.
+func (a *Authority) SetMember(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if id != a.member {
@@ -48,8 +54,8 @@
 	}
 }
 
-// confirm extends the renewal authority by a heartbeat that was read back and had been sent at the given time.
-func (a *authority) confirm(member string, sent time.Duration) {
+// Confirm extends the renewal authority by a heartbeat that was read back and had been sent at the given time.
+func (a *Authority) Confirm(member string, sent time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if member == a.member {
@@ -57,8 +63,8 @@
 	}
 }
 
-// observe records since when shards have their owners. It is called with the zone state after each change.
-func (a *authority) observe(s *zone.State) {
+// Observe records since when shards have their owners. It is called with the zone state after each change.
+func (a *Authority) Observe(s *zone.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
@@ -77,22 +83,22 @@
 	a.heartbeats = seen
 }
 
-// heartbeatAge returns how long ago the newest heartbeat of a member was read.
-func (a *authority) heartbeatAge(member string) time.Duration {
+// HeartbeatAge returns how long ago the newest heartbeat of a member was read.
+func (a *Authority) HeartbeatAge(member string) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.now() - a.heartbeats[member].at
 }
 
 // Member implements executor.Authority.
-func (a *authority) Member() string {
+func (a *Authority) Member() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.member
 }
 
-// controlFresh reports whether the control state is new enough for a start.
-func (a *authority) controlFresh() bool {
+// ControlFresh reports whether the control state is new enough for a start.
+func (a *Authority) ControlFresh() bool {
 	return fresh(a.control.Follower.CurrentAsOf())
 }
 
@@ -101,7 +107,7 @@
 }
 
 // MayStart implements executor.Authority.
-func (a *authority) MayStart() bool {
+func (a *Authority) MayStart() bool {
 	// Freshness is read before the state: the state read afterwards is at least as new, however long a pause
 	// lies between them. Its age is judged last.
 	asOf := a.control.Follower.CurrentAsOf()
@@ -117,21 +123,21 @@
 
 // RenewUntil implements executor.Authority. While the log cannot be read, nothing can be started elsewhere, so
 // leases then last until the renewal authority ends.
-func (a *authority) RenewUntil(now time.Duration) time.Duration {
+func (a *Authority) RenewUntil(now time.Duration) time.Duration {
 	a.mu.Lock()
 	left := a.renewal.Left(now)
 	a.mu.Unlock()
 	if left <= 0 {
 		return 0
 	}
-	if a.controlFresh() || a.zone.Follower.Reachable() {
+	if a.ControlFresh() || a.zone.Follower.Reachable() {
 		return lease.WorkerLease
 	}
 	return max(left, lease.WorkerLease)
 }
 
 // PreviousOwnerLapsed implements executor.Authority.
-func (a *authority) PreviousOwnerLapsed(shard int, now time.Duration) bool {
+func (a *Authority) PreviousOwnerLapsed(shard int, now time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.shards[shard]
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/authority"
 	"waxwingslip.example/node/claimview"
 	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/endpoints"
@@ -52,7 +53,7 @@
 
 	control   *replica.Control
 	zone      *replica.Zone
-	authority *authority
+	authority *authority.Authority
 	listing   *listing
 	table     *endpoints.Table
 	pool      *executor.Pool
@@ -148,7 +149,7 @@
 		d.controlOptions(), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
 		d.followerOptions(replica.ZoneStream(d.set.Environment, d.set.Zone), 0), d.appenderOptions())
-	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
+	d.authority = authority.New(d.set.Zone, d.zone, d.control, d.now)
 }
 
 // relayTailBytes is how much of the control stream a daemon keeps for peers that cannot read the log.
@@ -200,13 +201,13 @@
 // setMember tells the parts that act for a member its id, or "" when the daemon is not a member.
 func (d *Daemon) setMember(id string) {
 	d.registry.Counter("membership_changes").Inc()
-	d.authority.setMember(id)
+	d.authority.SetMember(id)
 	d.claims.SetMember(id)
 }
 
 // confirmHeartbeat extends what a member may do by a heartbeat that was read back.
 func (d *Daemon) confirmHeartbeat(member string, sent time.Duration) {
-	d.authority.confirm(member, sent)
+	d.authority.Confirm(member, sent)
 	d.claims.Confirm(member, sent)
 }
 
--- a/node/daemon/queries.go
+++ b/node/daemon/queries.go
@@ -40,7 +40,7 @@
 		for _, id := range s.MemberIDs() {
 			st.Members = append(st.Members, api.Member{
 				Member: id, PeerAddress: s.Members[id].PeerAddress, Shards: owned[id],
-				HeartbeatAgeMs: d.authority.heartbeatAge(id).Milliseconds(),
+				HeartbeatAgeMs: d.authority.HeartbeatAge(id).Milliseconds(),
 			})
 		}
 	})
@@ -57,7 +57,7 @@
 // alarms lists the conditions that need an operator's attention.
 func (d *Daemon) alarms() []api.Alarm {
 	out := []api.Alarm{}
-	if !d.authority.controlFresh() {
+	if !d.authority.ControlFresh() {
 		out = append(out, api.Alarm{Name: "control-stale", Detail: "the control stream cannot be read, no task is started"})
 	}
 	if !d.zoneCurrent() {
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -111,7 +111,7 @@
 // subscribe connects the streams with the parts that react to them.
 func (d *Daemon) subscribe(ctx context.Context) {
 	d.zone.Follower.Subscribe(func(b stream.Batch) {
-		d.zone.View(d.authority.observe)
+		d.zone.View(d.authority.Observe)
 		d.claims.ApplyZone(b)
 		d.table.Apply(b)
 		d.wakeWorkers(ctx, b)
--- /dev/null
+++ b/node/zonetest/failure_test.go
@@ -0,0 +1,280 @@
+package zonetest
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/lease"
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/platform/fault"
+)
+
+// running waits until a task runs and returns its worker.
+func (b *bench) running(n *node, job string) string {
+	b.t.Helper()
+	b.eventually(job+" runs", 30*time.Second, func() bool { return b.runsOf(job) > 0 })
+	return n.task(job, 0).Worker
+}
+
+// Guards against a daemon's death that loses or doubles a running task.
+func TestOwnerDies(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		defer c.kill()
+		a.publish(document)
+		a.submit("job", 1, "run=60s")
+		id := b.running(a, "job")
+		owner := ownerOf(id, a, c)
+		is.True(owner != nil)
+		survivor := c
+		if owner == c {
+			survivor = a
+			defer a.kill()
+		}
+		owner.kill()
+		b.eventually("the other daemon owns the worker", 12*time.Second, func() bool { return ownerOf(id, survivor) != nil })
+		b.eventually("job ends", 90*time.Second, func() bool {
+			return survivor.task("job", 0).State == zone.TaskEnded || survivor.task("job", 0).Epoch == 0
+		})
+		is.Equal(b.runsOf("job"), 1) // the run went on under the new owner
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against a worker's death that loses its tasks, runs them twice, or declares them lost before the
+// worker's lease has certainly lapsed.
+func TestWorkerDies(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		a.submit("job", 1, "run=100s")
+		id := b.running(a, "job")
+		died := time.Now()
+		b.fleet.At(id + ":1").Kill()
+		b.eventually("task is placed again", 40*time.Second, func() bool { return b.runsOf("job") == 2 })
+		is.True(time.Since(died) >= lease.WorkerLease-lease.RenewInterval)
+		is.True(a.task("job", 0).Worker != id)
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against a double run when the owner is cut off from the log and a worker cannot be reached by the new
+// owner: the old owner goes on renewing, so the task must stay where it is.
+func TestOldOwnerRenewsBehindPartition(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		defer a.kill()
+		defer c.kill()
+		a.publish(document)
+		a.submit("job", 1, "run=1h")
+		id := b.running(a, "job")
+		old, other := a, c
+		if ownerOf(id, a, c) == c {
+			old, other = c, a
+		}
+		old.link.logCut.Set(fault.Setting{Down: true})
+		other.link.workersCut.Set(fault.Setting{Down: true})
+		b.eventually("the other daemon owns the shard", 20*time.Second, func() bool { return ownerOf(id, other) != nil })
+		time.Sleep(40 * time.Minute)
+		is.Equal(b.runsOf("job"), 1)
+		is.Equal(other.task("job", 0).Epoch, int64(1))
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against the task of a lost daemon and a lost worker that waits for ever, or that starts again before
+// the old owner's authority has passed.
+func TestOwnerAndWorkerDie(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		a.publish(document)
+		a.submit("job", 1, "run=10h")
+		id := b.running(a, "job")
+		owner, survivor := a, c
+		if ownerOf(id, a, c) == c {
+			owner, survivor = c, a
+		}
+		defer survivor.kill()
+		died := time.Now()
+		owner.kill()
+		b.fleet.At(id + ":1").Kill()
+		b.eventually("task is placed again", 90*time.Minute, func() bool { return b.runsOf("job") == 2 })
+		is.True(time.Since(died) >= lease.RenewalAuthority)
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against a start that was held up on its way and takes effect after the zone was taken out of service.
+func TestLateStartIsRefused(t *testing.T) {
+	inBubble(t, 1, func(b *bench) {
+		is := is.New(t)
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		b.eventually("worker is registered", 30*time.Second, func() bool {
+			known := false
+			a.zone.View(func(s *zone.State) { known = s.Workers["w0"] != nil })
+			return known
+		})
+		a.link.mu.Lock()
+		a.link.holdStarts = 8 * time.Second
+		a.link.mu.Unlock()
+		a.submit("job", 1, "run=60s")
+		b.eventually("task is bound", 10*time.Second, func() bool { return a.task("job", 0).State == zone.TaskBound })
+		a.publish(strings.Replace(document, "      - name: z\n", "      - name: z\n        outOfService: true\n", 1))
+		time.Sleep(time.Minute)
+		is.Equal(b.runsOf("job"), 0)
+	})
+}
+
+// Guards against starts in a zone that was taken out of service while a daemon could not read the log.
+func TestNoStartWithoutFreshConfiguration(t *testing.T) {
+	inBubble(t, 2, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		defer a.kill()
+		defer c.kill()
+		a.publish(document)
+		a.submit("first", 1, "run=2h")
+		b.running(a, "first")
+		// Bound but not started: the workers cannot be reached by their owners for a moment.
+		a.link.workersCut.Set(fault.Setting{Down: true, Operations: []string{"start"}})
+		c.link.workersCut.Set(fault.Setting{Down: true, Operations: []string{"start"}})
+		a.submit("late", 1, "run=60s")
+		b.eventually("task is bound", 10*time.Second, func() bool { return a.task("late", 0).State == zone.TaskBound })
+		a.link.logCut.Set(fault.Setting{Down: true})
+		c.link.logCut.Set(fault.Setting{Down: true})
+		time.Sleep(lease.ControlFreshness + time.Second)
+		a.link.workersCut.Set(fault.Setting{})
+		c.link.workersCut.Set(fault.Setting{})
+		time.Sleep(10 * time.Minute)
+		is.Equal(b.runsOf("late"), 0)
+		is.Equal(b.runsOf("first"), 1) // its lease was renewed throughout
+		a.link.logCut.Set(fault.Setting{})
+		c.link.logCut.Set(fault.Setting{})
+		b.eventually("task starts when the log is back", time.Minute, func() bool { return b.runsOf("late") == 1 })
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against tasks that stop because their owner dies while the log is down: nobody can claim the shard then,
+// so the long lease must carry them until the log is back.
+func TestOwnerDiesDuringLogOutage(t *testing.T) {
+	inBubble(t, 2, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		a.publish(document)
+		a.submit("job", 1, "run=3h")
+		id := b.running(a, "job")
+		owner, survivor := a, c
+		if ownerOf(id, a, c) == c {
+			owner, survivor = c, a
+		}
+		defer survivor.kill()
+		a.link.logCut.Set(fault.Setting{Down: true})
+		c.link.logCut.Set(fault.Setting{Down: true})
+		time.Sleep(time.Minute)
+		owner.kill()
+		time.Sleep(20 * time.Minute)
+		survivor.link.logCut.Set(fault.Setting{})
+		b.eventually("the survivor owns the worker", time.Minute, func() bool { return ownerOf(id, survivor) != nil })
+		time.Sleep(time.Minute)
+		is.Equal(b.runsOf("job"), 1)
+		is.Equal(survivor.task("job", 0).Epoch, int64(1))
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against an eviction that is lost or done twice when the daemon that carries it out dies in between.
+func TestEvictionSurvivesOwner(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		a.publish(document)
+		a.submit("job", 1, "run=10m checkpoint=10s")
+		id := b.running(a, "job")
+		time.Sleep(time.Minute)
+		owner, survivor := a, c
+		if ownerOf(id, a, c) == c {
+			owner, survivor = c, a
+		}
+		defer survivor.kill()
+		task := owner.task("job", 0)
+		survivor.zone.Post(&record.Stop{
+			Run: record.Run{Task: record.TaskID{Job: "job"}, Epoch: task.Epoch, Worker: id}, Reason: "test",
+		})
+		// The owner may stop the run, but the Evict record that it appends is lost with it.
+		owner.link.logCut.Set(fault.Setting{Down: true, Operations: []string{"append"}})
+		b.eventually("run is stopped", 20*time.Second, func() bool {
+			for _, e := range b.fleet.History() {
+				if !e.End.IsZero() {
+					return true
+				}
+			}
+			return false
+		})
+		owner.kill()
+		b.eventually("task resumes", 40*time.Second, func() bool { return b.runsOf("job") == 2 })
+		is.Equal(survivor.task("job", 0).Evictions, 1)
+		is.True(survivor.task("job", 0).Checkpoint != "")
+		time.Sleep(time.Minute)
+		is.Equal(b.runsOf("job"), 2)
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against a start whose answer was lost and that is then placed on another worker as well.
+func TestStartAnswerLost(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		for _, w := range b.workers {
+			w.Faults.Set(fault.Setting{LoseAnswers: 2, Operations: []string{"start"}})
+		}
+		a.submit("job", 3, "run=30s")
+		b.eventually("job finishes", 2*time.Minute, func() bool {
+			done := false
+			a.control.View(func(s *control.State) { done = s.Finished("job") != nil })
+			return done
+		})
+		is.Equal(b.runsOf("job"), 3)
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against a daemon that was expired while it was cut off and that acts on its old ownership afterwards.
+func TestExpiredDaemonRejoins(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		is := is.New(t)
+		a, c := b.start("a"), b.start("c")
+		defer a.kill()
+		defer c.kill()
+		a.publish(document)
+		a.submit("job", 4, "run=20m")
+		b.running(a, "job")
+		before := a.auth.Member()
+		a.link.logCut.Set(fault.Setting{Down: true})
+		a.link.workersCut.Set(fault.Setting{Down: true})
+		time.Sleep(2 * time.Minute)
+		a.link.logCut.Set(fault.Setting{})
+		a.link.workersCut.Set(fault.Setting{})
+		b.eventually("daemon joins under another id", 30*time.Second, func() bool {
+			return a.auth.Member() != "" && a.auth.Member() != before
+		})
+		time.Sleep(2 * time.Minute)
+		is.Equal(b.runsOf("job"), 4)
+		b.checkNoOverlap()
+	})
+}
