Keep a streamed body usable for the next daemon of a zone

node/peer closes the body of a call that was not sent. The next daemon then got a cut body, and the outcome was unknown instead of answered. The body is now passed without its Close, and closed with the answer.

--- a/node/gateway/api.go
+++ b/node/gateway/api.go
@@ -78,7 +78,7 @@
 	Path string
 	// Header has no hop-by-hop fields and is at most MaxHeaderBytes.
 	Header http.Header
-	// Body is the request body; nil if there is none. It is read once.
+	// Body is the request body; nil if there is none. It is read once, and not closed by the receiver.
 	Body io.Reader
 	// ContentLength is the length of Body in bytes, or -1 if it is not known.
 	ContentLength int64
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -43,7 +43,7 @@
 	c.stats.attempts++
 	g.metrics.add(metricForwarded, 1)
 	fa, err := g.opts.Forwarder.Forward(ctx, choice.Zone, &ForwardRequest{Purpose: purpose, Service: c.service.Name,
-		Method: c.method, Path: c.path, Header: header, Body: body, ContentLength: c.contentLength,
+		Method: c.method, Path: c.path, Header: header, Body: readerOnly{body}, ContentLength: c.contentLength,
 		Timeout: c.left(started), WholeAnswer: c.wholeAnswer})
 	if err != nil {
 		_ = body.Close()
@@ -51,6 +51,7 @@
 		return nil, err
 	}
 	a := fromPeer(fa, choice.Zone, time.Since(started))
+	a.body = &closeFunc{ReadCloser: a.body, after: func() { _ = body.Close() }}
 	if overLink {
 		g.chargeLink(int64(headerBytes(a.header)))
 		a.body = &meteredBody{a.body, g}
@@ -68,6 +69,10 @@
 	return a, nil
 }
 
+// readerOnly keeps the forwarder from closing the body after a daemon that received nothing, because it may offer
+// the same body to another one.
+type readerOnly struct{ io.Reader }
+
 // fromPeer turns a peer's answer into ours. An answer without a valid outcome counts as unknown.
 func fromPeer(fa *ForwardAnswer, zone string, total time.Duration) *answer {
 	a := &answer{status: fa.Status, header: endToEnd(fa.Header), body: fa.Body, contentLength: -1, trailer: fa.Trailer,
--- a/node/gateway/harness_test.go
+++ b/node/gateway/harness_test.go
@@ -237,6 +237,10 @@
 		if d := c.daemons[member]; !d.dead.Load() {
 			return d.ServeForward(ctx, r), nil
 		}
+		// Like node/peer, which closes a body that it did not send.
+		if closer, ok := r.Body.(io.Closer); ok {
+			_ = closer.Close()
+		}
 	}
 	return nil, &NotSentError{Step: "forward", Peer: zone, Err: errCut}
 }
--- a/node/gateway/keyed_test.go
+++ b/node/gateway/keyed_test.go
@@ -137,6 +137,22 @@
 	is.Equal(e.runs.Load(), int64(2))
 }
 
+// Guards against a streamed body that is lost because the first daemon of the other zone could not be reached.
+func TestStreamedBodyReachesTheNextDaemon(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n, err)
+	})
+	c := newCluster(t)
+	cat := catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}
+	c.addZone("a", 2, cat, newSource(e.address()))[0].dead.Store(true)
+	far := c.addZone("b", 1, cat, newSource())[0]
+	r := ask(far, "POST", "/", "", strings.Repeat("x", replayBytes+1))
+	is.Equal(r.outcome, "answered")
+	is.Equal(r.body, fmt.Sprint(replayBytes+1, " <nil>"))
+}
+
 // Guards against requests that cross the link beyond its budget, or to a zone that is out of service.
 func TestOtherZones(t *testing.T) {
 	is := is.New(t)
