Refuse keys whose home zone moved with the document's zones

When a zone is added to or removed from the document, some keys get another home zone, where their claims are not known.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -56,6 +56,8 @@
 	// turn rotates zones of equal distance.
 	turn atomic.Uint64
 
+	homes homes
+
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	backends map[string]*backend
--- a/node/gateway/keyed.go
+++ b/node/gateway/keyed.go
@@ -26,10 +26,13 @@
 		// No daemon ever runs a request with such a key.
 		return failure(http.StatusBadRequest, OutcomeNotRun, err.Error())
 	}
-	home, choice := g.home(zone, key)
+	home, choice, moved := g.home(zone, key)
 	if home == "" {
 		return failure(http.StatusBadRequest, OutcomeUnknown, "the key's zone "+zone+" is not in the document")
 	}
+	if moved {
+		return g.undecided(errors.New("the document's zones have changed since the key was made"))
+	}
 	if home != g.opts.Zone {
 		return g.forwardKeyed(ctx, c, choice)
 	}
@@ -58,31 +61,6 @@
 	return g.undecided(result.Reason)
 }
 
-// home returns the key's home zone and how far it is, or "" if the stated zone does not exist.
-func (g *Gateway) home(stated string, key claim.Key) (string, routing.Choice) {
-	var names []string
-	var zones []routing.Zone
-	for _, z := range g.opts.Catalog.Zones() {
-		names = append(names, z.Name)
-		zones = append(zones, routing.Zone{Name: z.Name, Region: z.Region})
-	}
-	home := stated
-	if home == "" {
-		if home = claim.HomeZone(key, names); home == "" {
-			home = g.opts.Zone
-		}
-	}
-	if home == g.opts.Zone {
-		return home, routing.Choice{Zone: home}
-	}
-	for _, choice := range routing.Order(g.opts.Zone, zones, 0) {
-		if choice.Zone == home {
-			return home, choice
-		}
-	}
-	return "", routing.Choice{}
-}
-
 // forwardKeyed sends the request to its home zone. Without an answer the outcome is unknown even if nothing was sent
 // now, because only the home zone knows about earlier attempts.
 func (g *Gateway) forwardKeyed(ctx context.Context, c *call, choice routing.Choice) *answer {
--- a/node/gateway/keyed_test.go
+++ b/node/gateway/keyed_test.go
@@ -167,3 +167,35 @@
 	is.Equal(ask(out, "POST", "/", "", "").outcome, "not-run")
 	is.Equal(e.runs.Load(), int64(1))
 }
+
+// Guards against a key that is claimed in two home zones because a zone was added to the document in between.
+func TestKeyWhoseHomeMoved(t *testing.T) {
+	is := is.New(t)
+	var h homes
+	before, after := []string{"a", "b"}, []string{"a", "b", "c"}
+	const now = 1_700_000_000_000
+	moving, staying := 0, 0
+	for i := range 200 {
+		id := uuid.Must(uuid.NewV7())
+		madeAt := func(ms int64) (k claim.Key) {
+			k = claim.Key(id)
+			for b := range 6 {
+				k[5-b] = byte(ms >> (8 * b))
+			}
+			return k
+		}
+		h = homes{}
+		is.True(!h.moved(madeAt(now), before, now))
+		key := madeAt(now + int64(i))
+		if claim.HomeZone(key, before) == claim.HomeZone(key, after) {
+			staying++
+			is.True(!h.moved(key, after, now+1000))
+			continue
+		}
+		moving++
+		is.True(h.moved(key, after, now+1000))
+		is.True(h.moved(key, after, now+500_000)) // a repeat while claims are kept
+		is.True(!h.moved(madeAt(now+1000+homeSettle.Milliseconds()), after, now+20_000))
+	}
+	is.True(moving > 20 && staying > 100)
+}
