--- a/node/gateway/failure_test.go
+++ b/node/gateway/failure_test.go
@@ -163,6 +163,10 @@
 	is.Equal((<-replies).outcome, "answered")
 	is.Equal((<-replies).outcome, "answered")
 	is.Equal(e.runs.Load(), int64(2))
+	for name, want := range map[string]string{metricAccepted: "3", metricShed: "1", metricOutcome + "answered": "2",
+		metricOutcome + "not-run": "1"} {
+		is.Equal(d.Metrics().Get(name).String(), want)
+	}
 }
 
 // Guards against a request header without limits, and against one caller that takes everything.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 )
 
 // Guards against an answer cut short by the endpoint that reaches the caller as a complete one, for answers
@@ -192,3 +195,30 @@
 		is.Equal(o.Attempts, 1)
 	}
 }
+
+// Guards against hops without a span, and against traces that break between the caller, daemons and the endpoint.
+func TestTraceJoinsHops(t *testing.T) {
+	is := is.New(t)
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get("Traceparent")) })
+	spans := tracetest.NewInMemoryExporter()
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans))
+	c := newCluster(t)
+	cat := catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}
+	near, far := c.addZone("a", 1, cat, newSource(e.address()))[0], c.addZone("b", 1, cat, newSource())[0]
+	for _, d := range []*daemon{near, far} {
+		d.opts.Tracer = provider.Tracer("test")
+		d.client.tracer = d.opts.Tracer
+	}
+	r := ask(far, "POST", "/", "", "", "Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
+	is.True(strings.Contains(r.body, trace))
+	far.front.Close() // waits for the handler, which ends its span after the answer
+	var names []string
+	for _, s := range spans.GetSpans() {
+		is.Equal(s.SpanContext.TraceID().String(), trace)
+		is.True(s.Parent.IsValid())
+		names = append(names, s.Name)
+	}
+	slices.Sort(names)
+	is.Equal(names, []string{"caller request", "endpoint request", "forward to zone", "forwarded request"})
+}
