Allow 150 new keys a second for each zone

64 Ki claims for ten minutes allowed 95 a second. An entry takes 153 B of heap, measured with 131072 grants in one table in a scratch test; 96 Ki entries take 15 MB of the 20 MB.

--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -34,9 +34,10 @@
 	MaxBytes int64
 }
 
-// DefaultLimits take at most 20 MB of the 64 MB that a daemon has for control.
+// DefaultLimits take at most 20 MB of the 64 MB that a daemon has for control. Since every member holds every claim
+// of its zone for the retention, they allow 150 new keys a second for each zone.
 func DefaultLimits() Limits {
-	return Limits{MaxClaims: 64 << 10, ReserveClaims: 8 << 10, MaxBytes: 20 << 20}
+	return Limits{MaxClaims: 96 << 10, ReserveClaims: 8 << 10, MaxBytes: 20 << 20}
 }
 
 // Table holds the claims that one member has granted or was given. It is not safe for concurrent use.
