--- a/node/gateway/keyed.go
+++ b/node/gateway/keyed.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"waxwingslip.example/core/claim"
@@ -55,7 +56,7 @@
 		return failure(http.StatusServiceUnavailable, OutcomeNotRun, result.Reason.Error())
 	case claims.Finished:
 		cancel()
-		return g.replay(result.Entry)
+		return g.replay(c, result.Entry)
 	}
 	cancel()
 	return g.undecided(result.Reason)
@@ -97,7 +98,7 @@
 		g.opts.Claims.Finish(entry)
 		return a
 	}
-	r := &recorder{body: a.body, answer: a, finish: func(stored []byte, complete bool) {
+	r := &recorder{body: a.body, answer: a, request: c.fingerprint(), finish: func(stored []byte, complete bool) {
 		cancel()
 		entry.Outcome, entry.Answer = claim.OutcomeAnswered, stored
 		if !complete {
@@ -132,13 +133,20 @@
 
 // storedAnswer is the form in which a claim keeps an answer.
 type storedAnswer struct {
-	_      struct{} `cbor:",toarray"`
-	Header http.Header
-	Body   []byte
+	_ struct{} `cbor:",toarray"`
+	// Request is the fingerprint of the request that was answered.
+	Request uint64
+	Header  http.Header
+	Body    []byte
+}
+
+// fingerprint tells requests apart that share a key by mistake. The body is left out, because it may be streamed.
+func (c *call) fingerprint() uint64 {
+	return xxhash.Sum64String(c.service.Name + "\x00" + c.method + "\x00" + c.path)
 }
 
 // replay gives the end of an earlier attempt again.
-func (g *Gateway) replay(e claim.Entry) *answer {
+func (g *Gateway) replay(c *call, e claim.Entry) *answer {
 	switch e.Outcome {
 	case claim.OutcomeNotRun:
 		return failure(http.StatusServiceUnavailable, OutcomeNotRun, "an earlier attempt with this key ended without "+
@@ -147,7 +155,6 @@
 		return failure(http.StatusBadGateway, OutcomeUnknown, "an earlier attempt with this key was sent and got no "+
 			"whole answer")
 	}
-	g.metrics.add(metricReplayed, 1)
 	var stored storedAnswer
 	if len(e.Answer) == 0 || cbor.Unmarshal(e.Answer, &stored) != nil {
 		a := failure(http.StatusConflict, OutcomeAnswered, "an earlier attempt with this key was answered; the answer "+
@@ -155,6 +162,10 @@
 		a.header.Set(HeaderStoredStatus, strconv.Itoa(e.Status))
 		return a
 	}
+	if stored.Request != c.fingerprint() {
+		return failure(http.StatusUnprocessableEntity, OutcomeUnknown, "the key was used for another request")
+	}
+	g.metrics.add(metricReplayed, 1)
 	return &answer{status: e.Status, header: stored.Header, body: io.NopCloser(bytes.NewReader(stored.Body)),
 		contentLength: int64(len(stored.Body)), outcome: OutcomeAnswered}
 }
@@ -163,10 +174,12 @@
 type recorder struct {
 	body   io.ReadCloser
 	answer *answer
-	kept   []byte
-	large  bool
-	once   sync.Once
-	finish func(stored []byte, complete bool)
+	// request is the fingerprint of the call.
+	request uint64
+	kept    []byte
+	large   bool
+	once    sync.Once
+	finish  func(stored []byte, complete bool)
 	// ahead is what readAhead has read; done is true if that is the whole answer.
 	ahead *bytes.Reader
 	err   error
@@ -221,7 +234,7 @@
 	r.once.Do(func() {
 		var stored []byte
 		if complete && !r.large {
-			stored, _ = cbor.Marshal(storedAnswer{Header: r.answer.header, Body: r.kept})
+			stored, _ = cbor.Marshal(storedAnswer{Request: r.request, Header: r.answer.header, Body: r.kept})
 			if len(stored) > claim.MaxAnswerBytes {
 				stored = nil
 			}
--- a/node/gateway/keyed_test.go
+++ b/node/gateway/keyed_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against a repeat that gets another answer than the first attempt, or part of a large one as if it were
-// whole.
+// whole, and against another request that gets the answer because it shares the key.
 func TestRepeatGetsTheSameAnswer(t *testing.T) {
 	is := is.New(t)
 	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
@@ -130,6 +130,9 @@
 		if wantStatus == http.StatusCreated {
 			is.Equal(again.body, first.body)
 			is.Equal(again.header.Get("X-Receipt"), "r1")
+			other := ask(all[1], "POST", "/other", key, "")
+			is.Equal(other.status, http.StatusUnprocessableEntity)
+			is.True(other.body != first.body)
 		} else {
 			is.Equal(again.header.Get(HeaderStoredStatus), "201")
 		}
