--- a/node/gateway/keyed_test.go
+++ b/node/gateway/keyed_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against a repeat that gets another answer than the first attempt, or part of a large one as if it were
-// whole.
+// whole, and against another request that gets the answer because it shares the key.
 func TestRepeatGetsTheSameAnswer(t *testing.T) {
 	is := is.New(t)
 	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
@@ -130,6 +130,9 @@
 		if wantStatus == http.StatusCreated {
 			is.Equal(again.body, first.body)
 			is.Equal(again.header.Get("X-Receipt"), "r1")
+			other := ask(all[1], "POST", "/other", key, "")
+			is.Equal(other.status, http.StatusUnprocessableEntity)
+			is.True(other.body != first.body)
 		} else {
 			is.Equal(again.header.Get(HeaderStoredStatus), "201")
 		}
@@ -137,6 +140,22 @@
 	is.Equal(e.runs.Load(), int64(2))
 }
 
+// Guards against a streamed body that is lost because the first daemon of the other zone could not be reached.
+func TestStreamedBodyReachesTheNextDaemon(t *testing.T) {
+	is := is.New(t)
+	e := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n, err)
+	})
+	c := newCluster(t)
+	cat := catalog{zones: []Zone{{"a", "r", false}, {"b", "r", false}}}
+	c.addZone("a", 2, cat, newSource(e.address()))[0].dead.Store(true)
+	far := c.addZone("b", 1, cat, newSource())[0]
+	r := ask(far, "POST", "/", "", strings.Repeat("x", replayBytes+1))
+	is.Equal(r.outcome, "answered")
+	is.Equal(r.body, fmt.Sprint(replayBytes+1, " <nil>"))
+}
+
 // Guards against requests that cross the link beyond its budget, or to a zone that is out of service.
 func TestOtherZones(t *testing.T) {
 	is := is.New(t)
@@ -151,3 +170,35 @@
 	is.Equal(ask(out, "POST", "/", "", "").outcome, "not-run")
 	is.Equal(e.runs.Load(), int64(1))
 }
+
+// Guards against a key that is claimed in two home zones because a zone was added to the document in between.
+func TestKeyWhoseHomeMoved(t *testing.T) {
+	is := is.New(t)
+	var h homes
+	before, after := []string{"a", "b"}, []string{"a", "b", "c"}
+	const now = 1_700_000_000_000
+	moving, staying := 0, 0
+	for i := range 200 {
+		id := uuid.Must(uuid.NewV7())
+		madeAt := func(ms int64) (k claim.Key) {
+			k = claim.Key(id)
+			for b := range 6 {
+				k[5-b] = byte(ms >> (8 * b))
+			}
+			return k
+		}
+		h = homes{}
+		is.True(!h.moved(madeAt(now), before, now))
+		key := madeAt(now + int64(i))
+		if claim.HomeZone(key, before) == claim.HomeZone(key, after) {
+			staying++
+			is.True(!h.moved(key, after, now+1000))
+			continue
+		}
+		moving++
+		is.True(h.moved(key, after, now+1000))
+		is.True(h.moved(key, after, now+500_000)) // a repeat while claims are kept
+		is.True(!h.moved(madeAt(now+1000+homeSettle.Milliseconds()), after, now+20_000))
+	}
+	is.True(moving > 20 && staying > 100)
+}
