--- a/core/interference/model_test.go
+++ b/core/interference/model_test.go
@@ -133,3 +133,31 @@
 		m.ObserveUse(Key{"t", "c"}, resource.Vector{MilliCPU: int64(i % 4000), MemoryMB: 800}, start.Add(time.Duration(i)*time.Millisecond))
 	}
 }
+
+// FuzzAbsorb guards against a digest from a faulty peer that crashes the daemon or spoils its estimates.
+func FuzzAbsorb(f *testing.F) {
+	m := New(DefaultOptions())
+	teach(m, 1, 50)
+	m.ObserveUse(Key{"t", "c"}, resource.Vector{MilliCPU: 1000}, start)
+	seed, err := m.Digest(start, 100)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		m := New(DefaultOptions())
+		_ = m.Absorb("peer", encoded) // both outcomes are allowed
+		for _, r := range m.remote {
+			for k := range r.pairs {
+				if s, c := m.Effect(k.victim, k.neighbour); !(s >= 0 && s < 100 && c >= 0 && c <= 1) {
+					t.Fatalf("effect %v with confidence %v", s, c)
+				}
+			}
+			for k := range r.profiles {
+				if use, ok := m.Use(k.Team, k.Class); ok && !use.Valid() {
+					t.Fatalf("use %v", use)
+				}
+			}
+		}
+	})
+}
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -16,11 +16,11 @@
 	return float64(len(victim)+int(neighbour[len(neighbour)-1])%7) / 20, 1
 }
 
-// fullZone has 1,400 workers with 16 runs of 300 classes each and room for a few more.
-func fullZone() *Planner {
+// fullZone has workers with 16 runs of 300 classes each and room for a few more.
+func fullZone(workers int) *Planner {
 	p := NewPlanner(DefaultOptions())
 	p.Index().SetPolicy(true, []record.Exclusion{{A: "class-1", B: "class-2"}, {A: "class-5", B: "class-5"}})
-	for i := range 1400 {
+	for i := range workers {
 		w := Worker{
 			ID: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/8),
 			Capacity: resource.Vector{Slots: 18, Connections: 64, MilliCPU: 64000, MemoryMB: 250000},
@@ -44,7 +44,7 @@
 
 // BenchmarkPlacement measures one placement at 1,400 workers of which all are feasible, and its settlement.
 func BenchmarkPlacement(b *testing.B) {
-	p, rng, now := fullZone(), newRand(), start
+	p, rng, now := fullZone(1400), newRand(), start
 	job := &record.JobSpec{ID: "new", Team: "t", Class: "class-7", Priority: record.PriorityBatch, Size: resource.Vector{Slots: 1, MilliCPU: 2000, MemoryMB: 4000}}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
@@ -60,7 +60,7 @@
 
 // BenchmarkSetWorker measures the update of one changed worker.
 func BenchmarkSetWorker(b *testing.B) {
-	p := fullZone()
+	p := fullZone(1400)
 	w := p.index.nodes[7].worker
 	b.ReportAllocs()
 	for b.Loop() {
@@ -70,7 +70,7 @@
 
 // BenchmarkPreemption measures the search for runs to evict at 1,400 full workers.
 func BenchmarkPreemption(b *testing.B) {
-	p, now := fullZone(), start
+	p, now := fullZone(1400), start
 	job := &record.JobSpec{ID: "big", Team: "t", Class: "class-7", Priority: record.PriorityUrgent, Size: resource.Vector{Slots: 4, MilliCPU: 30000}}
 	t := Pending{Task: record.TaskID{Job: "big"}, Job: job, Since: now}
 	b.ReportAllocs()
@@ -81,3 +81,18 @@
 		p.release(t.Task)
 	}
 }
+
+// BenchmarkBacklog measures one round of planning, ten of which are made a second, in a zone of 156 workers
+// with 5,000 waiting jobs that do not fit.
+func BenchmarkBacklog(b *testing.B) {
+	p, rng, now := fullZone(156), newRand(), start
+	for i := range 5000 {
+		job := &record.JobSpec{ID: fmt.Sprint("job", i), Team: fmt.Sprint("team", i%110), Class: fmt.Sprint("class-", i%300), Priority: record.PriorityBatch, Size: resource.Vector{Slots: 3}}
+		p.Add(Pending{Task: record.TaskID{Job: job.ID}, Epoch: 1, Job: job, Since: now})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		p.Plan(now, rng, 100)
+	}
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"waxwingslip.example/core/record"
 )
 
@@ -28,7 +30,11 @@
 		if best >= 0 && cost >= bestCost {
 			continue
 		}
-		if cost += x.harm(n, r, w); best < 0 || cost < bestCost {
+		limit := bestCost
+		if best < 0 {
+			limit = math.MaxFloat32
+		}
+		if cost = x.addHarm(cost, limit, n, r, w); cost < limit {
 			best, bestCost = i, cost
 		}
 	}
@@ -49,24 +55,27 @@
 	return cost + float32(w.Fit)*n.leftover(r)
 }
 
-// harm is the expected slowdown of the task next to the worker's runs, and of the runs next to the task.
-func (x *Index) harm(n *node, r *request, w *Weights) float32 {
+// addHarm adds the expected slowdown of the task next to the worker's runs, and of the runs next to the task. It
+// stops at the limit, because all terms are positive.
+func (x *Index) addHarm(cost, limit float32, n *node, r *request, w *Weights) float32 {
 	suffers, causes := x.classes.suffers[r.class], x.classes.causes[r.class]
 	own := float32(w.BatchHarm)
 	if r.priority == record.PriorityService {
 		own = float32(w.ServiceHarm)
 	}
 	load := float32(r.use.MilliCPU) * n.perCPU
-	sum := float32(0)
 	for i := range n.classes {
 		c := &n.classes[i]
 		theirs := float32(w.BatchHarm)
 		if c.service {
 			theirs = float32(w.ServiceHarm)
 		}
-		sum += own*suffers[c.class]*c.load + theirs*causes[c.class]*load*float32(c.count)
+		cost += own*suffers[c.class]*c.load + theirs*causes[c.class]*load*float32(c.count)
+		if cost >= limit {
+			break
+		}
 	}
-	return sum
+	return cost
 }
 
 // overuse grows from the point at which the expected use of a worker leads to contention.
