--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -18,12 +18,15 @@
 // leaveTimeout limits how long a shutdown waits for the log to show that shards were released.
 const leaveTimeout = 5 * time.Second
 
-// Run runs the daemon until ctx ends, then drains: it stops being ready, hands over its shards, serves the
-// requests in flight and stops.
+// Run runs the daemon until ctx ends, then drains: it stops being ready, serves the requests in flight, hands over
+// its shards and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.subscribe(background)
+	if err := d.peerServer.Serve(); err != nil {
+		return err
+	}
 	d.start(background)
 	failed := make(chan error, 3)
 	go func() { failed <- d.gateway.Serve(d.listeners.callers) }()
@@ -64,8 +67,12 @@
 		d.snapshotter(d.zone.Follower, d.zone.Appender, "snapshot/zone"),
 		d.snapshotter(d.control.Follower, d.control.Appender, "snapshot/control"),
 		d.listing.run,
+		d.peers.Run,
 		d.owner.Run,
+		d.claims.Run,
 		d.sched.Run,
+		d.guards.Run,
+		d.watch,
 	} {
 		d.workers.Go(func() { loop(ctx) })
 	}
@@ -84,17 +91,20 @@
 
 func (d *Daemon) shutdown() error {
 	d.log.Info().Str("step", "drain").Msg("daemon drains")
-	d.gateway.StartDrain()
+	drain, cancel := context.WithTimeout(context.Background(), d.set.Limits.Drain())
+	defer cancel()
+	err := d.gateway.Shutdown(drain)
+	// Membership ends after the requests in flight, which may need claims.
+	d.claims.Stop()
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.owner.Leave(leave); err != nil {
 		d.log.Warn().Str("step", "hand over").Err(err).Msg("shards were not released, other members expire this one")
 	}
-	drain, cancel := context.WithTimeout(context.Background(), d.set.Limits.Drain())
-	defer cancel()
-	err := d.gateway.Shutdown(drain)
+	d.shutdownPeers(drain)
 	_ = d.operator.Shutdown(drain)
 	_ = d.health.Shutdown(drain)
+	_ = d.tracing.Shutdown(drain)
 	return err
 }
 
@@ -102,12 +112,13 @@
 func (d *Daemon) subscribe(ctx context.Context) {
 	d.zone.Follower.Subscribe(func(b stream.Batch) {
 		d.zone.View(d.authority.observe)
+		d.claims.ApplyZone(b)
 		d.table.Apply(b)
 		d.wakeWorkers(ctx, b)
+		d.guards.ApplyZone(b)
 		d.sched.ApplyZone(b)
 	})
 	d.control.Follower.Subscribe(func(b stream.Batch) {
-		d.verdicts.add(b)
 		d.attest(b)
 		d.sched.ApplyControl(b)
 	})
@@ -155,6 +166,7 @@
 			leaving[vm.ID] = true
 		}
 	}
+	d.knowPeers(vms)
 	d.table.SetLeaving(leaving)
 	d.pool.SetListing(vms)
 	d.pool.Sync(ctx)
@@ -162,7 +174,8 @@
 
 func (d *Daemon) onReport(r worker.Report) {
 	d.reports.add(r, d.now())
-	d.sched.Report(r)
+	d.guards.Report(r)
+	d.sched.Pressure(map[string]int64{r.Worker: stallOf(r)})
 }
 
 func (d *Daemon) operatorTLS() (*tls.Config, error) {
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -10,6 +10,7 @@
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/platform/directory"
 	"waxwingslip.example/platform/worker"
 )
 
@@ -35,8 +36,12 @@
 	address atomic.Pointer[string]
 	cancel  context.CancelFunc
 	wakeup  chan struct{}
+	// listed returns what the VM list says about the worker. The list is only a hint: a worker that is wrongly
+	// called leaving merely gets no new tasks.
+	listed func() directory.State
 
-	attested atomic.Bool
+	throttles chan throttle
+	attested  atomic.Bool
 
 	clock knownWorker
 	// heard is set once the worker accepted a command under this epoch, which fences earlier owners.
@@ -55,11 +60,12 @@
 
 func newAgent(cfg *Config, t target, cancel context.CancelFunc) *agent {
 	a := &agent{
-		cfg:    cfg,
-		target: t,
-		cancel: cancel,
-		wakeup: make(chan struct{}, 1),
-		posted: map[string]time.Duration{},
+		cfg:       cfg,
+		target:    t,
+		cancel:    cancel,
+		wakeup:    make(chan struct{}, 1),
+		throttles: make(chan throttle, maxThrottles),
+		posted:    map[string]time.Duration{},
 	}
 	a.address.Store(&t.address)
 	return a
@@ -111,6 +117,7 @@
 		a.cfg.OnReport(report)
 	}
 	a.register(report)
+	a.applyThrottles(ctx)
 	if a.act(ctx, report) {
 		return followUp
 	}
@@ -205,10 +212,11 @@
 		a.once("register", &record.RegisterWorker{Owner: a.owner(), Worker: want})
 		return
 	}
+	leaving := report.Leaving || a.listed() == directory.StateLeaving
 	switch {
-	case report.Leaving && state == record.WorkerUsable:
-		a.setState(record.WorkerLeaving, "worker says that it is leaving")
-	case !report.Leaving && state == record.WorkerLeaving, state == record.WorkerUnreachable:
+	case leaving && state == record.WorkerUsable:
+		a.setState(record.WorkerLeaving, "worker or VM list says that it is leaving")
+	case !leaving && state == record.WorkerLeaving, state == record.WorkerUnreachable:
 		a.setState(record.WorkerUsable, "worker reports again")
 	}
 }
--- a/node/gateway/attempt.go
+++ b/node/gateway/attempt.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,7 +26,7 @@
 	propagator propagation.TextMapPropagator
 }
 
-func newClient(connectTimeout time.Duration, tracer trace.Tracer) *client {
+func newClient(connectTimeout time.Duration, idlePerEndpoint int, tracer trace.Tracer) *client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &client{
 		tracer:     tracer,
@@ -38,7 +41,7 @@
 			},
 			// The answer's encoding is the caller's business.
 			DisableCompression:     true,
-			MaxIdleConnsPerHost:    64,
+			MaxIdleConnsPerHost:    idlePerEndpoint,
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: MaxHeaderBytes,
 		},
@@ -135,12 +138,29 @@
 		}
 		return nil, a.timing(), &NotSentError{Step: "endpoint request", Peer: address, Err: err}
 	}
+	if !endIsMarked(resp) {
+		_ = resp.Body.Close()
+		return nil, a.timing(), &SentError{Step: "endpoint answer", Peer: address, Err: errNoLength}
+	}
 	span.SetAttributes(attribute.Int("status", resp.StatusCode))
 	return fromResponse(resp), a.timing(), nil
 }
 
-// request builds the endpoint's request. Its body is never nil and has no GetBody: the transport would repeat a
-// request with an Idempotency-Key on its own after a connection broke, even if the endpoint had received it.
+// replayHeaders make net/http's transport repeat a request without a body on its own after a kept connection
+// broke, even if the endpoint had received it.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// errNoLength says that the end of an answer could not be told from a broken connection.
+var errNoLength = errors.New("the answer has neither a length nor chunks")
+
+// endIsMarked reports whether the end of an answer's body can be told from a connection that broke. An endpoint that
+// marks the end by closing the connection would make every truncated answer look whole.
+func endIsMarked(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || resp.Body == http.NoBody || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
+// request builds the endpoint's request so that the transport never repeats one that is not idempotent: bodies have
+// no GetBody, and the transport finds the replay headers only under their canonical names.
 func (cl *client) request(ctx context.Context, c *call, address string) (*http.Request, error) {
 	target, err := url.Parse("http://" + address + c.path)
 	if err != nil {
@@ -152,6 +172,14 @@
 	}
 	header := c.header.Clone()
 	cl.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+	if !c.idempotent {
+		for _, name := range replayHeaders {
+			if values, set := header[name]; set {
+				delete(header, name)
+				header[strings.ToLower(name)] = values
+			}
+		}
+	}
 	if _, set := header["User-Agent"]; !set {
 		header["User-Agent"] = nil // keeps the transport from adding its own
 	}
@@ -182,3 +210,17 @@
 		_ = a.body.Close()
 	}
 }
+
+// closeFunc is a body with an additional step at its end.
+type closeFunc struct {
+	io.ReadCloser
+	once  sync.Once
+	after func()
+}
+
+// Close implements io.Closer.
+func (c *closeFunc) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.after)
+	return err
+}
