Let the guard try classes without a learned effect

A run without a learned effect was never a suspect, so a new noisy class could not be throttled. When the verdict names the neighbours, every batch run is now suspected a little, the busiest first; without that verdict nothing changes.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -228,7 +228,7 @@
 
 // accuse throttles the batch run with the largest expected effect that is neither throttled nor exonerated.
 func (g *Guard) accuse(now time.Time, e *episode, v *WorkerView, ratio float64) (Action, bool) {
-	best, bestScore := -1, 0.0
+	best, bestScore, floor := -1, 0.0, g.suspicion(v)
 	for i, b := range v.Batch {
 		if at, ok := e.exonerated[b.Task]; ok && now.Sub(at) < g.opts.ExonerateFor {
 			continue
@@ -236,7 +236,7 @@
 		if slices.ContainsFunc(e.suspects, func(s suspect) bool { return s.task == b.Task }) {
 			continue
 		}
-		if score := b.Effect * b.Load; score > bestScore {
+		if score := (b.Effect + floor) * b.Load; score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -248,6 +248,20 @@
 	return g.action(v, b.Task, b.Epoch, Throttle, g.opts.Steps[0], over(ratio)), true
 }
 
+// unknownEffect is what every batch run is suspected of while neighbours are known to be the cause. It lets the
+// guard try classes whose effect was not learned yet, the busiest first, after those with a known effect.
+const unknownEffect = 0.05
+
+// suspicion returns the effect to assume of unknown classes: none unless a verdict names the neighbours.
+func (g *Guard) suspicion(v *WorkerView) float64 {
+	for _, s := range v.Services {
+		if s.Cause == verdict.Neighbours && s.TargetMs > 0 && s.LatencyMs > g.opts.EnterAbove*s.TargetMs {
+			return unknownEffect
+		}
+	}
+	return 0
+}
+
 // move evicts a suspect whose throttling helped but not enough, within the budget.
 func (g *Guard) move(now time.Time, e *episode, v *WorkerView, wave bool, ratio float64) (Action, bool) {
 	if wave || g.budget < 1 {
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -22,6 +22,7 @@
 	now     time.Time
 	ratio   func(w *fakeWorker) float64
 	cause   verdict.Cause
+	unknown bool // no effect was learned
 	workers []*fakeWorker
 	moves   int
 	actions []Action
@@ -56,6 +57,13 @@
 			}
 		}
 	}
+	for i := range views {
+		for k := range views[i].Batch {
+			if b.unknown {
+				views[i].Batch[k].Effect = 0
+			}
+		}
+	}
 	for _, a := range b.g.Step(b.now, views) {
 		b.apply(a)
 	}
@@ -102,6 +110,23 @@
 	is.Equal(b.actions[0].Kind, Throttle) // before anything is moved
 }
 
+// Guards against a service that stays slow because no effect was learned yet, and against actions on runs that
+// neither a verdict nor a learned effect names.
+func TestUnknownEffectNeedsAVerdict(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, noisyRatio(60))
+	b.unknown, b.cause = true, verdict.Unknown
+	for range 30 {
+		b.step()
+	}
+	is.Equal(len(b.actions), 0)
+	b.cause = verdict.Neighbours
+	for range 30 {
+		b.step()
+	}
+	is.Equal(b.workers[0].limit["noisy"], int64(50))
+}
+
 // Guards against actions that follow each other faster than reports can show their effect.
 func TestActionsWaitOutTheLag(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
