Take back limits that the previous owner of a worker set

After a take-over the new guard knew no episode for the worker, so throttled runs stayed throttled. It now adopts them as suspects and relaxes them step by step.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -157,10 +157,11 @@
 func (g *Guard) worker(now time.Time, v *WorkerView, ratio float64, wave bool) (Action, bool) {
 	e := g.episodes[v.Worker]
 	if e == nil {
-		if ratio <= g.opts.EnterAbove {
+		suspects := g.adopt(v, ratio)
+		if ratio <= g.opts.EnterAbove && len(suspects) == 0 {
 			return Action{}, false
 		}
-		e = &episode{exonerated: map[record.TaskID]time.Time{}}
+		e = &episode{exonerated: map[record.TaskID]time.Time{}, suspects: suspects}
 		g.episodes[v.Worker] = e
 	}
 	if !v.MeasuredAt.After(e.measuredAt) || ratio < 0 {
@@ -185,6 +186,23 @@
 	return a, ok
 }
 
+// adopt returns the runs that were throttled before this guard knew the worker, by its previous owner. Without
+// this their limits would stay for ever.
+func (g *Guard) adopt(v *WorkerView, ratio float64) []suspect {
+	var out []suspect
+	for _, b := range v.Batch {
+		if b.ThrottlePercent <= 0 || b.ThrottlePercent >= 100 {
+			continue
+		}
+		step := 0
+		for step+1 < len(g.opts.Steps) && b.ThrottlePercent <= g.opts.Steps[step+1] {
+			step++
+		}
+		out = append(out, suspect{task: b.Task, epoch: b.Epoch, step: step, before: ratio, judged: true})
+	}
+	return out
+}
+
 func (e *episode) count(ratio float64, o *Options) {
 	switch {
 	case ratio > o.EnterAbove:
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -53,7 +53,7 @@
 		for _, job := range []string{"noisy", "quiet"} {
 			// The quiet run is the first suspect, because the learned effects are wrong.
 			if _, ok := w.limit[job]; ok {
-				views[i].Batch = append(views[i].Batch, BatchView{Task: record.TaskID{Job: job + w.name}, Epoch: 1, Load: 0.5, Effect: float64(len(job) + len(views[i].Batch))})
+				views[i].Batch = append(views[i].Batch, BatchView{Task: record.TaskID{Job: job + w.name}, Epoch: 1, Load: 0.5, Effect: float64(len(job) + len(views[i].Batch)), ThrottlePercent: w.limit[job]})
 			}
 		}
 	}
@@ -162,6 +162,18 @@
 	}
 }
 
+// Guards against limits that the previous owner of a worker set and that nobody takes back.
+func TestLimitsOfThePreviousOwnerAreTakenBack(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, func(*fakeWorker) float64 { return 0.4 })
+	b.workers[0].limit["noisy"], b.workers[0].limit["quiet"] = 25, 50
+	for range 100 {
+		b.step()
+	}
+	is.Equal(b.workers[0].limit, map[string]int64{"noisy": 100, "quiet": 100})
+	is.Equal(len(b.g.episodes), 0)
+}
+
 // Guards against a noisy wave over many workers that evicts everybody, and against limits that stay afterwards.
 func TestWaveEvictsNobody(t *testing.T) {
 	is := is.New(t)
