Choose the replicas to restart whatever their order

The zone state hands over replicas in random order. Between the request to stop a replica and its effect, a second round could choose another one and leave fewer ready replicas than desired. The lowest indexes are chosen now.

--- a/core/placement/reconcile.go
+++ b/core/placement/reconcile.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"waxwingslip.example/core/record"
@@ -127,6 +128,8 @@
 	if now.Sub(state.AdmittedAt) > limits.SurgeWait {
 		atLeast--
 	}
+	// The same replicas must be chosen again until their stop shows in the state, whatever the order of the input.
+	slices.Sort(stale)
 	return stale[:min(len(stale), max(ready-atLeast, 0))], rolling
 }
 
@@ -156,5 +159,6 @@
 			out = append(out, r.Index)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
--- a/core/placement/reconcile_test.go
+++ b/core/placement/reconcile_test.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"waxwingslip.example/core/record"
@@ -43,6 +45,23 @@
 	})
 }
 
+// Guards against a second batch that is stopped before the first stop shows in the state, because the replicas
+// came in another order.
+func TestOrderOfReplicasDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	desired := record.JobSpec{ID: "service/s", Service: "s", Tasks: 4}
+	spec := desired
+	spec.Tasks, spec.Revision = 5, Revision{Version: 2, Generation: 1}.Pack()
+	state := ServiceState{Spec: &spec, AdmittedAt: start}
+	for _, i := range []int{3, 1, 4, 0, 2} {
+		state.Replicas = append(state.Replicas, Replica{Index: i, Running: true, Ready: true, Revision: Revision{Version: 1}.Pack()})
+	}
+	first := ReconcileService(desired, 2, state, DefaultRollLimits(), start)
+	is.Equal(first.Restart, []int{0})
+	slices.Reverse(state.Replicas)
+	is.Equal(ReconcileService(desired, 2, state, DefaultRollLimits(), start), first)
+}
+
 func countReady(s *ServiceState) int {
 	n := 0
 	for _, r := range s.Replicas {
