Plan unsettled binds again, and price runs of unknown start

Waiting did not count binds in flight, so a caller that skips Plan when nothing waits never planned an unanswered bind again. Urgent binds are planned again after 1.25 s, because 5 s exceeds the urgent start limit. The time since an unknown start overflowed and made such a run the cheapest to evict.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -78,8 +78,9 @@
 // CancelJob drops the waiting tasks of a job in constant time.
 func (p *Planner) CancelJob(job string) { p.queue.CancelJob(job) }
 
-// Waiting returns the number of waiting tasks.
-func (p *Planner) Waiting() int { return p.queue.Len() }
+// Waiting returns the number of tasks that a call of Plan may concern: those that wait, and those whose bind is
+// not settled and may have to be planned again.
+func (p *Planner) Waiting() int { return p.queue.Len() + len(p.flights) }
 
 func (p *Planner) drop(task record.TaskID, f inFlight) {
 	delete(p.flights, task)
@@ -137,7 +138,11 @@
 		Task: t.Task, Epoch: t.Epoch, Team: t.Job.Team, Class: t.Job.Class, Service: t.Job.Service,
 		Priority: t.Job.Priority, Size: r.size, StartedAt: now,
 	})
-	p.flights[t.Task] = inFlight{pending: *t, worker: worker, until: now.Add(p.opts.InFlight)}
+	wait := p.opts.InFlight
+	if level(t.Job.Priority) >= record.PriorityUrgent {
+		wait = p.opts.UrgentInFlight
+	}
+	p.flights[t.Task] = inFlight{pending: *t, worker: worker, until: now.Add(wait)}
 	p.release(t.Task)
 	return Bind{Task: t.Task, Epoch: t.Epoch, Worker: worker}, true
 }
--- a/core/placement/preempt.go
+++ b/core/placement/preempt.go
@@ -137,12 +137,15 @@
 }
 
 // evictionCost is the work in core seconds that is lost: what was done since the last checkpoint and the
-// restart.
+// restart. A run of unknown start counts as checkpointed just now, since time since the zero time overflows.
 func evictionCost(run *Run, restart time.Duration, now time.Time) float64 {
 	from := run.StartedAt
 	if run.CheckpointedAt.After(from) {
 		from = run.CheckpointedAt
 	}
-	lost := max(now.Sub(from), 0) + restart
+	lost := restart
+	if !from.IsZero() {
+		lost += max(now.Sub(from), 0)
+	}
 	return lost.Seconds() * float64(max(run.Size.MilliCPU, 1)) / 1000
 }
--- a/core/placement/queue_test.go
+++ b/core/placement/queue_test.go
@@ -100,7 +100,8 @@
 }
 
 // Guards against urgent work that waits behind batch work: with batch runs everywhere it must be bound in
-// the first round after its evictions, well within 2.5 s.
+// the first round after its evictions, well within 2.5 s. Guards as well against an unknown start time that makes
+// the eviction of a run look free.
 func TestUrgentTaskPreemptsBatch(t *testing.T) {
 	is := is.New(t)
 	w := Worker{ID: "w", Capacity: resource.Vector{Slots: 2, MilliCPU: 2000}}
@@ -108,14 +109,16 @@
 	fresh := run
 	run.Task.Job, fresh.Task.Job = "old", "fresh"
 	fresh.CheckpointedAt = start.Add(-time.Second)
-	w.Runs = []Run{run, fresh}
+	unknown := run
+	unknown.StartedAt, unknown.Size.MilliCPU = time.Time{}, 4000
+	w.Capacity, w.Runs = resource.Vector{Slots: 3, MilliCPU: 6000}, []Run{unknown, run, fresh}
 	urgent := &record.JobSpec{ID: "u", Priority: record.PriorityUrgent, Size: run.Size}
 	p := newZone([]Worker{w}, []Pending{task(urgent, 0, start)}, nil)
 	plan := p.Plan(start, newRand(), 10)
 	is.Equal(plan.Evictions, []Eviction{{Worker: "w", Task: fresh.Task, For: record.TaskID{Job: "u"}}})
 	batch := &record.JobSpec{ID: "b", Priority: record.PriorityBatch, Size: run.Size}
 	p.Add(task(batch, 0, start))
-	w.Runs = []Run{run}
+	w.Runs = []Run{unknown, run}
 	p.Index().SetWorker(w)
 	plan = p.Plan(start.Add(DefaultOptions().UrgentRetry), newRand(), 10)
 	is.Equal(plan.Binds, []Bind{{Task: record.TaskID{Job: "u"}, Worker: "w"}}) // not the batch task
@@ -144,6 +147,7 @@
 	job := &record.JobSpec{ID: "j", Team: "a", Priority: record.PriorityBatch, Size: resource.Vector{Slots: 8}}
 	p := newZone([]Worker{{ID: "w", Capacity: resource.Vector{Slots: 8}}}, []Pending{task(job, 0, start)}, nil)
 	is.Equal(len(p.Plan(start, newRand(), 10).Binds), 1)
+	is.Equal(p.Waiting(), 1) // callers that skip Plan at 0 would never plan it again
 	p.Rejected(record.TaskID{Job: "j"}, 0)
 	is.Equal(len(p.Plan(start, newRand(), 10).Binds), 1)
 	is.Equal(len(p.Plan(start.Add(time.Second), newRand(), 10).Binds), 0)
--- a/core/placement/types.go
+++ b/core/placement/types.go
@@ -21,7 +21,7 @@
 	Service  string
 	Priority record.Priority
 	Size     resource.Vector
-	// StartedAt is when the reservation was made.
+	// StartedAt is when the reservation was made, zero if unknown.
 	StartedAt time.Time
 	// CheckpointedAt is the time of the newest checkpoint, zero if there is none.
 	CheckpointedAt time.Time
@@ -102,8 +102,9 @@
 	AgeScale time.Duration
 	// StarveAfter is the waiting time after which a batch task is treated as urgent.
 	StarveAfter time.Duration
-	// InFlight is how long a planned bind that nobody settled keeps its room.
-	InFlight time.Duration
+	// InFlight and UrgentInFlight are how long a planned bind that nobody settled keeps its room. The latter is
+	// for urgent tasks and replicas of services.
+	InFlight, UrgentInFlight time.Duration
 	// HoldFor is how long room that evictions free is kept for the task that asked for it.
 	HoldFor time.Duration
 	// MaxExamined limits the jobs that one call of Plan tries to place.
@@ -123,11 +124,13 @@
 			BatchPrior: 0.3, ServicePrior: 0.03,
 		},
 		// Four tries fit into the urgent start limit of 2.5 s and leave 1.5 s for the log and the start.
-		UrgentRetry:    250 * time.Millisecond,
-		BatchRetry:     time.Second,
-		AgeScale:       10 * time.Minute,
-		StarveAfter:    10 * time.Minute,
-		InFlight:       5 * time.Second,
+		UrgentRetry: 250 * time.Millisecond,
+		BatchRetry:  time.Second,
+		AgeScale:    10 * time.Minute,
+		StarveAfter: 10 * time.Minute,
+		InFlight:    5 * time.Second,
+		// A rejection that nobody reported leaves time for a second bind within the urgent start limit.
+		UrgentInFlight: 1250 * time.Millisecond,
 		HoldFor:        10 * time.Second,
 		MaxExamined:    512,
 		MaxPreemptions: 8,
