Repeat a bind that was lost while no other task waited

Cause: the planner returns a bind that nobody settled to its queue within Plan, but the scheduler called Plan only while the queue held tasks. If the binds of the last waiting tasks were lost (a posted record is dropped when it cannot be sent within 2 s), nothing called Plan, and the tasks stayed pending until another task came or the members changed. Ruled out: the appender (it drops posted records by design), the state machine (no bind of these tasks was in the log; other binds were accepted), the planner's expiry (correct when it is called).

Change: Plan is called in every step.

Before, with answers of appends lost (go test -run TestAnswersLost ./cmd/e2e): jobs stayed active with pending tasks for more than 40 s in three of three runs. New unit test: go test ./node/scheduler fails before ('pending != bound') and passes after.

--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -150,9 +150,7 @@
 
 // plan proposes binds and evictions. The zone's state decides on the binds when it reads them.
 func (s *Scheduler) plan() {
-	if s.planner.Waiting() == 0 {
-		return
-	}
+	// Plan also returns binds to the queue that were lost on the way to the log, so it is called without waiting tasks too.
 	p := s.planner.Plan(time.Now(), s.cfg.Rand, maxBinds)
 	for _, b := range p.Binds {
 		s.cfg.Metrics.Count("scheduler_binds")
