--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -114,10 +114,10 @@
 	for _, d := range c.daemons {
 		seeds = append(seeds, "'"+d.addresses.Peers+"'")
 	}
-	const any = "'127.0.0.1:0'"
+	const anyPort = "'127.0.0.1:0'"
 	path := c.write(name+".yaml", strings.Join([]string{
 		"name: " + name, "environment: " + environmentName, "region: " + regionOf[zone], "zone: " + zone,
-		"listen: {callers: " + any + ", operators: " + any + ", health: " + any + ", peers: " + any + "}",
+		"listen: {callers: " + anyPort + ", operators: " + anyPort + ", health: " + anyPort + ", peers: " + anyPort + "}",
 		"platform: {logURL: '" + c.platform + "', directoryURL: '" + c.platform + "'}",
 		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
 			"', seeds: [" + strings.Join(seeds, ", ") + "]}",
@@ -149,7 +149,7 @@
 func (c *cluster) document(extra string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "schema: 1\nenvironment: %s\nregions:\n", environmentName)
-	region := ""
+	region, workers := "", workersPerZone*len(c.zones)
 	var replicas []string
 	for _, z := range c.zones {
 		if r := regionOf[z]; r != region {
@@ -162,7 +162,7 @@
 	}
 	fmt.Fprintf(&b, `teams:
   - name: demo
-    quota: {slots: 48, milliCPU: 48000, memoryMB: 96000}
+    quota: {slots: %d, milliCPU: %d, memoryMB: %d}
 services:
   - name: hello
     team: demo
@@ -171,10 +171,13 @@
     size: {slots: 1, connections: 16, milliCPU: 1000, memoryMB: 1000}
     latencyTargetMs: 100
     timeoutMs: 5000
+sharing:
+  - class: web
+    notWith: [web]
 requests:
   perCallerPerSecond: 1000
   linkBytesPerSecond: 1000000
-%s`, strings.Join(replicas, ", "), extra)
+%s`, 8*workers, 8000*workers, 16000*workers, strings.Join(replicas, ", "), extra)
 	return b.String()
 }
 
@@ -224,11 +227,17 @@
 	return nil
 }
 
-// submit submits a batch job with the operators' command.
+// submit submits a batch job that may run in any zone with the operators' command.
 func (c *cluster) submit(id string, tasks int, run time.Duration, args ...string) {
+	c.t.Helper()
+	c.submitIn(strings.Join(c.zones, ", "), id, tasks, run, args...)
+}
+
+// submitIn submits a batch job that may run in some zones only.
+func (c *cluster) submitIn(zones, id string, tasks int, run time.Duration, args ...string) {
 	c.t.Helper()
 	file := c.write(id+".job.yaml", fmt.Sprintf("id: %s\nteam: demo\nclass: count\ntasks: %d\n"+
-		"size: {slots: 1, milliCPU: 500, memoryMB: 100}\nmaxAttempts: 3\npayload: run=%s\n", id, tasks, run))
+		"size: {slots: 1, milliCPU: 500, memoryMB: 100}\nmaxAttempts: 3\nzones: [%s]\npayload: run=%s\n", id, tasks, zones, run))
 	if code, out := c.command(append(append([]string{"job", "submit"}, args...), file)...); code != 0 {
 		c.t.Fatalf("submit job %s: exit code %d\n%s", id, code, out)
 	}
@@ -250,7 +259,11 @@
 	var j api.Job
 	defer func() {
 		if c.t.Failed() {
-			c.t.Logf("job %s: %+v", id, j)
+			_, tasks := c.command("worker", "list")
+			c.t.Logf("job %s: %+v\n%s\nexecutions: %+v", id, j, tasks, runsOf(c.history(), id))
+			for _, d := range c.daemons {
+				c.t.Logf("metrics of %s: %s", d.name, metricsOf(d))
+			}
 		}
 	}()
 	eventually(c.t, limit, "job "+id+" finished", func() bool {
@@ -259,6 +272,17 @@
 	})
 }
 
+// metricsOf returns the counters of a daemon.
+func metricsOf(d *entry) string {
+	var vars struct {
+		Waxwingslip json.RawMessage `json:"waxwingslip"`
+	}
+	if err := getJSON("http://"+d.addresses.Health+"/debug/vars", &vars); err != nil {
+		return err.Error()
+	}
+	return string(vars.Waxwingslip)
+}
+
 // waitServing waits until a daemon is ready, may start tasks and serves requests.
 func (c *cluster) waitServing(d *entry) {
 	c.t.Helper()
