--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -28,6 +28,7 @@
 	environmentName   = "e2e"
 	daemonsPerZone    = 2
 	workersPerZone    = 3
+	slotsPerWorker    = 8
 	workerCapacity    = "slots=8,connections=64,milliCPU=8000,memoryMB=16000"
 	readyTimeout      = 40 * time.Second
 	replicasPerZone   = 2
@@ -259,8 +260,8 @@
 	var j api.Job
 	defer func() {
 		if c.t.Failed() {
-			_, tasks := c.command("worker", "list")
-			c.t.Logf("job %s: %+v\n%s\nexecutions: %+v", id, j, tasks, runsOf(c.history(), id))
+			_, workers := c.command("worker", "list")
+			c.t.Logf("job %s: %+v\n%s\nexecutions: %+v", id, j, workers, runsOf(c.history(), id))
 			for _, d := range c.daemons {
 				c.t.Logf("metrics of %s: %s", d.name, metricsOf(d))
 			}
@@ -333,11 +334,17 @@
 	return out
 }
 
-// checkNoOverlap fails the test if a task ran in two places at once. Batch tasks are compared over all zones. Replicas
-// are numbered within their zone and never leave it, so they are compared within it.
+// checkNoOverlap fails the test if a task ran in two places at once or a worker had more runs than slots. Batch tasks
+// are compared over all zones. Replicas are numbered within their zone and never leave it, so they are compared within
+// it. Every task of these tests takes one slot.
 func (c *cluster) checkNoOverlap() {
 	c.t.Helper()
 	all := c.history()
+	for worker, most := range mostRuns(all) {
+		if most > slotsPerWorker {
+			c.t.Errorf("worker %s had %d runs at a time, has %d slots", worker, most, slotsPerWorker)
+		}
+	}
 	for i, e := range all {
 		if strings.HasPrefix(e.Job, "service/") {
 			all[i].Job = zoneOf(e.Worker) + "/" + e.Job
@@ -348,5 +355,20 @@
 	}
 }
 
+// mostRuns returns the largest number of runs that each worker executed at a time, which is reached at a start.
+func mostRuns(all []fake.Execution) map[string]int {
+	most := map[string]int{}
+	for _, e := range all {
+		n := 0
+		for _, o := range all {
+			if o.Worker == e.Worker && !o.Begin.After(e.Begin) && (o.End.IsZero() || o.End.After(e.Begin)) {
+				n++
+			}
+		}
+		most[e.Worker] = max(most[e.Worker], n)
+	}
+	return most
+}
+
 // zoneOf returns the zone of a worker of startWorkers.
 func zoneOf(worker string) string { return worker[:strings.LastIndex(worker, "-")] }
--- a/cmd/e2e/daemon_test.go
+++ b/cmd/e2e/daemon_test.go
@@ -9,10 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 )
 
-// Invariants 2, 3 and 4 under SIGSTOP of a daemon beyond its expiry, while it owns workers and has starts under way:
+// Invariants 2, 3, 4 and 7 under SIGSTOP of a daemon beyond its expiry, while it owns workers and has starts under way:
 // its shards move, and when it wakes up it neither starts a task late nor doubles one. It joins again.
 func TestDaemonFrozen(t *testing.T) {
 	is := is.New(t)
@@ -40,12 +41,15 @@
 }
 
 // startCallersDuring sends requests through the daemons that are left until the returned function is called, which
-// checks their results.
+// checks their results. Every second caller sends non-idempotent requests with keys.
 func startCallersDuring(c *cluster) (stop func()) {
-	s := c.startStream(4, false)
+	s := c.startStream(4, true)
 	return func() {
 		c.t.Helper()
-		c.checkResults(s.stop())
+		results := s.stop()
+		if unknown := c.checkResults(results); unknown > 2 {
+			c.t.Errorf("%d keyed requests ended as unknown, but at most 2 were in flight at the stopped daemon", unknown)
+		}
 	}
 }
 
@@ -62,7 +66,11 @@
 	var callers sync.WaitGroup
 	for i := range slow {
 		callers.Go(func() {
-			replies[i] = attempt(victim, http.MethodGet, fmt.Sprintf("/slow/%d?delay=4s", i), "", "")
+			method, key := http.MethodGet, ""
+			if i%2 == 0 {
+				method, key = http.MethodPost, uuid.Must(uuid.NewV7()).String()
+			}
+			replies[i] = attempt(victim, method, fmt.Sprintf("/slow/%d?delay=4s", i), key, "")
 		})
 	}
 	eventually(t, 10*time.Second, "slow requests at their endpoints", func() bool { return c.executionsBelow("/slow/") == slow })
--- a/cmd/e2e/log_test.go
+++ b/cmd/e2e/log_test.go
@@ -11,7 +11,7 @@
 	"waxwingslip.example/platform/fault"
 )
 
-// Invariants 2, 3 and 4 while the log is down: requests and running tasks go on, nothing starts later than 4 s after
+// Invariants 2, 3, 4 and 7 while the log is down: requests, those with keys included, and running tasks go on, nothing starts later than 4 s after
 // the last read, and waiting tasks start after the log is back.
 func TestLogDown(t *testing.T) {
 	is := is.New(t)
@@ -25,7 +25,7 @@
 	base := c.version()
 	c.fault(fault.Setting{Down: true})
 	down := time.Now()
-	s := c.startStream(4, false)
+	s := c.startStream(4, true)
 	eventually(t, 10*time.Second, "no daemon may start tasks", func() bool {
 		for _, d := range c.daemons {
 			if st, ok := c.status(d); !ok || st.MayStart {
@@ -50,10 +50,13 @@
 	code := <-done
 	is.True(code == 1 || code == 5)
 	c.fault(fault.Setting{})
-	for _, r := range s.stop() {
-		is.True(r.last.answered())
-		is.Equal(r.tries, 0)
+	results := s.stop()
+	for _, r := range results {
+		if !r.last.answered() || r.tries > 0 {
+			t.Fatalf("request %s (keyed %t) needed %d retries: %s", r.id, r.keyed, r.tries, r.last.text)
+		}
 	}
+	c.checkResults(results)
 	eventually(t, 20*time.Second, "the daemons read the log again", func() bool {
 		st, ok := c.status(c.daemons[0])
 		return ok && st.ControlAgeMs >= 0 && st.ControlAgeMs < 3000
