Test a zone that is cut off from the platform while operators take it out of service

The test relays the daemons' connections to the platform, so that one zone can lose it while its peers stay reachable.

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -47,7 +47,9 @@
 	token     string
 	tokenFile string
 	platform  string
-	authority *devcert.Authority
+	// platformOf holds another base URL of the platform for the daemons of a zone.
+	platformOf map[string]string
+	authority  *devcert.Authority
 	// workers holds the command address of each worker by id.
 	workers map[string]string
 	daemons []*entry
@@ -64,7 +66,16 @@
 // and waits until every zone serves requests.
 func startCluster(t *testing.T, zones ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), zones: zones, token: uuid.NewString(), workers: map[string]string{}}
+	c := newCluster(t, zones...)
+	c.startDaemons()
+	return c
+}
+
+// newCluster starts the stand-ins.
+func newCluster(t *testing.T, zones ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), zones: zones, token: uuid.NewString(), workers: map[string]string{},
+		platformOf: map[string]string{}}
 	c.tokenFile = c.write("tokens", c.token+"\n")
 	var err error
 	if c.authority, err = devcert.NewAuthority(); err != nil {
@@ -76,7 +87,14 @@
 	for _, z := range zones {
 		c.startWorkers(z)
 	}
-	for _, z := range zones {
+	return c
+}
+
+// startDaemons starts the daemons, publishes the document and waits until every daemon serves requests.
+func (c *cluster) startDaemons() {
+	t := c.t
+	t.Helper()
+	for _, z := range c.zones {
 		for i := range daemonsPerZone {
 			c.startDaemon(fmt.Sprintf("%s-%d", z, i+1), z)
 		}
@@ -87,7 +105,6 @@
 	for _, d := range c.daemons {
 		c.waitServing(d)
 	}
-	return c
 }
 
 func (c *cluster) startWorkers(zone string) {
@@ -115,11 +132,15 @@
 	for _, d := range c.daemons {
 		seeds = append(seeds, "'"+d.addresses.Peers+"'")
 	}
+	platform := c.platform
+	if other := c.platformOf[zone]; other != "" {
+		platform = other
+	}
 	const anyPort = "'127.0.0.1:0'"
 	path := c.write(name+".yaml", strings.Join([]string{
 		"name: " + name, "environment: " + environmentName, "region: " + regionOf[zone], "zone: " + zone,
 		"listen: {callers: " + anyPort + ", operators: " + anyPort + ", health: " + anyPort + ", peers: " + anyPort + "}",
-		"platform: {logURL: '" + c.platform + "', directoryURL: '" + c.platform + "'}",
+		"platform: {logURL: '" + platform + "', directoryURL: '" + platform + "'}",
 		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
 			"', seeds: [" + strings.Join(seeds, ", ") + "]}",
 		"operators: {tokenFile: '" + c.tokenFile + "'}",
