--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -19,8 +19,6 @@
 	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/node/peer/devcert"
 	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker/fake"
-	"waxwingslip.example/standin/endpointd"
 	"waxwingslip.example/standin/platformd"
 )
 
@@ -46,7 +44,9 @@
 	token     string
 	tokenFile string
 	platform  string
-	authority *devcert.Authority
+	// platformOf holds another base URL of the platform for the daemons of a zone.
+	platformOf map[string]string
+	authority  *devcert.Authority
 	// workers holds the command address of each worker by id.
 	workers map[string]string
 	daemons []*entry
@@ -63,7 +63,16 @@
 // and waits until every zone serves requests.
 func startCluster(t *testing.T, zones ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), zones: zones, token: uuid.NewString(), workers: map[string]string{}}
+	c := newCluster(t, zones...)
+	c.startDaemons()
+	return c
+}
+
+// newCluster starts the stand-ins.
+func newCluster(t *testing.T, zones ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), zones: zones, token: uuid.NewString(), workers: map[string]string{},
+		platformOf: map[string]string{}}
 	c.tokenFile = c.write("tokens", c.token+"\n")
 	var err error
 	if c.authority, err = devcert.NewAuthority(); err != nil {
@@ -75,7 +84,14 @@
 	for _, z := range zones {
 		c.startWorkers(z)
 	}
-	for _, z := range zones {
+	return c
+}
+
+// startDaemons starts the daemons, publishes the document and waits until every daemon serves requests.
+func (c *cluster) startDaemons() {
+	t := c.t
+	t.Helper()
+	for _, z := range c.zones {
 		for i := range daemonsPerZone {
 			c.startDaemon(fmt.Sprintf("%s-%d", z, i+1), z)
 		}
@@ -86,7 +102,6 @@
 	for _, d := range c.daemons {
 		c.waitServing(d)
 	}
-	return c
 }
 
 func (c *cluster) startWorkers(zone string) {
@@ -114,11 +129,15 @@
 	for _, d := range c.daemons {
 		seeds = append(seeds, "'"+d.addresses.Peers+"'")
 	}
-	const any = "'127.0.0.1:0'"
+	platform := c.platform
+	if other := c.platformOf[zone]; other != "" {
+		platform = other
+	}
+	const anyPort = "'127.0.0.1:0'"
 	path := c.write(name+".yaml", strings.Join([]string{
 		"name: " + name, "environment: " + environmentName, "region: " + regionOf[zone], "zone: " + zone,
-		"listen: {callers: " + any + ", operators: " + any + ", health: " + any + ", peers: " + any + "}",
-		"platform: {logURL: '" + c.platform + "', directoryURL: '" + c.platform + "'}",
+		"listen: {callers: " + anyPort + ", operators: " + anyPort + ", health: " + anyPort + ", peers: " + anyPort + "}",
+		"platform: {logURL: '" + platform + "', directoryURL: '" + platform + "'}",
 		"peers: {certificateFile: '" + files.Cert + "', keyFile: '" + files.Key + "', caFile: '" + files.CA +
 			"', seeds: [" + strings.Join(seeds, ", ") + "]}",
 		"operators: {tokenFile: '" + c.tokenFile + "'}",
@@ -149,7 +168,7 @@
 func (c *cluster) document(extra string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "schema: 1\nenvironment: %s\nregions:\n", environmentName)
-	region := ""
+	region, workers := "", workersPerZone*len(c.zones)
 	var replicas []string
 	for _, z := range c.zones {
 		if r := regionOf[z]; r != region {
@@ -162,7 +181,7 @@
 	}
 	fmt.Fprintf(&b, `teams:
   - name: demo
-    quota: {slots: 48, milliCPU: 48000, memoryMB: 96000}
+    quota: {slots: %d, milliCPU: %d, memoryMB: %d}
 services:
   - name: hello
     team: demo
@@ -171,10 +190,13 @@
     size: {slots: 1, connections: 16, milliCPU: 1000, memoryMB: 1000}
     latencyTargetMs: 100
     timeoutMs: 5000
+sharing:
+  - class: web
+    notWith: [web]
 requests:
   perCallerPerSecond: 1000
   linkBytesPerSecond: 1000000
-%s`, strings.Join(replicas, ", "), extra)
+%s`, 8*workers, 8000*workers, 16000*workers, strings.Join(replicas, ", "), extra)
 	return b.String()
 }
 
@@ -224,11 +246,17 @@
 	return nil
 }
 
-// submit submits a batch job with the operators' command.
+// submit submits a batch job that may run in any zone with the operators' command.
 func (c *cluster) submit(id string, tasks int, run time.Duration, args ...string) {
+	c.t.Helper()
+	c.submitIn(strings.Join(c.zones, ", "), id, tasks, run, args...)
+}
+
+// submitIn submits a batch job that may run in some zones only.
+func (c *cluster) submitIn(zones, id string, tasks int, run time.Duration, args ...string) {
 	c.t.Helper()
 	file := c.write(id+".job.yaml", fmt.Sprintf("id: %s\nteam: demo\nclass: count\ntasks: %d\n"+
-		"size: {slots: 1, milliCPU: 500, memoryMB: 100}\nmaxAttempts: 3\npayload: run=%s\n", id, tasks, run))
+		"size: {slots: 1, milliCPU: 500, memoryMB: 100}\nmaxAttempts: 3\nzones: [%s]\npayload: run=%s\n", id, tasks, zones, run))
 	if code, out := c.command(append(append([]string{"job", "submit"}, args...), file)...); code != 0 {
 		c.t.Fatalf("submit job %s: exit code %d\n%s", id, code, out)
 	}
@@ -250,7 +278,11 @@
 	var j api.Job
 	defer func() {
 		if c.t.Failed() {
-			c.t.Logf("job %s: %+v", id, j)
+			_, workers := c.command("worker", "list")
+			c.t.Logf("job %s: %+v\n%s\nexecutions: %+v", id, j, workers, runsOf(c.history(), id))
+			for _, d := range c.daemons {
+				c.t.Logf("metrics of %s: %s", d.name, metricsOf(d))
+			}
 		}
 	}()
 	eventually(c.t, limit, "job "+id+" finished", func() bool {
@@ -259,6 +291,17 @@
 	})
 }
 
+// metricsOf returns the counters of a daemon.
+func metricsOf(d *entry) string {
+	var vars struct {
+		Waxwingslip json.RawMessage `json:"waxwingslip"`
+	}
+	if err := getJSON("http://"+d.addresses.Health+"/debug/vars", &vars); err != nil {
+		return err.Error()
+	}
+	return string(vars.Waxwingslip)
+}
+
 // waitServing waits until a daemon is ready, may start tasks and serves requests.
 func (c *cluster) waitServing(d *entry) {
 	c.t.Helper()
@@ -267,62 +310,3 @@
 		return err == nil && status.MayStart && getOnce(d, "/ready").status == http.StatusOK
 	})
 }
-
-// history returns the executions of all workers: the record of starts and ends.
-func (c *cluster) history() []fake.Execution {
-	return evidence[fake.Execution](c, "/admin/history")
-}
-
-// journal returns the requests that endpoints executed.
-func (c *cluster) journal() []endpointd.Execution {
-	return evidence[endpointd.Execution](c, "/admin/journal")
-}
-
-func evidence[T any](c *cluster, path string) (all []T) {
-	c.t.Helper()
-	for id, address := range c.workers {
-		var part []T
-		if err := getJSON("http://"+address+path, &part); err != nil {
-			c.t.Fatalf("evidence of worker %s: %v", id, err)
-		}
-		all = append(all, part...)
-	}
-	return all
-}
-
-func getJSON(url string, v any) error {
-	resp, err := plainClient.Get(url)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(v)
-}
-
-// runsOf returns the executions of one job.
-func runsOf(all []fake.Execution, job string) (out []fake.Execution) {
-	for _, e := range all {
-		if e.Job == job {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// checkNoOverlap fails the test if a task ran in two places at once. Batch tasks are compared over all zones. Replicas
-// are numbered within their zone and never leave it, so they are compared within it.
-func (c *cluster) checkNoOverlap() {
-	c.t.Helper()
-	all := c.history()
-	for i, e := range all {
-		if strings.HasPrefix(e.Job, "service/") {
-			all[i].Job = zoneOf(e.Worker) + "/" + e.Job
-		}
-	}
-	for _, o := range fake.Overlaps(all) {
-		c.t.Errorf("a task ran twice at a time: %s", o)
-	}
-}
-
-// zoneOf returns the zone of a worker of startWorkers.
-func zoneOf(worker string) string { return worker[:strings.LastIndex(worker, "-")] }
