Count the bytes that daemons exchange with the platform

The control cost of a daemon is limited to 10 KB/s, but only the bytes between daemons were counted. The HTTP clients of the log, the VM list and the workers now count the bytes of their TCP streams, HTTP headers included, into six counters of the daemon's metrics.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -140,7 +140,7 @@
 func (d *Daemon) Addresses() Addresses { return d.addresses }
 
 func (d *Daemon) openStreams() {
-	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
+	store := logstore.NewMeteredHTTPClient(d.set.Platform.LogURL, d.meter("log"))
 	d.control = replica.NewControl(store, environment.Parse,
 		d.controlOptions(), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
@@ -153,9 +153,9 @@
 
 func (d *Daemon) buildParts() error {
 	d.table = endpoints.New(d.zone)
-	d.listing = newListing(directory.NewHTTPClient(d.set.Platform.DirectoryURL), d.set.Zone, d.onListing)
+	d.listing = newListing(directory.NewMeteredHTTPClient(d.set.Platform.DirectoryURL, d.meter("directory")), d.set.Zone, d.onListing)
 	d.pool = executor.NewPool(executor.Config{
-		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
+		Client: worker.NewMeteredHTTPClient(d.meter("worker")), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
 		Log: d.log, Now: d.now, OnReport: d.onReport,
 	})
 	d.guards = contention.New(contention.Config{
--- a/node/daemon/observability.go
+++ b/node/daemon/observability.go
@@ -14,6 +14,7 @@
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/stream"
 	"waxwingslip.example/node/telemetry"
+	"waxwingslip.example/platform/traffic"
 )
 
 // gaugeInterval is the time between readings of the state for gauges.
@@ -51,6 +52,13 @@
 	}
 }
 
+// meter counts the traffic with one kind of outside system.
+func (d *Daemon) meter(kind string) *traffic.Meter {
+	return &traffic.Meter{
+		Sent: d.registry.Counter(kind + "_bytes_sent"), Received: d.registry.Counter(kind + "_bytes_received"),
+	}
+}
+
 // publishMetrics adds the counters that other parts keep.
 func (d *Daemon) publishMetrics() {
 	d.registry.Publish("gateway", d.gateway.Metrics())
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -49,6 +49,13 @@
 	{"log_snapshots_written", TypeCounter, "snapshots", "Complete snapshots written by this daemon."},
 	{"log_submit_latency", TypeHistogram, "us", "Time from the submission of a record until it was read back and judged."},
 
+	{"log_bytes_sent", TypeCounter, "B", "Bytes sent to the log, HTTP headers included."},
+	{"log_bytes_received", TypeCounter, "B", "Bytes received from the log, HTTP headers included."},
+	{"directory_bytes_sent", TypeCounter, "B", "Bytes sent to the VM list, HTTP headers included."},
+	{"directory_bytes_received", TypeCounter, "B", "Bytes received from the VM list, HTTP headers included."},
+	{"worker_bytes_sent", TypeCounter, "B", "Bytes sent to workers, HTTP headers included."},
+	{"worker_bytes_received", TypeCounter, "B", "Bytes received from workers, HTTP headers included."},
+
 	{"control_version", TypeGauge, "version", "Version of the configuration in force."},
 	{"control_age", TypeGauge, "ms", "Time since the control state was known to be complete; starts stop above 3,000."},
 	{"zone_age", TypeGauge, "ms", "Time since the zone state was known to be complete."},
