Start batch runs without a renewal before and after

Every change of a task made the owner renew the worker's lease and read a whole report, also for a recorded end or a known endpoint, and every start was followed by another one after 300 ms. An agent now acts on the report of the last renewal while nothing but its own accepted starts and acknowledgements has changed since. The end of a batch run is seen at the next renewal, within 5 s, as before for runs of more than 300 ms; replicas of services, stops and commands without an answer are followed up after 300 ms as before.

--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/stream"
 	"waxwingslip.example/platform/directory"
@@ -134,7 +135,7 @@
 			case zone.ChangeShard, zone.ChangeWorker, zone.ChangeMember:
 				sync = true
 			case zone.ChangeTask:
-				if c.Worker != "" {
+				if c.Worker != "" && d.needsCommand(c.Task) {
 					d.pool.Wake(c.Worker)
 				}
 			}
@@ -145,6 +146,16 @@
 	}
 }
 
+// needsCommand reports whether a task waits for a command to its worker. Acknowledgements wait for the next renewal,
+// because a contact costs more than the end state that the worker keeps until then.
+func (d *Daemon) needsCommand(id record.TaskID) (needs bool) {
+	d.zone.View(func(s *zone.State) {
+		t := s.Task(id)
+		needs = t != nil && t.State == zone.TaskBound && (t.Address == "" || t.StopWanted())
+	})
+	return needs
+}
+
 // attest passes an operator's statement that a VM is gone to the worker's agent.
 func (d *Daemon) attest(b stream.Batch) {
 	for _, a := range b.Applied {
--- a/node/executor/act.go
+++ b/node/executor/act.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +13,9 @@
 	"waxwingslip.example/platform/worker"
 )
 
-// act carries out what Decide says and reports whether a command was sent.
-func (a *agent) act(ctx context.Context, report worker.Report) bool {
+// act carries out what Decide says about the newest report, and reports whether a command was sent whose effect only
+// another report shows.
+func (a *agent) act(ctx context.Context) bool {
 	var actions []Action
 	a.cfg.Zone.View(func(s *zone.State) {
 		owner, epoch := s.OwnerOf(a.target.id)
@@ -21,7 +23,7 @@
 			return
 		}
 		if w := s.Workers[a.target.id]; w != nil {
-			actions = Decide(w, s.Task, report)
+			actions = Decide(w, s.Task, a.report)
 		}
 	})
 	sent := false
@@ -48,10 +50,13 @@
 	err := a.cfg.Client.Ack(ctx, a.addr(), worker.AckRequest{Fence: a.fence(a.cfg.Now()), Runs: keys})
 	if err != nil {
 		a.cfg.Metrics.Count("executor_ack_errors")
+		return
 	}
+	acked := func(r worker.RunStatus) bool { return slices.Contains(keys, r.RunKey) }
+	a.report.Runs = slices.DeleteFunc(slices.Clone(a.report.Runs), acked)
 }
 
-// carryOut does one action and reports whether it was a command to the worker.
+// carryOut does one action and reports whether its effect has to be seen in another report.
 func (a *agent) carryOut(ctx context.Context, action Action) bool {
 	purpose := fmt.Sprintf("%d/%s/%d/%d", action.Kind, action.Key.Job, action.Key.Index, action.Key.Epoch)
 	switch action.Kind {
@@ -90,6 +95,8 @@
 	switch {
 	case err == nil:
 		a.cfg.Metrics.Count("executor_starts")
+		a.report.Runs = append(slices.Clip(a.report.Runs), worker.RunStatus{RunKey: action.Key, State: worker.RunRunning})
+		return req.Service != ""
 	case errors.Is(err, worker.ErrRefused):
 		a.cfg.Metrics.Count("executor_starts_refused")
 		// The stop is recorded by the worker, so an earlier copy of the start has no effect; the next report
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -20,8 +20,8 @@
 	callTimeout = 2 * time.Second
 	// repostAfter is how long a record's effect is waited for before it is posted again.
 	repostAfter = 2 * time.Second
-	// followUp is the delay of the report after commands were sent, so that the end of short runs and the
-	// address of new endpoints are seen soon.
+	// followUp is the delay of the report after commands whose effect has to be seen: the address of a new endpoint,
+	// the checkpoint of a stopped run, the outcome of a command without an answer.
 	followUp = 300 * time.Millisecond
 	// retryContact is the delay after a failed contact.
 	retryContact = time.Second
@@ -49,6 +49,13 @@
 	// lastRenew is when the last successful renewal was sent.
 	lastRenew time.Duration
 	posted    map[string]time.Duration
+
+	// report is the newest report, changed by the starts and acknowledgements that the worker accepted since. It is
+	// used while current is set.
+	report  worker.Report
+	current bool
+	// nextContact is when the worker is contacted again at the latest.
+	nextContact time.Duration
 }
 
 // knownWorker is what the agent knows about the worker's clock and leases.
@@ -101,8 +108,27 @@
 	}
 }
 
-// step contacts the worker once and returns when to do so again.
+// step does what the zone state asks for and returns when to do so again. It contacts the worker only when that is due
+// or when the newest report no longer tells what runs, because a contact costs several times as much as a command.
 func (a *agent) step(ctx context.Context) time.Duration {
+	if !a.current || a.attested.Load() || a.cfg.Now() >= a.nextContact {
+		return a.renewAndAct(ctx)
+	}
+	a.register(a.report)
+	a.applyThrottles(ctx)
+	if a.act(ctx) {
+		a.followUp()
+	}
+	return max(0, a.nextContact-a.cfg.Now())
+}
+
+// followUp makes the next step contact the worker.
+func (a *agent) followUp() {
+	a.current, a.nextContact = false, min(a.nextContact, a.cfg.Now()+followUp)
+}
+
+func (a *agent) renewAndAct(ctx context.Context) time.Duration {
+	a.current = false
 	report, err := a.contact(ctx)
 	if ctx.Err() != nil {
 		return lease.RenewInterval
@@ -116,12 +142,13 @@
 	if a.cfg.OnReport != nil {
 		a.cfg.OnReport(report)
 	}
+	a.report, a.current, a.nextContact = report, true, a.cfg.Now()+lease.RenewInterval
 	a.register(report)
 	a.applyThrottles(ctx)
-	if a.act(ctx, report) {
-		return followUp
+	if a.act(ctx) {
+		a.followUp()
 	}
-	return lease.RenewInterval
+	return max(0, a.nextContact-a.cfg.Now())
 }
 
 // contact renews the lease and returns the worker's report. Without authority to renew, it only reads the
