--- a/core/control/capacity_test.go
+++ b/core/control/capacity_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
 	"os"
 	"runtime"
@@ -12,6 +14,18 @@
 	"waxwingslip.example/core/record"
 )
 
+// packed returns the size of a state as snapshots compress it.
+func packed(tb testing.TB, state []byte) int {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	_, _ = w.Write(state)
+	_ = w.Close()
+	return buf.Len()
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -23,7 +37,7 @@
 func BenchmarkStateMemory(b *testing.B) {
 	for _, n := range []struct{ finished, active int }{{0, 0}, {5_000, 0}, {20_000, 0}, {0, 250}, {0, 500}} {
 		b.Run(fmt.Sprintf("finished=%d/active=%d", n.finished, n.active), func(b *testing.B) {
-			var held, size int
+			var held, size, small int
 			for b.Loop() {
 				before := heap()
 				s := filled(b, n.finished, n.active)
@@ -32,10 +46,11 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				size = len(data)
+				size, small = len(data), packed(b, data)
 			}
 			b.ReportMetric(float64(held), "B-held")
 			b.ReportMetric(float64(size), "B-state")
+			b.ReportMetric(float64(small), "B-packed")
 		})
 	}
 }
--- a/core/zone/capacity_test.go
+++ b/core/zone/capacity_test.go
@@ -1,6 +1,8 @@
 package zone
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
 	"runtime"
 	"testing"
@@ -66,6 +68,18 @@
 	})
 }
 
+// packed returns the size of a state as snapshots compress it.
+func packed(tb testing.TB, state []byte) int {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	_, _ = w.Write(state)
+	_ = w.Close()
+	return buf.Len()
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -86,6 +100,7 @@
 			}
 		}
 		b.ReportMetric(float64(len(data)), "B-state")
+		b.ReportMetric(float64(packed(b, data)), "B-packed")
 	})
 }
 
