--- a/node/contention/look.go
+++ b/node/contention/look.go
@@ -97,12 +97,22 @@
 	for _, rs := range h.report.Runs {
 		info := h.classes[rs.RunKey]
 		if info.service == "" && info.class != "" && rs.State == worker.RunRunning {
+			m.learnBatch(h, rs, info, now)
 			v.Batch = append(v.Batch, m.batchView(h.report, rs, info, victims))
 		}
 	}
 	return v
 }
 
+// learnBatch teaches the model how much a batch run stalled next to its neighbours, so that batch tasks which disturb
+// each other are kept apart as well. It must be called with mu held.
+func (m *Manager) learnBatch(h heard, rs worker.RunStatus, info taskInfo, now time.Time) {
+	m.model.ObserveSample(interference.Sample{
+		Victim: info.class, Load: loadOf(rs, h.report.Capacity), Value: 1 / (1 - min(0.99, float64(rs.StallPermille)/1000)),
+		Neighbours: h.neighbours(rs.RunKey), Settled: h.settled, At: now,
+	})
+}
+
 func (m *Manager) serviceView(svc environment.Service, e *latencies) guard.ServiceView {
 	cause := verdict.Unknown
 	if w := m.services[svc.Name]; w != nil {
--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -81,6 +81,11 @@
 				s.feedTask(z, self, t.ID())
 			}
 		}
+		for id := range s.bound {
+			if t := z.Task(id); t == nil || t.State != zone.TaskBound {
+				delete(s.bound, id)
+			}
+		}
 		for id := range s.since {
 			if t := z.Task(id); t == nil || t.State != zone.TaskPending {
 				delete(s.since, id)
@@ -89,8 +94,27 @@
 	})
 }
 
+// boundRun is when a run was first seen. The log has no times, so it counts from the daemon's start for older runs.
+type boundRun struct {
+	epoch int64
+	at    time.Time
+}
+
+// startedAt returns when the bound run of a task was first seen.
+func (s *Scheduler) startedAt(t *zone.Task) time.Time {
+	b, ok := s.bound[t.ID()]
+	if !ok || b.epoch != t.Epoch {
+		b = boundRun{epoch: t.Epoch, at: time.Now()}
+		s.bound[t.ID()] = b
+	}
+	return b.at
+}
+
 func (s *Scheduler) feedTask(z *zone.State, self string, id record.TaskID) {
 	t := z.Task(id)
+	if t == nil || t.State != zone.TaskBound {
+		delete(s.bound, id)
+	}
 	if t == nil || t.State != zone.TaskPending {
 		s.planner.Accepted(id)
 		delete(s.since, id)
@@ -132,7 +156,7 @@
 		spec := &t.Job.Spec
 		view.Runs = append(view.Runs, placement.Run{
 			Task: t.ID(), Epoch: t.Epoch, Team: spec.Team, Class: spec.Class, Service: spec.Service,
-			Priority: spec.Priority, Size: t.Size,
+			Priority: spec.Priority, Size: t.Size, StartedAt: s.startedAt(t),
 		})
 	}
 	s.planner.Index().SetWorker(view)
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -89,8 +89,10 @@
 	wakeup chan struct{}
 
 	// The fields below belong to the goroutine of Run.
-	planner    *placement.Planner
-	since      map[record.TaskID]time.Time
+	planner *placement.Planner
+	since   map[record.TaskID]time.Time
+	// bound holds when this daemon first saw the bound run of a task, by task and epoch.
+	bound      map[record.TaskID]boundRun
 	lastRepair time.Duration
 	lastLearn  time.Duration
 	drain      pacer
@@ -107,6 +109,7 @@
 		pressure: map[string]float64{},
 		wakeup:   make(chan struct{}, 1),
 		since:    map[record.TaskID]time.Time{},
+		bound:    map[record.TaskID]boundRun{},
 		admitted: map[string]admission{},
 	}
 }
