Report more alarms, with their durations

Cause: status named two conditions and never said since when. Change: alarms for membership, unowned shards, quarantined and unreachable workers; durations are kept. Conclusion: status shows what needs a look.

--- /dev/null
+++ b/node/daemon/alarms.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/zone"
+	"waxwingslip.example/node/operator/api"
+)
+
+// alarmLog remembers since when conditions hold.
+type alarmLog struct {
+	mu sync.Mutex
+	// since is guarded by mu.
+	since map[string]time.Time
+}
+
+// update takes the conditions that hold now and returns them with their durations.
+func (l *alarmLog) update(now time.Time, holding map[string]string) []api.Alarm {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since == nil {
+		l.since = map[string]time.Time{}
+	}
+	for name := range l.since {
+		if _, ok := holding[name]; !ok {
+			delete(l.since, name)
+		}
+	}
+	out := []api.Alarm{}
+	for name, detail := range holding {
+		if _, ok := l.since[name]; !ok {
+			l.since[name] = now
+		}
+		out = append(out, api.Alarm{Name: name, SinceSecs: int64(now.Sub(l.since[name]).Seconds()), Detail: detail})
+	}
+	slices.SortFunc(out, func(a, b api.Alarm) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// alarms lists the conditions that need an operator's attention.
+func (d *Daemon) alarms() []api.Alarm {
+	holding := map[string]string{}
+	if !d.authority.ControlFresh() {
+		holding["control-stale"] = "the control stream cannot be read, no task is started"
+	}
+	if !d.zoneCurrent() {
+		holding["zone-stale"] = "the zone stream cannot be read"
+	}
+	if d.authority.Member() == "" {
+		holding["not-a-member"] = "this daemon is not a member of its zone and owns no workers"
+	}
+	d.zone.View(func(s *zone.State) { zoneAlarms(s, holding) })
+	return d.alarmLog.update(time.Now(), holding)
+}
+
+func zoneAlarms(s *zone.State, holding map[string]string) {
+	unowned := 0
+	for _, o := range s.Shard {
+		if o.Owner == "" {
+			unowned++
+		}
+	}
+	if unowned > 0 {
+		holding["shards-unowned"] = fmt.Sprintf("%d of %d shards have no owner, their workers get no commands", unowned, zone.Shards)
+	}
+	counts := map[record.WorkerState]int{}
+	for _, w := range s.Workers {
+		counts[w.State]++
+	}
+	if n := counts[record.WorkerQuarantined]; n > 0 {
+		holding["workers-quarantined"] = fmt.Sprintf("%d workers failed tasks of several jobs", n)
+	}
+	if n := counts[record.WorkerUnreachable]; n > 0 {
+		holding["workers-unreachable"] = fmt.Sprintf("%d workers do not answer", n)
+	}
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -66,6 +66,7 @@
 	registry  *telemetry.Registry
 	tracing   *telemetry.Tracing
 	guards    *contention.Manager
+	alarmLog  alarmLog
 
 	claims     *claimview.Keeper
 	peerServer *peer.Server
--- a/node/daemon/observability.go
+++ b/node/daemon/observability.go
@@ -78,6 +78,7 @@
 	defer ticker.Stop()
 	for {
 		d.readGauges()
+		_ = d.alarms() // starts the durations of new alarms
 		select {
 		case <-ctx.Done():
 			return
--- a/node/daemon/queries.go
+++ b/node/daemon/queries.go
@@ -54,18 +54,6 @@
 	return time.Since(asOf).Milliseconds()
 }
 
-// alarms lists the conditions that need an operator's attention.
-func (d *Daemon) alarms() []api.Alarm {
-	out := []api.Alarm{}
-	if !d.authority.ControlFresh() {
-		out = append(out, api.Alarm{Name: "control-stale", Detail: "the control stream cannot be read, no task is started"})
-	}
-	if !d.zoneCurrent() {
-		out = append(out, api.Alarm{Name: "zone-stale", Detail: "the zone stream cannot be read"})
-	}
-	return out
-}
-
 // Config implements operator.Queries. Only the current version is kept.
 func (q queries) Config(_ context.Context, version int64) (out api.Config, err error) {
 	q.d.control.View(func(s *control.State) {
