Limit the forwarded requests under way to one peer

Cause: peers share one connection of 256 streams and further calls wait for a free one. Watchers of another zone run for hours, so 256 of them stop the hellos and the relay of the control stream to that peer. Change: at most 192 requests are under way to one address; above that another daemon of the zone is tried, and without one nothing was sent. Before, with the limit raised to 1000, the 257th request waited for the end of earlier ones (go test -run Watchers ./node/forward: 10.2 s, until their deadline of 10 s). After: it is refused at once and a hello is answered. Tests added for watchers' parts and for daemons of the zone that go.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,10 @@
 // maxAttempts limits the daemons of one zone that a request is offered to.
 const maxAttempts = 3
 
+// maxPerPeer limits the requests under way to one daemon. Peers share one connection of 256 streams, and a call that
+// finds none free waits: hours of open watchers would otherwise block hellos and the relay of the control stream.
+const maxPerPeer = 192
+
 // Directory lists the known daemons of a zone; peers.Peers implements it.
 type Directory interface {
 	InZone(zone string) []peers.Peer
@@ -40,11 +45,15 @@
 	directory Directory
 	// shuffle spreads requests over the daemons of a zone.
 	shuffle func(n int, swap func(i, j int))
+
+	mu sync.Mutex
+	// active counts the requests under way by address. It is guarded by mu.
+	active map[string]int
 }
 
 // New returns a Forwarder.
 func New(caller Caller, directory Directory) *Forwarder {
-	return &Forwarder{caller: caller, directory: directory, shuffle: rand.Shuffle}
+	return &Forwarder{caller: caller, directory: directory, shuffle: rand.Shuffle, active: map[string]int{}}
 }
 
 // Forward implements gateway.Forwarder. Another daemon of the zone is tried only if the one before ran nothing of
@@ -57,6 +66,10 @@
 			err = context.Cause(ctx)
 			break
 		}
+		if !f.begin(address) {
+			err = errors.Errorf("peer %s has %d forwarded requests in flight, the most that are allowed", address, maxPerPeer)
+			continue
+		}
 		var answer *gateway.ForwardAnswer
 		if answer, err = f.send(ctx, address, req, time.Since(begun)); err == nil {
 			return answer, nil
@@ -72,7 +85,40 @@
 	return nil, &gateway.NotSentError{Step: method, Peer: zone, Err: err}
 }
 
-// send offers the request to one daemon. spent is the time that earlier offers took.
+// begin counts a request to a daemon, unless it has too many already.
+func (f *Forwarder) begin(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active[address] >= maxPerPeer {
+		return false
+	}
+	f.active[address]++
+	return true
+}
+
+func (f *Forwarder) end(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active[address]--; f.active[address] == 0 {
+		delete(f.active, address)
+	}
+}
+
+// countedBody is the body of an answer whose stream is free once it is closed.
+type countedBody struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
+
+// send offers the request, which begin has counted, to one daemon. spent is the time that earlier offers took.
 func (f *Forwarder) send(ctx context.Context, address string, req *gateway.ForwardRequest, spent time.Duration) (*gateway.ForwardAnswer, error) {
 	body, h := req.Body, headerOf(req, spent)
 	if h.ContentLength == 0 {
@@ -81,8 +127,10 @@
 	var answer answerHeader
 	stream, err := f.caller.Stream(ctx, address, method, h, &answer, body)
 	if err != nil {
+		f.end(address)
 		return nil, err
 	}
+	stream = &countedBody{ReadCloser: stream, end: func() { f.end(address) }}
 	out := &gateway.ForwardAnswer{Status: answer.Status, Header: answer.Header, Body: stream}
 	if out.Header == nil {
 		out.Header = http.Header{}
--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -13,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -21,6 +23,7 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/node/forward"
 	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/peer"
 )
 
 // endpoint counts the requests that it executes.
@@ -208,3 +211,98 @@
 	is.Equal(far.post("/", "", bytes.NewReader([]byte("x"))).outcome, "not-run")
 	is.Equal(far.post("/", "a/"+newKey(), bytes.NewReader([]byte("x"))).outcome, "unknown")
 }
+
+// watched is a forward.Gateway whose answers end when the caller gives up.
+type watched struct{}
+
+// ServeForward implements forward.Gateway.
+func (watched) ServeForward(ctx context.Context, _ *gateway.ForwardRequest) *gateway.ForwardAnswer {
+	r, w := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+	return &gateway.ForwardAnswer{Status: 200, Header: http.Header{}, Body: r}
+}
+
+// Guards against watchers of another zone whose streams leave none for other calls, and against counts that are not
+// taken back.
+func TestWatchersLeaveStreamsForOtherCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	n := f.node("server")
+	forward.Register(n.server, watched{})
+	peer.HandleCall(n.server, "hello", func(_ context.Context, _ string, q int) (int, error) { return q, nil })
+	is.NoErr(n.server.Serve())
+	f.add("a", n.server.Address())
+	caller := f.node("caller").transport
+	forwarder := forward.New(caller, f)
+	req := &gateway.ForwardRequest{Purpose: gateway.PurposeRoute, Service: "s", Method: "GET", Path: "/"}
+	limited, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for range 2 {
+		var open []io.Closer
+		err := error(nil)
+		for err == nil && len(open) < 300 {
+			var a *gateway.ForwardAnswer
+			if a, err = forwarder.Forward(limited, "a", req); err == nil {
+				open = append(open, a.Body)
+			}
+		}
+		is.Equal(len(open), 192)
+		var notSent *gateway.NotSentError
+		is.True(errors.As(err, &notSent))
+		var got int
+		is.NoErr(caller.Call(context.Background(), n.server.Address(), "hello", 7, &got))
+		is.Equal(got, 7)
+		for _, body := range open {
+			is.NoErr(body.Close())
+		}
+	}
+}
+
+// Guards against parts of a long answer that are held back on their way from another zone.
+func TestWatcherGetsEachPartAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	received := make(chan struct{})
+	address, _ := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		for i := range 5 {
+			_, _ = fmt.Fprintf(w, "part %d\n", i)
+			w.(http.Flusher).Flush()
+			select {
+			case <-received:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	f.daemon("a", "a0", address)
+	far := f.daemon("b", "b0")
+	resp, err := http.Get(far.front.URL + "/services/s/watch")
+	is.NoErr(err)
+	defer http.DefaultClient.CloseIdleConnections()
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for i := range 5 {
+		is.True(lines.Scan())
+		is.Equal(lines.Text(), fmt.Sprint("part ", i))
+		received <- struct{}{}
+	}
+	is.True(!lines.Scan())
+	is.NoErr(lines.Err())
+}
+
+// Guards against requests that fail, or count as sent, because daemons of the other zone were replaced.
+func TestDaemonsOfTheOtherZoneGo(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	address, runs := endpoint(t, echo)
+	first, second := f.daemon("a", "a0", address), f.daemon("a", "a1", address)
+	far := f.daemon("b", "b0")
+	first.server.Close()
+	for range 4 {
+		is.Equal(far.post("/", "", bytes.NewReader([]byte("x"))).outcome, "answered")
+	}
+	second.server.Shutdown(context.Background())
+	is.Equal(runs.Load(), int64(4))
+	is.Equal(far.post("/", "", bytes.NewReader([]byte("x"))).outcome, "not-run")
+	is.Equal(runs.Load(), int64(4))
+}
