--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -22,6 +22,7 @@
 	now     time.Time
 	ratio   func(w *fakeWorker) float64
 	cause   verdict.Cause
+	unknown bool // no effect was learned
 	workers []*fakeWorker
 	moves   int
 	actions []Action
@@ -52,7 +53,14 @@
 		for _, job := range []string{"noisy", "quiet"} {
 			// The quiet run is the first suspect, because the learned effects are wrong.
 			if _, ok := w.limit[job]; ok {
-				views[i].Batch = append(views[i].Batch, BatchView{Task: record.TaskID{Job: job + w.name}, Epoch: 1, Load: 0.5, Effect: float64(len(job) + len(views[i].Batch))})
+				views[i].Batch = append(views[i].Batch, BatchView{Task: record.TaskID{Job: job + w.name}, Epoch: 1, Load: 0.5, Effect: float64(len(job) + len(views[i].Batch)), ThrottlePercent: w.limit[job]})
+			}
+		}
+	}
+	for i := range views {
+		for k := range views[i].Batch {
+			if b.unknown {
+				views[i].Batch[k].Effect = 0
 			}
 		}
 	}
@@ -102,6 +110,23 @@
 	is.Equal(b.actions[0].Kind, Throttle) // before anything is moved
 }
 
+// Guards against a service that stays slow because no effect was learned yet, and against actions on runs that
+// neither a verdict nor a learned effect names.
+func TestUnknownEffectNeedsAVerdict(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, noisyRatio(60))
+	b.unknown, b.cause = true, verdict.Unknown
+	for range 30 {
+		b.step()
+	}
+	is.Equal(len(b.actions), 0)
+	b.cause = verdict.Neighbours
+	for range 30 {
+		b.step()
+	}
+	is.Equal(b.workers[0].limit["noisy"], int64(50))
+}
+
 // Guards against actions that follow each other faster than reports can show their effect.
 func TestActionsWaitOutTheLag(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -137,6 +162,18 @@
 	}
 }
 
+// Guards against limits that the previous owner of a worker set and that nobody takes back.
+func TestLimitsOfThePreviousOwnerAreTakenBack(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, func(*fakeWorker) float64 { return 0.4 })
+	b.workers[0].limit["noisy"], b.workers[0].limit["quiet"] = 25, 50
+	for range 100 {
+		b.step()
+	}
+	is.Equal(b.workers[0].limit, map[string]int64{"noisy": 100, "quiet": 100})
+	is.Equal(len(b.g.episodes), 0)
+}
+
 // Guards against a noisy wave over many workers that evicts everybody, and against limits that stay afterwards.
 func TestWaveEvictsNobody(t *testing.T) {
 	is := is.New(t)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/node/authority"
 	"waxwingslip.example/node/claimview"
 	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/endpoints"
@@ -52,7 +53,7 @@
 
 	control   *replica.Control
 	zone      *replica.Zone
-	authority *authority
+	authority *authority.Authority
 	listing   *listing
 	table     *endpoints.Table
 	pool      *executor.Pool
@@ -65,6 +66,7 @@
 	registry  *telemetry.Registry
 	tracing   *telemetry.Tracing
 	guards    *contention.Manager
+	alarmLog  alarmLog
 
 	claims     *claimview.Keeper
 	peerServer *peer.Server
@@ -143,12 +145,12 @@
 func (d *Daemon) Addresses() Addresses { return d.addresses }
 
 func (d *Daemon) openStreams() {
-	store := logstore.NewHTTPClient(d.set.Platform.LogURL)
+	store := logstore.NewMeteredHTTPClient(d.set.Platform.LogURL, d.meter("log"))
 	d.control = replica.NewControl(store, environment.Parse,
 		d.controlOptions(), d.appenderOptions())
 	d.zone = replica.NewZone(store, d.set.Zone,
 		d.followerOptions(replica.ZoneStream(d.set.Environment, d.set.Zone), 0), d.appenderOptions())
-	d.authority = &authority{zoneName: d.set.Zone, zone: d.zone, control: d.control, now: d.now}
+	d.authority = authority.New(d.set.Zone, d.zone, d.control, d.now)
 }
 
 // relayTailBytes is how much of the control stream a daemon keeps for peers that cannot read the log.
@@ -156,9 +158,9 @@
 
 func (d *Daemon) buildParts() error {
 	d.table = endpoints.New(d.zone)
-	d.listing = newListing(directory.NewHTTPClient(d.set.Platform.DirectoryURL), d.set.Zone, d.onListing)
+	d.listing = newListing(directory.NewMeteredHTTPClient(d.set.Platform.DirectoryURL, d.meter("directory")), d.set.Zone, d.onListing)
 	d.pool = executor.NewPool(executor.Config{
-		Client: worker.NewHTTPClient(), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
+		Client: worker.NewMeteredHTTPClient(d.meter("worker")), Journal: d.zone, Zone: d.zone, Authority: d.authority, Metrics: d.registry,
 		Log: d.log, Now: d.now, OnReport: d.onReport,
 	})
 	d.guards = contention.New(contention.Config{
@@ -200,13 +202,13 @@
 // setMember tells the parts that act for a member its id, or "" when the daemon is not a member.
 func (d *Daemon) setMember(id string) {
 	d.registry.Counter("membership_changes").Inc()
-	d.authority.setMember(id)
+	d.authority.SetMember(id)
 	d.claims.SetMember(id)
 }
 
 // confirmHeartbeat extends what a member may do by a heartbeat that was read back.
 func (d *Daemon) confirmHeartbeat(member string, sent time.Duration) {
-	d.authority.confirm(member, sent)
+	d.authority.Confirm(member, sent)
 	d.claims.Confirm(member, sent)
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -56,6 +56,8 @@
 	// turn rotates zones of equal distance.
 	turn atomic.Uint64
 
+	homes homes
+
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	backends map[string]*backend
@@ -109,7 +111,7 @@
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.PathPrefix("/services/{service}").HandlerFunc(g.serveCaller)
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.write(w, r.Method, failure(http.StatusNotFound, OutcomeNotRun, "allowed paths are /services/{service}/..."))
+		g.write(w, r, failure(http.StatusNotFound, OutcomeNotRun, "allowed paths are /services/{service}/..."))
 	})
 	return router
 }
