--- a/node/zonetest/zone_test.go
+++ b/node/zonetest/zone_test.go
@@ -268,6 +268,14 @@
 	return nil
 }
 
+// byOwner returns the owner of a worker first.
+func byOwner(workerID string, a, c *node) (owner, other *node) {
+	if ownerOf(workerID, a, c) == c {
+		return c, a
+	}
+	return a, c
+}
+
 // eventually advances simulated time until the condition holds.
 func (b *bench) eventually(what string, within time.Duration, check func() bool) {
 	b.t.Helper()
