Recognise an expiry that is read together with the join

Cause: a tracker that read its Join and its Expire between two steps had never seen itself as a member, so it did not count as expelled. While a claim view kept its departure in the state, it posted a Join under the refused id each second. Change: Expelled also counts the departures in the state, so that the runner takes a new member id. Before: go test -run ExpelledBefore ./node/ownership fails, the step returns a Join (1 record instead of 0). After: passes.

--- a/node/ownership/tracker.go
+++ b/node/ownership/tracker.go
@@ -60,10 +60,12 @@
 // Leave makes Step release all shards and leave.
 func (t *Tracker) Leave() { t.leaving = true }
 
-// Expelled reports whether the member was expired by another, so that a new member id is needed.
+// Expelled reports whether the member was expired by another, so that a new member id is needed. A follower that
+// catches up may read the join and the expiry between two steps, so the state's departures count as well.
 func (t *Tracker) Expelled(s *zone.State) bool {
 	_, joinedBefore := t.seen[t.self]
-	return joinedBefore && s.Members[t.self] == nil && !t.leaving
+	_, departed := s.Left[t.self]
+	return (joinedBefore || departed) && s.Members[t.self] == nil && !t.leaving
 }
 
 // HeartbeatReadAt returns when the last heartbeat of a current or former member was read from the log. For a
--- a/node/ownership/tracker_test.go
+++ b/node/ownership/tracker_test.go
@@ -201,6 +201,19 @@
 	}
 }
 
+// Guards against a daemon that tries for ever to join under an id that the state refuses, because it read its join and its
+// expiry at once.
+func TestExpelledBeforeJoinWasSeen(t *testing.T) {
+	is := is.New(t)
+	j := newJournal(t, "n")
+	tr := NewTracker("m", "")
+	j.apply(tr.Step(j.state, 0, true)...)
+	j.apply(&record.ClaimView{Number: 1, Members: []string{"m", "n"}}) // keeps the departure of m in the state
+	j.apply(&record.Expire{Member: "m", LastHeartbeat: j.state.Members["m"].Heartbeat})
+	is.Equal(len(tr.Step(j.state, time.Minute, true)), 0)
+	is.True(tr.Expelled(j.state))
+}
+
 // Guards against a heartbeat interval that lets a live member expire or floods the log.
 func TestHeartbeatInterval(t *testing.T) {
 	is := is.New(t)
