Test the relief of a worker whose capacity shrank

Cause: only leaving workers were covered. Change: a worker with 8 reserved slots shrinks to 5; three batch tasks move, replicas stay. Conclusion: go test -race ./node/scheduler passes.

--- a/node/scheduler/moves_test.go
+++ b/node/scheduler/moves_test.go
@@ -143,3 +143,21 @@
 		is.True(n >= 9*spillRate && n <= 12*spillRate)
 	})
 }
+
+// Guards against a worker that stays committed beyond a capacity that shrank, and against moving more than has to go.
+func TestShrunkWorkerIsRelieved(t *testing.T) {
+	inZone(t, func(is *is.I, w *world) {
+		w.publish(withService("v1", 2))
+		w.order(&record.Submit{Zone: "a", Job: batch("j", 6)})
+		w.run(5*time.Second, nil)
+		is.Equal(w.zone.state.Workers["w"].Reserved.Slots, int64(8))
+		w.addWorker("w", 5)
+		w.addWorker("new", 8)
+		w.run(10*time.Second, nil)
+		is.Equal(w.zone.state.Workers["w"].Reserved.Slots, int64(5))
+		is.Equal(count[*record.Evict](w), 3)
+		for _, t := range w.bound() {
+			is.True(!t.Job.IsService() || t.Worker == "w") // batch tasks go first
+		}
+	})
+}
