End the tasks of a parked job, and bound checkpoint names

Cause: after a job was parked, a quarantine could drop the count of failed workers below three; a run that then failed was made pending, its binds were rejected ten times a second, and the job never finished. Adopt did the same. A checkpoint name above the control stream's limit blocked a transfer for ever. Change: both paths end the task; longer names are dropped at Evict. Measured: TestParkedJobRetriesNothing fails without the change, passes with it. Conclusion: a parked job always finishes and frees its quota.

--- a/core/zone/invariant_test.go
+++ b/core/zone/invariant_test.go
@@ -255,3 +255,47 @@
 	is.True(v.Duplicate)
 	is.Equal(len(s.Members), 0)
 }
+
+// Guards against a task that stays pending for ever in a parked job: a worker that is quarantined after the job was
+// parked no longer counts, so the failure of a run that is still bound was retried.
+func TestParkedJobRetriesNothing(t *testing.T) {
+	is := is.New(t)
+	s := New("z")
+	offset := int64(0)
+	apply := func(b record.Body) {
+		t.Helper()
+		offset++
+		v := s.Apply(offset, record.New(uuid.New(), b))
+		if !v.Accepted {
+			t.Fatalf("%T rejected: %s", b, v.Reason)
+		}
+	}
+	apply(&record.Join{Member: "a"})
+	apply(&record.Policy{Version: 1, InService: true})
+	owner := record.Owner{Member: "a", Epoch: 1}
+	claimed := map[int]bool{}
+	ids := []string{"w1", "w2", "w3", "w4"}
+	for _, id := range ids {
+		if !claimed[ShardOf(id)] {
+			claimed[ShardOf(id)] = true
+			apply(&record.Claim{Shard: ShardOf(id), Epoch: 1, Member: "a"})
+		}
+		apply(&record.RegisterWorker{Owner: owner, Worker: drawWorker(id)})
+	}
+	apply(&record.Admit{Job: record.JobSpec{ID: "j", Class: "x", Tasks: 4, MaxAttempts: 9, Size: resource.Vector{Slots: 1}}})
+	run := func(i int) record.Run {
+		return record.Run{Task: record.TaskID{Job: "j", Index: i}, Epoch: 1, Worker: ids[i]}
+	}
+	for i, id := range ids {
+		apply(&record.Bind{Task: run(i).Task, Epoch: 1, Worker: id})
+	}
+	for i := range 3 {
+		apply(&record.End{Owner: owner, Run: run(i), Outcome: record.OutcomeFailed})
+	}
+	is.True(s.Jobs["j"].Parked != "")
+	for _, id := range ids[:2] {
+		apply(&record.SetWorker{Owner: owner, Worker: id, State: record.WorkerQuarantined})
+	}
+	apply(&record.End{Owner: owner, Run: run(3), Outcome: record.OutcomeFailed})
+	is.Equal(s.Jobs["j"].Unfinished, 0)
+}
--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -30,6 +30,8 @@
 	// forgottenKept is how many forgotten jobs are remembered. A daemon whose control state lags must not admit
 	// one of them again; at 1,200 jobs a day and zone this covers more than three days.
 	forgottenKept = 4096
+	// maxCheckpointBytes limits the name of a checkpoint, as in the control stream.
+	maxCheckpointBytes = 4 << 10
 	// MaxJobTasks limits the tasks of one job.
 	MaxJobTasks = 20000
 	// defaultMaxAttempts limits failed runs of a task whose spec states no limit.
--- a/core/zone/tasks.go
+++ b/core/zone/tasks.go
@@ -94,8 +94,11 @@
 	}
 	t.Epoch, t.Checkpoint = b.Epoch, b.Checkpoint
 	s.makePending(t)
-	if j.Cancelled {
+	switch {
+	case j.Cancelled:
 		s.endTask(t, record.OutcomeCancelled, "job was cancelled")
+	case j.Parked != "":
+		s.endTask(t, record.OutcomeFailed, j.Parked)
 	}
 	return accepted
 }
@@ -197,7 +200,7 @@
 		s.park(t.Job, "tasks failed on three different workers, last: "+reason)
 		return
 	}
-	if t.Attempts >= limit {
+	if t.Attempts >= limit || t.Job.Parked != "" {
 		s.endTask(t, record.OutcomeFailed, reason)
 		return
 	}
@@ -223,6 +226,11 @@
 	if t == nil {
 		return v
 	}
+	if len(b.Checkpoint) > maxCheckpointBytes {
+		// The control stream would refuse to transfer it; the task resumes from an earlier checkpoint.
+		s.requeue(t, "")
+		return accepted
+	}
 	s.requeue(t, b.Checkpoint)
 	return accepted
 }
