Forget leases of earlier incarnations, and renew before slow commands

Cause: after a worker restarted with its clock set back, the lease granted on the old clock was never forgotten, so its tasks hung when it died later. Many slow stops in a row could also outlast the lease. An attestation was lost while the shard had no owner. Change: a stale flag in place of the cleared incarnation; loops of commands stop when a renewal is due; attestations wait a minute for the next owner. Conclusion: every lease that is waited for can lapse.

--- a/node/executor/act.go
+++ b/node/executor/act.go
@@ -32,6 +32,10 @@
 		if ctx.Err() != nil {
 			return sent
 		}
+		if a.cfg.Now() >= a.nextContact {
+			// Slow commands must not keep the lease from being renewed.
+			return true
+		}
 		if action.Kind == ActAck {
 			acks = append(acks, action.Key)
 			continue
@@ -126,13 +130,14 @@
 		return
 	}
 	var runs []record.Run
-	usable := false
+	usable, quarantined := false, false
 	a.cfg.Zone.View(func(s *zone.State) {
 		w := s.Workers[a.target.id]
 		if w == nil {
 			return
 		}
-		usable = w.State != record.WorkerUnreachable
+		quarantined = w.State == record.WorkerQuarantined
+		usable = w.State != record.WorkerUnreachable && !quarantined
 		for _, t := range w.Tasks {
 			runs = append(runs, t.Run())
 		}
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -63,6 +63,8 @@
 	lease.WorkerClock
 	grant       lease.Grant
 	incarnation string
+	// stale means that the clock has to be read again, for instance after a pause or a restart of the worker.
+	stale bool
 }
 
 func newAgent(cfg *Config, t target, cancel context.CancelFunc) *agent {
@@ -154,7 +156,7 @@
 // contact renews the lease and returns the worker's report. Without authority to renew, it only reads the
 // report.
 func (a *agent) contact(ctx context.Context) (worker.Report, error) {
-	if !a.clock.Known() || a.clock.incarnation == "" {
+	if !a.clock.Known() || a.clock.stale {
 		if err := a.readClock(ctx); err != nil {
 			return worker.Report{}, err
 		}
@@ -170,8 +172,7 @@
 	defer cancel()
 	report, err := a.cfg.Client.Renew(ctx, a.addr(), req)
 	if err != nil {
-		// The clock may have moved, for instance after a pause; it is read again before the next try.
-		a.clock.incarnation = ""
+		a.clock.stale = true
 		return report, errors.Wrapf(err, "renew lease of worker %s at %s", a.target.id, a.addr())
 	}
 	a.heard, a.lastRenew = true, now
@@ -191,10 +192,11 @@
 	if report.Worker != a.target.id {
 		return errors.Errorf("address %s answers as worker %q, not %q", a.addr(), report.Worker, a.target.id)
 	}
-	if a.clock.incarnation != "" && a.clock.incarnation != report.Incarnation {
+	if a.clock.incarnation != report.Incarnation {
+		// The runs of an earlier incarnation have ended, and with them the leases on its clock.
 		a.clock.grant = lease.Grant{}
 	}
-	a.clock.incarnation = report.Incarnation
+	a.clock.incarnation, a.clock.stale = report.Incarnation, false
 	a.clock.Observe(sent, a.cfg.Now(), report.NowMs)
 	return nil
 }
--- a/node/executor/pool.go
+++ b/node/executor/pool.go
@@ -64,6 +64,8 @@
 	mu sync.Mutex
 	// listed holds the workers of the VM list. Guarded by mu.
 	listed map[string]directory.VM
+	// attested holds attestations of workers whose shard had no owner, until it is claimed. Guarded by mu.
+	attested map[string]attestation
 	// agents is guarded by mu.
 	agents map[string]*agent
 	wg     sync.WaitGroup
@@ -71,7 +73,7 @@
 
 // NewPool returns a pool without agents.
 func NewPool(cfg Config) *Pool {
-	return &Pool{cfg: cfg, listed: map[string]directory.VM{}, agents: map[string]*agent{}}
+	return &Pool{cfg: cfg, listed: map[string]directory.VM{}, attested: map[string]attestation{}, agents: map[string]*agent{}}
 }
 
 // SetListing gives the pool the newest list of worker VMs of the zone.
@@ -118,6 +120,10 @@
 func (p *Pool) startAgent(ctx context.Context, t target) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := newAgent(&p.cfg, t, cancel)
+	if at, ok := p.attested[t.id]; ok && t.epoch == at.epoch+1 && p.cfg.Now()-at.at < attestationKept {
+		a.attested.Store(true)
+	}
+	delete(p.attested, t.id)
 	a.listed = func() directory.State { return p.listedState(t.id) }
 	p.wg.Go(func() { a.run(ctx) })
 	return a
@@ -163,9 +169,33 @@
 	p.mu.Unlock()
 	if a != nil {
 		a.attest()
+		return
 	}
+	// While the shard has no owner, nobody can hear the worker and start runs on it, so the statement still holds
+	// for the next owner. It is dropped once another daemon owns the shard.
+	unowned, epoch := false, int64(0)
+	p.cfg.Zone.View(func(s *zone.State) {
+		var owner string
+		owner, epoch = s.OwnerOf(id)
+		unowned = owner == ""
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if unowned {
+		p.attested[id] = attestation{at: p.cfg.Now(), epoch: epoch}
+	}
+}
+
+// attestation waits for the owner of a shard that had none.
+type attestation struct {
+	at time.Duration
+	// epoch is that of the last owner; the statement holds for the next one only.
+	epoch int64
 }
 
+// attestationKept is how long an attestation waits for an owner of the shard.
+const attestationKept = time.Minute
+
 // listedState returns what the VM list says about a worker, "" if it is not listed.
 func (p *Pool) listedState(id string) directory.State {
 	p.mu.Lock()
