Keep the quarantine in step with the zone state

Cause: a quarantine lived in the memory of one owner: after a hand-over, or when one record was lost, a worker stayed quarantined for ever. Measured: go test ./node/contention ./core/guard passes. Conclusion: quarantine ends wherever the worker's shard is.

--- a/core/guard/quarantine.go
+++ b/core/guard/quarantine.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// Held reports whether a worker is in quarantine.
+func (q *Quarantine) Held(worker string) bool {
+	w, ok := q.workers[worker]
+	return ok && w.held
+}
+
 // Probing reports whether a worker is on probation.
 func (q *Quarantine) Probing(worker string) bool {
 	w := q.workers[worker]
--- a/node/contention/contention.go
+++ b/node/contention/contention.go
@@ -118,25 +118,48 @@
 		return
 	}
 	now := m.cfg.Now()
-	views, owned := m.look(doc, now)
+	views, owned, states := m.look(doc, now)
 	m.mu.Lock()
 	m.guard.SetBudget(float64(doc.Guards.EvictionsPerMinute) * owned)
 	var actions []guard.Action
 	if doc.Guards.Enabled {
 		actions = m.guard.Step(now, views)
 	}
-	released := m.quarantine.Release(now)
+	m.quarantine.Release(now)
+	corrections := m.quarantineStates(states, now)
 	m.nextInterval(now)
 	m.forget(now)
 	m.mu.Unlock()
 	for _, a := range actions {
 		m.carryOut(a)
 	}
-	for _, id := range released {
-		m.setWorker(id, record.WorkerUsable, "quarantine is over")
+	for id, state := range corrections {
+		m.setWorker(id, state, quarantineReasons[state])
 	}
 }
 
+var quarantineReasons = map[record.WorkerState]string{
+	record.WorkerUsable:      "quarantine is over",
+	record.WorkerQuarantined: "tasks of several jobs failed",
+}
+
+// quarantineStates compares the quarantine with the zone's state of the owned workers and returns the states to set.
+// A worker that an earlier owner quarantined is taken over. It must be called with mu held.
+func (m *Manager) quarantineStates(states map[string]record.WorkerState, now time.Time) map[string]record.WorkerState {
+	out := map[string]record.WorkerState{}
+	for id, state := range states {
+		switch {
+		case state == record.WorkerQuarantined && m.quarantine.Probing(id):
+			out[id] = record.WorkerUsable
+		case state == record.WorkerQuarantined:
+			m.quarantine.Restore(id, now)
+		case state == record.WorkerUsable && m.quarantine.Held(id):
+			out[id] = record.WorkerQuarantined
+		}
+	}
+	return out
+}
+
 // nextInterval must be called with mu held.
 func (m *Manager) nextInterval(now time.Time) {
 	m.rates = make(map[worker.RunKey]float64, len(m.endpoints))
--- a/node/contention/look.go
+++ b/node/contention/look.go
@@ -46,10 +46,11 @@
 }
 
 // look builds the guard's views of the owned workers and learns from the interval. It returns the share of the
-// zone's shards that this daemon owns.
-func (m *Manager) look(doc *environment.Document, now time.Time) (views []guard.WorkerView, owned float64) {
+// zone's shards that this daemon owns, and the state of the owned workers.
+func (m *Manager) look(doc *environment.Document, now time.Time) (views []guard.WorkerView, owned float64,
+	mine map[string]record.WorkerState) {
 	self := m.cfg.Member()
-	mine := map[string]bool{}
+	mine = map[string]record.WorkerState{}
 	m.cfg.Zone.View(func(s *zone.State) {
 		shards := 0
 		for _, o := range s.Shard {
@@ -58,19 +59,20 @@
 			}
 		}
 		owned = float64(shards) / zone.Shards
-		for id := range s.Workers {
-			owner, _ := s.OwnerOf(id)
-			mine[id] = self != "" && owner == self
+		for id, w := range s.Workers {
+			if owner, _ := s.OwnerOf(id); self != "" && owner == self {
+				mine[id] = w.State
+			}
 		}
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, h := range m.reports {
-		if mine[id] {
+		if _, ok := mine[id]; ok {
 			views = append(views, m.view(doc, h, now))
 		}
 	}
-	return views, owned
+	return views, owned, mine
 }
 
 // view must be called with mu held.
--- a/node/contention/observe.go
+++ b/node/contention/observe.go
@@ -231,6 +231,9 @@
 func (m *Manager) ApplyZone(b stream.Batch) {
 	self := m.cfg.Member()
 	for _, a := range b.Applied {
+		if f, ok := a.Record.Body.(*record.Forget); ok {
+			m.forgetJob(f.Job)
+		}
 		end, ok := a.Record.Body.(*record.End)
 		if !ok || !a.Verdict.Accepted || end.Owner.Member != self {
 			continue
@@ -239,6 +242,12 @@
 	}
 }
 
+func (m *Manager) forgetJob(job string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.quarantine.ForgetJob(job)
+}
+
 func (m *Manager) countEnd(end *record.End) {
 	id := end.Run.Worker
 	m.mu.Lock()
