Plan waiting tasks of new members, back off crashes, and fit targets

Cause: a member planned nothing that was pending when it joined, because its id was known only after the planner was rebuilt. Tasks moved to zones whose workers are too small, or stayed in a zone that left the document; a transfer to such a zone was refused for ever; failing replicas restarted without pause; pressure of workers never fell at other daemons.

--- a/node/daemon/adapters.go
+++ b/node/daemon/adapters.go
@@ -64,6 +64,9 @@
 	at     time.Duration
 }
 
+// reportKept is how long a report tells something; owned workers report every 5 s.
+const reportKept = 20 * time.Second
+
 func newReports() *reports { return &reports{byWorker: map[string]heardReport{}} }
 
 func (r *reports) add(report worker.Report, at time.Duration) {
@@ -81,11 +84,15 @@
 
 // pressure returns, for each worker heard, the largest share of time in which one of its runs stalled, in
 // thousandths. Workers without stalls are left out.
-func (r *reports) pressure() map[string]int64 {
+func (r *reports) pressure(now time.Duration) map[string]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := map[string]int64{}
 	for id, h := range r.byWorker {
+		if now-h.at >= reportKept {
+			delete(r.byWorker, id) // another daemon owns the worker, or it is gone
+			continue
+		}
 		if p := stallOf(h.report); p > 0 {
 			out[id] = p
 		}
--- a/node/daemon/peering.go
+++ b/node/daemon/peering.go
@@ -67,7 +67,7 @@
 	h.Member = d.authority.Member()
 	n := d.hellos.Add(1)
 	if n%pressureEvery == 0 {
-		h.Pressure = d.reports.pressure()
+		h.Pressure = d.reports.pressure(d.now())
 	}
 	if n%learnedEvery == 0 {
 		h.Learned = d.guards.Digest()
--- a/node/scheduler/drain.go
+++ b/node/scheduler/drain.go
@@ -38,7 +38,7 @@
 	}
 	var targets func(spec *record.JobSpec) []string
 	s.cfg.Control.View(func(c *control.State) {
-		if d := c.Document(); d != nil && outOfService(d, s.cfg.Zone) {
+		if d := c.Document(); d != nil && closed(d, s.cfg.Zone) {
 			targets = s.zoneChooser(d)
 		}
 	})
@@ -54,9 +54,10 @@
 	})
 }
 
-func outOfService(d *environment.Document, name string) bool {
+// closed reports whether a zone is out of service or no longer in the document.
+func closed(d *environment.Document, name string) bool {
 	_, z, ok := d.FindZone(name)
-	return ok && z.OutOfService
+	return !ok || z.OutOfService
 }
 
 // zoneChooser returns a function that lists the other zones in service which a job may use. Zones that were
@@ -64,14 +65,14 @@
 func (s *Scheduler) zoneChooser(d *environment.Document) func(*record.JobSpec) []string {
 	var open []string
 	for _, name := range d.ZoneNames() {
-		if name != s.cfg.Zone && !outOfService(d, name) {
+		if name != s.cfg.Zone && !closed(d, name) {
 			open = append(open, name)
 		}
 	}
 	return func(spec *record.JobSpec) []string {
 		var allowed, roomy []string
 		for _, name := range open {
-			if !allows(spec, name) {
+			if !canRun(d, spec, name) {
 				continue
 			}
 			allowed = append(allowed, name)
@@ -86,6 +87,12 @@
 	}
 }
 
+// canRun reports whether a job may use a zone and whether the zone has workers that are large enough.
+func canRun(d *environment.Document, spec *record.JobSpec, name string) bool {
+	_, z, ok := d.FindZone(name)
+	return ok && allows(spec, name) && spec.Size.Fits(z.Worker)
+}
+
 func allows(spec *record.JobSpec, zoneName string) bool {
 	if len(spec.Zones) == 0 {
 		return true
--- a/node/scheduler/jobs.go
+++ b/node/scheduler/jobs.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 
 	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/environment"
 	"waxwingslip.example/core/record"
+	"waxwingslip.example/core/rendezvous"
 	"waxwingslip.example/core/zone"
 )
 
@@ -17,6 +20,8 @@
 	ended control.Counts
 	// transfers holds the newest transfer of each moved task.
 	transfers map[int]control.Transfer
+	// zones lists the other zones of the document that can run the job.
+	zones []string
 }
 
 func (s *Scheduler) collectJobs(c *control.State) []job {
@@ -26,13 +31,22 @@
 			continue
 		}
 		out = append(out, job{
-			spec: j.Spec, here: j.Zone == s.cfg.Zone, cancelled: j.Cancelled,
+			zones: s.otherZones(c.Document(), &j.Spec), spec: j.Spec, here: j.Zone == s.cfg.Zone, cancelled: j.Cancelled,
 			ended: j.Ended[s.cfg.Zone], transfers: copyTransfers(j.Transfers),
 		})
 	}
 	return out
 }
 
+func (s *Scheduler) otherZones(d *environment.Document, spec *record.JobSpec) (out []string) {
+	for _, name := range d.ZoneNames() {
+		if name != s.cfg.Zone && canRun(d, spec, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 func copyTransfers(in map[int]control.Transfer) map[int]control.Transfer {
 	if len(in) == 0 {
 		return nil
@@ -124,8 +138,14 @@
 		if t.State != zone.TaskReleased || w.transfers[index].Epoch >= t.Epoch {
 			continue
 		}
+		to := t.ReleasedTo
+		if !slices.Contains(w.zones, to) && len(w.zones) > 0 {
+			// The zone left the document since the release. The first transfer that the control state accepts for
+			// this epoch counts, so another target is safe.
+			to = rendezvous.Pick(w.spec.ID, w.zones)
+		}
 		s.postControl(taskPurpose("transfer", w.spec.ID, index, t.Epoch), &record.Transfer{
-			Task: t.ID(), Epoch: t.Epoch, From: s.cfg.Zone, To: t.ReleasedTo, Checkpoint: t.Checkpoint,
+			Task: t.ID(), Epoch: t.Epoch, From: s.cfg.Zone, To: to, Checkpoint: t.Checkpoint,
 		})
 	}
 }
--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -28,11 +28,13 @@
 
 // feed brings the planner up to date with the zone state.
 func (s *Scheduler) feed(batches []stream.Batch) {
-	if s.planner == nil || membersChanged(batches) {
+	self := s.cfg.Member()
+	// The own member id is known a little later than the Join that made the members change.
+	if s.planner == nil || self != s.builtFor || membersChanged(batches) {
+		s.builtFor = self
 		s.rebuild()
 		return
 	}
-	self := s.cfg.Member()
 	s.cfg.State.View(func(z *zone.State) {
 		for _, b := range batches {
 			for _, a := range b.Applied {
@@ -70,7 +72,7 @@
 // rebuild starts the planner anew from the whole state, after a snapshot or a change of members.
 func (s *Scheduler) rebuild() {
 	s.planner = placement.NewPlanner(placement.DefaultOptions())
-	self := s.cfg.Member()
+	self := s.builtFor
 	s.cfg.State.View(func(z *zone.State) {
 		s.planner.Index().SetPolicy(z.Policy.InService, z.Policy.Exclusions)
 		for id := range z.Workers {
@@ -112,6 +114,7 @@
 
 func (s *Scheduler) feedTask(z *zone.State, self string, id record.TaskID) {
 	t := z.Task(id)
+	delayed := t != nil && t.State == zone.TaskPending && s.crashDelay(t, time.Now())
 	if t == nil || t.State != zone.TaskBound {
 		delete(s.bound, id)
 	}
@@ -125,7 +128,7 @@
 		since = time.Now()
 		s.since[id] = since
 	}
-	if z.Responsible(placePurpose(id)) != self {
+	if delayed || z.Responsible(placePurpose(id)) != self {
 		s.planner.Remove(id)
 		return
 	}
@@ -145,10 +148,14 @@
 		return
 	}
 	s.mu.Lock()
-	pressure := s.pressure[id]
+	known := s.pressure[id]
+	if s.cfg.Now()-known.at >= pressureKept {
+		known.value = 0
+		delete(s.pressure, id)
+	}
 	s.mu.Unlock()
 	view := placement.Worker{
-		ID: id, Rack: w.Info.Rack, Capacity: w.Info.Capacity, State: w.State, Pressure: pressure,
+		ID: id, Rack: w.Info.Rack, Capacity: w.Info.Capacity, State: w.State, Pressure: known.value,
 		Runs:    make([]placement.Run, 0, len(w.Tasks)),
 		Probing: s.cfg.Probing != nil && s.cfg.Probing(id),
 	}
@@ -168,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, p := range permille {
-		s.pressure[id] = math.Min(1, float64(p)/1000)
+		s.pressure[id] = pressure{value: math.Min(1, float64(p)/1000), at: s.cfg.Now()}
 	}
 }
 
--- a/node/scheduler/policy.go
+++ b/node/scheduler/policy.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"strconv"
+
 	"waxwingslip.example/core/environment"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
@@ -20,6 +22,6 @@
 
 func (s *Scheduler) syncPolicy(z *zone.State, self string, p *record.Policy) {
 	if z.Policy.Version < p.Version && z.Responsible("policy") == self {
-		s.post("policy", p)
+		s.post("policy/"+strconv.FormatInt(p.Version, 10), p)
 	}
 }
--- a/node/scheduler/scheduler.go
+++ b/node/scheduler/scheduler.go
@@ -83,13 +83,17 @@
 	// mu guards the fields below, which subscribers fill.
 	mu       sync.Mutex
 	batches  []stream.Batch
-	pressure map[string]float64
+	pressure map[string]pressure
 	control  bool
 
 	wakeup chan struct{}
 
 	// The fields below belong to the goroutine of Run.
 	planner *placement.Planner
+	// builtFor is the member id for which the planner was built.
+	builtFor string
+	// crashes delays the restart of replicas that fail again and again.
+	crashes map[record.TaskID]crash
 	since   map[record.TaskID]time.Time
 	// bound holds when this daemon first saw the bound run of a task, by task and epoch.
 	bound      map[record.TaskID]boundRun
@@ -101,15 +105,25 @@
 	admitted   map[string]admission
 }
 
+// pressure is the contention of a worker, 0 to 1.
+type pressure struct {
+	value float64
+	at    time.Duration
+}
+
+// pressureKept is how long a pressure counts; its owner tells it every few seconds while there is any.
+const pressureKept = 30 * time.Second
+
 // New returns a scheduler that is not running.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
 		cfg:      cfg,
 		posted:   recent.NewSet(repostAfter),
-		pressure: map[string]float64{},
+		pressure: map[string]pressure{},
 		wakeup:   make(chan struct{}, 1),
 		since:    map[record.TaskID]time.Time{},
 		bound:    map[record.TaskID]boundRun{},
+		crashes:  map[record.TaskID]crash{},
 		admitted: map[string]admission{},
 	}
 }
@@ -168,6 +182,7 @@
 		s.lastRepair = now
 		s.repair(self)
 	}
+	s.feedDelayed(self)
 	if s.cfg.Estimator != nil && now-s.lastLearn >= learnInterval {
 		s.lastLearn = now
 		s.planner.Index().SetEstimator(s.cfg.Estimator)
--- a/node/scheduler/spill.go
+++ b/node/scheduler/spill.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"waxwingslip.example/core/control"
+	"waxwingslip.example/core/environment"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/rendezvous"
 	"waxwingslip.example/core/zone"
@@ -31,7 +32,7 @@
 	if budget == 0 {
 		return
 	}
-	roomy := s.roomyZones()
+	d, roomy := s.roomyZones()
 	if len(roomy) == 0 {
 		return
 	}
@@ -44,7 +45,7 @@
 			if budget == 0 {
 				return
 			}
-			if s.spillTask(z, self, id, now.Sub(since), roomy) {
+			if s.spillTask(z, self, id, now.Sub(since), d, roomy) {
 				budget--
 			}
 		}
@@ -52,14 +53,14 @@
 }
 
 // roomyZones lists the other zones in service that were heard recently and have room.
-func (s *Scheduler) roomyZones() (out []string) {
+func (s *Scheduler) roomyZones() (d *environment.Document, out []string) {
 	s.cfg.Control.View(func(c *control.State) {
-		d := c.Document()
+		d = c.Document()
 		if d == nil {
 			return
 		}
 		for _, name := range d.ZoneNames() {
-			if name == s.cfg.Zone || outOfService(d, name) {
+			if name == s.cfg.Zone || closed(d, name) {
 				continue
 			}
 			if room, heard := s.cfg.Loads.Room(name); heard && room >= spillRoom {
@@ -67,12 +68,13 @@
 			}
 		}
 	})
-	return out
+	return d, out
 }
 
-func (s *Scheduler) spillTask(z *zone.State, self string, id record.TaskID, waited time.Duration, roomy []string) bool {
+func (s *Scheduler) spillTask(z *zone.State, self string, id record.TaskID, waited time.Duration,
+	d *environment.Document, roomy []string) bool {
 	t := z.Task(id)
-	if t == nil || t.State != zone.TaskPending || t.Job.IsService() || t.Job.Cancelled || z.Responsible(placePurpose(id)) != self {
+	if t == nil || t.State != zone.TaskPending || t.Job.IsService() || t.Job.Cancelled || t.Job.Parked != "" || z.Responsible(placePurpose(id)) != self {
 		return false
 	}
 	limit := spillAfter
@@ -81,7 +83,7 @@
 	}
 	var allowed []string
 	for _, name := range roomy {
-		if allows(&t.Job.Spec, name) {
+		if canRun(d, &t.Job.Spec, name) {
 			allowed = append(allowed, name)
 		}
 	}
--- a/node/zonetest/failure_test.go
+++ b/node/zonetest/failure_test.go
@@ -284,3 +284,48 @@
 		b.checkNoOverlap()
 	})
 }
+
+// Guards against tasks that hang after a worker restarted, with its clock set back, and then died: the leases granted on
+// the earlier clock must not be waited for.
+func TestWorkerRestartsThenDies(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		a.submit("job", 1, "run=10h")
+		id := b.running(a, "job")
+		w := b.fleet.At(id + ":1")
+		time.Sleep(24 * time.Hour / 100)
+		w.Kill()
+		w.Restart(1)
+		b.eventually("task runs again", time.Minute, func() bool { return b.runsOf("job") == 2 })
+		again := b.fleet.At(a.task("job", 0).Worker + ":1")
+		time.Sleep(20 * time.Second)
+		again.Kill()
+		b.eventually("task runs a third time", time.Minute, func() bool { return b.runsOf("job") == 3 })
+		b.checkNoOverlap()
+	})
+}
+
+// Guards against waiting tasks that a new member becomes responsible for and never plans.
+func TestNewMemberPlansWaitingTasks(t *testing.T) {
+	inBubble(t, 1, func(b *bench) {
+		is := is.New(b.t)
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		a.submit("first", 4, "run=1m")
+		b.running(a, "first")
+		a.submit("second", 12, "run=10s")
+		b.eventually("second waits", 10*time.Second, func() bool { return a.task("second", 11).State == zone.TaskPending })
+		c := b.start("c")
+		defer c.kill()
+		b.eventually("the new member joined", 10*time.Second, func() bool { return c.auth.Member() != "" })
+		b.eventually("second finishes", 10*time.Minute, func() bool {
+			done := false
+			a.control.View(func(s *control.State) { done = s.Finished("second") != nil })
+			return done
+		})
+		is.Equal(b.runsOf("second"), 12)
+	})
+}
