--- a/cmd/internal/measure/sample.go
+++ b/cmd/internal/measure/sample.go
@@ -30,18 +30,27 @@
 type vars struct {
 	Memstats struct{ HeapAlloc, HeapInuse, Sys, TotalAlloc, Mallocs, NumGC float64 } `json:"memstats"`
 	Own      struct {
-		LogSent     float64   `json:"log_bytes_sent"`
-		LogReceived float64   `json:"log_bytes_received"`
-		DirSent     float64   `json:"directory_bytes_sent"`
-		DirReceived float64   `json:"directory_bytes_received"`
-		WorkerSent  float64   `json:"worker_bytes_sent"`
-		WorkerRecv  float64   `json:"worker_bytes_received"`
-		Appends     float64   `json:"log_appends"`
-		Records     float64   `json:"log_records_applied"`
-		Starts      float64   `json:"executor_starts"`
-		Binds       float64   `json:"scheduler_binds"`
-		Calls       peerBytes `json:"peer_calls"`
-		Server      peerBytes `json:"peer_server"`
+		LogSent     float64 `json:"log_bytes_sent"`
+		LogReceived float64 `json:"log_bytes_received"`
+		DirSent     float64 `json:"directory_bytes_sent"`
+		DirReceived float64 `json:"directory_bytes_received"`
+		WorkerSent  float64 `json:"worker_bytes_sent"`
+		WorkerRecv  float64 `json:"worker_bytes_received"`
+		Appends     float64 `json:"log_appends"`
+		Records     float64 `json:"log_records_applied"`
+		Starts      float64 `json:"executor_starts"`
+		Binds       float64 `json:"scheduler_binds"`
+
+		Running       int `json:"zone_tasks_running"`
+		StartErrors   int `json:"executor_start_errors"`
+		Refused       int `json:"executor_starts_refused"`
+		Stops         int `json:"executor_stops"`
+		Preemptions   int `json:"scheduler_preemptions"`
+		Moves         int `json:"guard_moves"`
+		ContactErrors int `json:"executor_contact_errors"`
+
+		Calls  peerBytes `json:"peer_calls"`
+		Server peerBytes `json:"peer_server"`
 	} `json:"waxwingslip"`
 }
 
--- a/cmd/internal/measure/zone.go
+++ b/cmd/internal/measure/zone.go
@@ -170,27 +170,44 @@
 			return err
 		}
 	}
+	all := z.size.workers * z.size.tasksPerWorker
 	for {
-		running, err := z.running(ctx)
-		if err == nil && running == z.size.workers*z.size.tasksPerWorker {
+		p, err := z.progress(ctx)
+		if err == nil && p.bound == all && p.starts >= all {
+			// Starts beyond the number of tasks are runs that were stopped and started again.
+			if p.starts > all {
+				fmt.Fprintf(os.Stderr, "size %dx%d: %+v\n", z.size.workers, z.size.tasksPerWorker, p)
+			}
 			return nil
 		}
 		if err := pause(ctx, 200*time.Millisecond); err != nil {
-			return errors.Wrapf(err, "%d of %d tasks run", running, z.size.workers*z.size.tasksPerWorker)
+			return errors.Wrapf(err, "%d tasks do not all run: %+v", all, p)
 		}
 	}
 }
 
-// running returns the number of started tasks: the sum of the daemons' accepted start commands.
-func (z *zone) running(ctx context.Context) (n int, err error) {
+// progress tells how many tasks are bound to workers and what the daemons did for that.
+type progress struct {
+	bound, starts, startErrors, refused, stops, preemptions, moves, contactErrors int
+}
+
+func (z *zone) progress(ctx context.Context) (p progress, err error) {
 	for _, d := range z.daemons {
 		var v vars
 		if err := getJSON(ctx, "http://"+d.addresses.Health+"/debug/vars", &v); err != nil {
-			return n, err
+			return p, err
 		}
-		n += int(v.Own.Starts)
+		o := &v.Own
+		p.bound = o.Running
+		p.starts += int(o.Starts)
+		p.startErrors += o.StartErrors
+		p.refused += o.Refused
+		p.stops += o.Stops
+		p.preemptions += o.Preemptions
+		p.moves += o.Moves
+		p.contactErrors += o.ContactErrors
 	}
-	return n, nil
+	return p, nil
 }
 
 func (z *zone) submit(ctx context.Context, id string, tasks int, run string) error {
