End long leases when the log can be read again

Cause: while the log could not be read, leases were granted for up to 75 min, and a lease was never shortened. After an outage of seconds, the death of a worker went unnoticed for over an hour. Change: Renew sets the lease, also to an earlier time; the owner then waits for the lease that the worker reported, and for unanswered renewals until the worker certainly refuses them. Measured: TestWorkerDiesAfterShortOutage (node/zonetest) fails without the change and passes with it. Conclusion: an outage of the log delays failover only while it lasts.

--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -65,6 +65,13 @@
 	incarnation string
 	// stale means that the clock has to be read again, for instance after a pause or a restart of the worker.
 	stale bool
+	// failed is the newest renewal without an answer. It may still take effect until its deadline has passed.
+	failed failedRenewal
+}
+
+type failedRenewal struct {
+	untilMs int64
+	sent    time.Duration
 }
 
 func newAgent(cfg *Config, t target, cancel context.CancelFunc) *agent {
@@ -173,14 +180,27 @@
 	report, err := a.cfg.Client.Renew(ctx, a.addr(), req)
 	if err != nil {
 		a.clock.stale = true
+		a.clock.failed = failedRenewal{untilMs: max(a.clock.failed.untilMs, req.LeaseUntilMs), sent: now}
 		return report, errors.Wrapf(err, "renew lease of worker %s at %s", a.target.id, a.addr())
 	}
 	a.heard, a.lastRenew = true, now
 	a.clock.Observe(now, a.cfg.Now(), report.NowMs)
-	a.clock.grant.Sent(report.LeaseUntilMs)
+	a.confirmLease(now, report.LeaseUntilMs)
 	return report, nil
 }
 
+// confirmLease replaces what was granted by the lease that the worker reports: it is shorter than before when the log
+// can be read again after an outage. Renewals without an answer count until the worker refuses them for certain.
+func (a *agent) confirmLease(now time.Duration, untilMs int64) {
+	a.clock.grant = lease.Grant{}
+	a.clock.grant.Sent(untilMs)
+	if now-a.clock.failed.sent < 2*lease.StartNotAfter {
+		a.clock.grant.Sent(a.clock.failed.untilMs)
+		return
+	}
+	a.clock.failed = failedRenewal{}
+}
+
 func (a *agent) readClock(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/node/zonetest/failure_test.go
+++ b/node/zonetest/failure_test.go
@@ -329,3 +329,22 @@
 		is.Equal(b.runsOf("second"), 12)
 	})
 }
+
+// Guards against a short outage of the log that blinds the zone: the long leases granted meanwhile must end with it, so
+// that a worker that dies afterwards is noticed in seconds.
+func TestWorkerDiesAfterShortOutage(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		a := b.start("a")
+		defer a.kill()
+		a.publish(document)
+		a.submit("job", 1, "run=10h")
+		id := b.running(a, "job")
+		a.link.logCut.Set(fault.Setting{Down: true})
+		time.Sleep(30 * time.Second)
+		a.link.logCut.Set(fault.Setting{})
+		time.Sleep(20 * time.Second)
+		b.fleet.At(id + ":1").Kill()
+		b.eventually("task runs again", time.Minute, func() bool { return b.runsOf("job") == 2 })
+		b.checkNoOverlap()
+	})
+}
