Honour the daemon's limits on requests

Cause: inFlight, perEndpoint and forwardedInFlight were read and ignored. Change: the gateway refuses requests above inFlight; perEndpoint bounds the choice of endpoints, with a default of 20, since three daemons share an endpoint's 64 connections; forwarded requests hold a slot until their answer ends. Conclusion: every limit of the settings has an effect.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/environment"
+	"waxwingslip.example/core/routing"
 	"waxwingslip.example/node/authority"
 	"waxwingslip.example/node/claimview"
 	"waxwingslip.example/node/contention"
@@ -184,7 +185,8 @@
 	d.gateway, err = gateway.New(gateway.Options{
 		Zone: d.set.Zone, Endpoints: d.table, Catalog: catalog{d.control}, Observer: observer{d.registry, d.guards},
 		Tracer: d.tracing.Provider.Tracer("gateway"), QueueLimit: d.set.Limits.QueuePerService, Seed: rand.Uint64(),
-		Forwarder: forward.New(d.transport, d.peers), Claims: d.claims.Coordinator(),
+		InFlightLimit: int64(d.set.Limits.InFlight), Routing: d.routing(),
+		Forwarder: limitForwards(forward.New(d.transport, d.peers), d.set.Limits.ForwardedInFlight), Claims: d.claims.Coordinator(),
 		ReadyGrace: min(maxReadyGrace, d.set.Limits.Drain()/4),
 	})
 	if err != nil {
@@ -196,6 +198,12 @@
 	return d.buildOperator()
 }
 
+func (d *Daemon) routing() routing.Settings {
+	s := routing.DefaultSettings()
+	s.MaxInFlight = d.set.Limits.PerEndpoint
+	return s
+}
+
 // maxReadyGrace is how long a draining daemon goes on accepting callers, so that the balancer sees in its next
 // checks that it is not ready.
 const maxReadyGrace = 3 * time.Second
--- /dev/null
+++ b/node/daemon/limits.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/node/gateway"
+)
+
+var errForwardLimit = errors.New("this daemon forwards its limit of requests")
+
+// limitedForwarder bounds the requests that are forwarded at a time, until the end of their answers.
+type limitedForwarder struct {
+	gateway.Forwarder
+	slots chan struct{}
+}
+
+func limitForwards(f gateway.Forwarder, limit int) limitedForwarder {
+	return limitedForwarder{Forwarder: f, slots: make(chan struct{}, limit)}
+}
+
+// Forward implements gateway.Forwarder.
+func (l limitedForwarder) Forward(ctx context.Context, zone string, req *gateway.ForwardRequest) (*gateway.ForwardAnswer, error) {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		return nil, &gateway.NotSentError{Step: "forward", Peer: zone, Err: errForwardLimit}
+	}
+	a, err := l.Forwarder.Forward(ctx, zone, req)
+	if err != nil || a.Body == nil {
+		<-l.slots
+		return a, err
+	}
+	a.Body = &slotBody{ReadCloser: a.Body, release: func() { <-l.slots }}
+	return a, nil
+}
+
+// slotBody releases a slot when it is closed.
+type slotBody struct {
+	io.ReadCloser
+	once    sync.Once
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *slotBody) Close() error {
+	defer b.once.Do(b.release)
+	return b.ReadCloser.Close()
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -33,6 +33,8 @@
 	Claims *claims.Coordinator
 	// Routing tunes the choice of endpoints; routing.DefaultSettings by default.
 	Routing routing.Settings
+	// InFlightLimit bounds the callers' requests served at a time; 4096 by default.
+	InFlightLimit int64
 	// QueueLimit bounds the waiting requests of each service; 512 by default.
 	QueueLimit int
 	// Seed starts the random source of the endpoint choice.
@@ -53,6 +55,8 @@
 	metrics *metrics
 	// background counts forwarded requests in flight and work that outlives a request.
 	background sync.WaitGroup
+	// inFlight counts callers' requests.
+	inFlight atomic.Int64
 	// turn rotates zones of equal distance.
 	turn atomic.Uint64
 
@@ -83,6 +87,9 @@
 	if opts.Routing.Samples == 0 {
 		opts.Routing = routing.DefaultSettings()
 	}
+	if opts.InFlightLimit == 0 {
+		opts.InFlightLimit = 4096
+	}
 	if opts.QueueLimit == 0 {
 		opts.QueueLimit = 512
 	}
--- a/node/gateway/serve.go
+++ b/node/gateway/serve.go
@@ -18,6 +18,14 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	// Lets an endpoint answer while the caller still sends.
 	_ = http.NewResponseController(w).EnableFullDuplex()
+	defer g.inFlight.Add(-1)
+	if g.inFlight.Add(1) > g.opts.InFlightLimit {
+		g.metrics.add(metricShed, 1)
+		a := failure(http.StatusServiceUnavailable, refusalOutcome(r), "this daemon serves its limit of requests")
+		a.header.Set("Retry-After", "1")
+		g.write(w, r, a)
+		return
+	}
 	c, refused := g.parse(w, r)
 	if refused != nil {
 		g.metrics.add(metricRefused, 1)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -111,10 +111,11 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultHealth            = "127.0.0.1:7104"
-	DefaultQueuePerService   = 256
-	DefaultInFlight          = 4096
-	DefaultPerEndpoint       = 64
+	DefaultHealth          = "127.0.0.1:7104"
+	DefaultQueuePerService = 256
+	DefaultInFlight        = 4096
+	// DefaultPerEndpoint leaves the three daemons of a zone below an endpoint's 64 connections.
+	DefaultPerEndpoint       = 20
 	DefaultForwardedInFlight = 512
 	DefaultDrainSeconds      = 30
 	DefaultSamplePermille    = 10
