Keep the pressure of workers within the zone

Cause: hellos to other zones could carry pressure and learned effects, which only daemons of the same zone use. Change: they are left out for others.

--- a/node/peers/book.go
+++ b/node/peers/book.go
@@ -126,6 +126,16 @@
 	return out
 }
 
+// zoneOf returns the zone of a peer, "" if it is not known.
+func (b *book) zoneOf(address string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.peers[address]; p != nil {
+		return p.Contact.Zone
+	}
+	return ""
+}
+
 // inZone returns the peers of a zone.
 func (b *book) inZone(zone string) []Peer {
 	return b.list(func(p Peer) bool { return p.Contact.Zone == zone })
--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -181,15 +181,19 @@
 	defer cancel()
 	p.book.tried(address, time.Now())
 	var answer Hello
-	if err := p.cfg.Caller.Call(ctx, address, methodHello, p.hello(false), &answer); err != nil {
+	if err := p.cfg.Caller.Call(ctx, address, methodHello, p.hello(p.book.zoneOf(address), false), &answer); err != nil {
 		return
 	}
 	p.accept(address, answer)
 }
 
 // hello describes this daemon, with contacts if they are asked for or due.
-func (p *Peers) hello(contacts bool) Hello {
+// hello describes this daemon to one of the given zone.
+func (p *Peers) hello(zone string, contacts bool) Hello {
 	h := p.cfg.Describe()
+	if zone != p.cfg.Self.Zone {
+		h.Pressure, h.Learned = nil, nil
+	}
 	h.Contact = p.cfg.Self
 	h.ControlNext = p.cfg.Control.Next()
 	if p.hellos.Add(1)%knownEvery != 0 && !contacts {
@@ -222,7 +226,7 @@
 func (p *Peers) onHello(_ context.Context, _ string, h Hello) (Hello, error) {
 	stranger := !p.book.heardWithin(h.Contact.Address, heardFor, time.Now())
 	p.accept(h.Contact.Address, h)
-	return p.hello(stranger), nil
+	return p.hello(h.Contact.Zone, stranger), nil
 }
 
 func (p *Peers) onTail(_ context.Context, _ string, q tailRequest) (tailAnswer, error) {
