--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -74,6 +74,17 @@
 		late.greetOthers(t.Context())
 		synctest.Wait()
 		is.Equal(len(late.InZone("y")), 1)
-		is.Equal(len(n.daemons["a"].hello(false).Known), 0)
+		is.Equal(len(n.daemons["a"].hello("z", false).Known), 0)
 	})
 }
+
+// Guards against the pressure of a zone's workers that is sent to other zones over the narrow link.
+func TestPressureStaysInItsZone(t *testing.T) {
+	is := is.New(t)
+	n := &network{daemons: map[string]*Peers{}}
+	p := n.add("z", "a", nil)
+	p.cfg.Describe = func() Hello { return Hello{Pressure: map[string]int64{"w": 5}, Learned: []byte{1}} }
+	is.Equal(len(p.hello("z", false).Pressure), 1)
+	other := p.hello("y", false)
+	is.Equal(len(other.Pressure)+len(other.Learned), 0)
+}
