Print one daemon of each zone in dev, and evidence without empty expectations

Cause: the printed environment named one daemon, so commands saw one zone only; explain printed 'expected 0' where nothing was expected.

--- a/cmd/waxwingslip/dev.go
+++ b/cmd/waxwingslip/dev.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -85,17 +86,25 @@
 		fmt.Fprintf(d.out, "%-12s %-22s %-22s %s\n", r.Name, r.Addresses.Callers, r.Addresses.Operators, r.Addresses.Health)
 	}
 	first := t.Daemons[0].Addresses
+	var operators []string
+	zones := map[string]bool{}
+	for _, r := range t.Daemons {
+		if !zones[r.Zone] {
+			zones[r.Zone] = true
+			operators = append(operators, "http://"+r.Addresses.Operators)
+		}
+	}
 	fmt.Fprintf(d.out, `
 Replicas of the service "hello" start within some seconds. In another terminal, try:
 
   curl -i http://%s/services/hello/greet
 
-  export WAXWINGSLIP_DAEMONS=http://%s WAXWINGSLIP_TOKEN_FILE=%s
+  export WAXWINGSLIP_DAEMONS=%s WAXWINGSLIP_TOKEN_FILE=%s
   go run ./cmd/waxwingslip status
   go run ./cmd/waxwingslip worker list
   go run ./cmd/waxwingslip zone out south-a
   go run ./cmd/waxwingslip zone in south-a
 
 Press Ctrl-C to stop.
-`, first.Callers, first.Operators, t.TokenFile)
+`, first.Callers, strings.Join(operators, ","), t.TokenFile)
 }
--- a/cmd/waxwingslip/status.go
+++ b/cmd/waxwingslip/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"reflect"
 	"slices"
 	"strconv"
@@ -141,9 +142,20 @@
 	if v := e.Verdict; v != nil {
 		rows = append(rows, []any{"cause of slowdown", fmt.Sprintf("%s, from %d requests", v.Cause, v.Requests)})
 		for _, ev := range v.Evidence {
-			rows = append(rows, []any{"evidence " + ev.Name, fmt.Sprintf("%g %s, expected %g %s %s", ev.Observed, ev.Unit,
-				ev.Expected, ev.Unit, ev.Detail)})
+			rows = append(rows, []any{"evidence " + ev.Name, evidenceText(ev)})
 		}
 	}
 	return rows
 }
+
+// evidenceText describes one measurement. An expected value of 0 means that nothing in particular was expected.
+func evidenceText(ev api.Evidence) string {
+	text := strings.TrimSpace(fmt.Sprintf("%g %s", ev.Observed, ev.Unit))
+	if ev.Expected != 0 {
+		text += fmt.Sprintf(", expected %g %s", ev.Expected, ev.Unit)
+	}
+	if ev.Detail != "" {
+		text += " (" + ev.Detail + ")"
+	}
+	return text
+}
--- a/node/operator/api/query.go
+++ b/node/operator/api/query.go
@@ -276,7 +276,7 @@
 // Evidence is one measurement behind a verdict.
 type Evidence struct {
 	Name string `json:"name"`
-	// Observed and Expected are in Unit.
+	// Observed and Expected are in Unit. Expected is 0 if nothing in particular is expected.
 	Observed float64 `json:"observed"`
 	Expected float64 `json:"expected"`
 	Unit     string  `json:"unit"`
