--- a/cmd/waxwingslip/status.go
+++ b/cmd/waxwingslip/status.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 
