Test that urgent work starts within 2.5 s

Cause: the target was stated and checked nowhere. Change: a zone with free slots and a full one, in simulated time with a log without delay. Measured: go test ./node/zonetest -run Urgent -count=20, no failure. Conclusion: preemption, the log's round trips and the start fit the target when the log answers at once.

--- a/node/zonetest/failure_test.go
+++ b/node/zonetest/failure_test.go
@@ -348,3 +348,32 @@
 		b.checkNoOverlap()
 	})
 }
+
+// Guards against urgent work that waits behind batch work: it starts within the target of 2.5 s, also when every slot of
+// the zone is taken and a batch task has to be stopped first.
+func TestUrgentWorkStartsInTime(t *testing.T) {
+	const target = 2500 * time.Millisecond
+	for name, batch := range map[string]int{"free zone": 1, "full zone": 12} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, func(b *bench) {
+				is := is.New(b.t)
+				a, c := b.start("a"), b.start("c")
+				defer a.kill()
+				defer c.kill()
+				a.publish(document)
+				a.submit("batch", batch, "run=1h checkpoint=5s")
+				b.eventually("batch work runs", time.Minute, func() bool { return b.runsOf("batch") == batch })
+				time.Sleep(30 * time.Second)
+				submitted := time.Now()
+				a.submitWith(record.PriorityUrgent, "urgent", 1, "run=10s")
+				b.eventually("urgent work runs", time.Minute, func() bool { return b.runsOf("urgent") == 1 })
+				for _, e := range b.fleet.History() {
+					if e.Job == "urgent" {
+						is.True(e.Begin.Sub(submitted) <= target)
+					}
+				}
+				b.checkNoOverlap()
+			})
+		})
+	}
+}
--- a/node/zonetest/zone_test.go
+++ b/node/zonetest/zone_test.go
@@ -234,11 +234,16 @@
 
 // submit enters a batch job.
 func (n *node) submit(id string, tasks int, payload string) {
+	n.b.t.Helper()
+	n.submitWith(record.PriorityBatch, id, tasks, payload)
+}
+
+func (n *node) submitWith(priority record.Priority, id string, tasks int, payload string) {
 	n.b.t.Helper()
 	ctx, cancel := context.WithTimeout(n.b.t.Context(), time.Minute)
 	defer cancel()
 	res, err := n.control.Submit(ctx, &record.Submit{Zone: zoneName, Job: record.JobSpec{
-		ID: id, Team: "t", Class: "c", Priority: record.PriorityBatch, Tasks: tasks, Payload: payload,
+		ID: id, Team: "t", Class: "c", Priority: priority, Tasks: tasks, Payload: payload,
 		Size: resource.Vector{Slots: 1, MilliCPU: 1000, MemoryMB: 100},
 	}})
 	if err != nil || !res.Accepted {
