Keep the room that a preemption frees for the task that needs it

Cause: the evicted batch task, or another waiting one, was bound to the freed slot by the planner of another daemon before the urgent task was. Ruled out: the planner's own hold, which works but is known to one daemon only. Change: Stop names the task that needs the room; the zone state keeps the room of the stopped run for it while it is pending, so all planners are bound by it. Conclusion: preemption is decided in log order like every bind.

--- a/core/record/zone.go
+++ b/core/record/zone.go
@@ -194,6 +194,10 @@
 type Stop struct {
 	Run    Run    `cbor:"5,keyasint"`
 	Reason string `cbor:"7,keyasint,omitempty"`
+	// For is the pending task that needs the room, with its epoch; its job is empty if there is none. The room is
+	// kept for it, since the planners of other tasks do not know of it.
+	For      TaskID `cbor:"8,keyasint"`
+	ForEpoch int64  `cbor:"9,keyasint,omitempty"`
 }
 
 // Evict records that a run was stopped before its end; the task is pending again.
--- a/core/zone/state.go
+++ b/core/zone/state.go
@@ -96,6 +96,9 @@
 	Reserved resource.Vector    `cbor:"-"`
 	// Tasks holds the tasks that are bound to the worker. It is derived from Jobs.
 	Tasks map[record.TaskID]*Task `cbor:"-"`
+	// HeldFor is the task for which a run on the worker was stopped, valid while it is pending under HeldEpoch.
+	HeldFor   record.TaskID `cbor:"4,keyasint"`
+	HeldEpoch int64         `cbor:"5,keyasint,omitempty"`
 	// classes counts the bound tasks of each class. It is derived from Jobs.
 	classes map[string]int
 }
@@ -173,6 +176,9 @@
 	Evictions int `cbor:"13,keyasint,omitempty"`
 	// Stopping is the reason why the bound run is to be stopped, empty if it is not.
 	Stopping string `cbor:"15,keyasint,omitempty"`
+	// StoppingFor is the pending task that needs the room of the run that is being stopped.
+	StoppingFor      record.TaskID `cbor:"17,keyasint"`
+	StoppingForEpoch int64         `cbor:"18,keyasint,omitempty"`
 	// Changed is the offset of the record that last changed the task.
 	Changed int64 `cbor:"14,keyasint"`
 }
--- a/core/zone/tasks.go
+++ b/core/zone/tasks.go
@@ -118,6 +118,9 @@
 	if w == nil || w.State != record.WorkerUsable {
 		return rejected("worker %q is not usable", b.Worker)
 	}
+	if held := s.heldFor(w); held != nil && held != t && t.Job.Spec.Priority <= held.Job.Spec.Priority {
+		return rejected("worker %q is kept for task %s/%d", b.Worker, w.HeldFor.Job, w.HeldFor.Index)
+	}
 	if over := t.Job.Spec.Size.Limiting(w.Free()); over != "" {
 		return rejected("worker %q has too little %s", b.Worker, over)
 	}
@@ -163,6 +166,7 @@
 		return rejected("task %s/%d is being stopped already", b.Run.Task.Job, b.Run.Task.Index)
 	}
 	t.Stopping = cmp.Or(b.Reason, "requested")
+	t.StoppingFor, t.StoppingForEpoch = b.For, b.ForEpoch
 	s.taskChanged(t)
 	return accepted
 }
--- a/core/zone/workers.go
+++ b/core/zone/workers.go
@@ -89,12 +89,28 @@
 	w := s.Workers[t.Worker]
 	w.Reserved = w.Reserved.Sub(t.Size)
 	delete(w.Tasks, t.ID())
+	if t.StoppingFor.Job != "" {
+		w.HeldFor, w.HeldEpoch = t.StoppingFor, t.StoppingForEpoch
+		t.StoppingFor, t.StoppingForEpoch = record.TaskID{}, 0
+	}
 	if w.classes[t.Class]--; w.classes[t.Class] == 0 {
 		delete(w.classes, t.Class)
 	}
 	s.changed(Change{Kind: ChangeLoad, Worker: w.Info.ID})
 }
 
+// heldFor returns the pending task for which room on the worker is kept, or nil.
+func (s *State) heldFor(w *Worker) *Task {
+	if w.HeldFor.Job == "" {
+		return nil
+	}
+	t := s.Task(w.HeldFor)
+	if t == nil || t.State != TaskPending || t.Epoch != w.HeldEpoch {
+		return nil
+	}
+	return t
+}
+
 // failedWorkers counts the workers on which the job failed and that are not themselves under suspicion.
 func (s *State) failedWorkers(j *Job) int {
 	n := 0
--- a/node/scheduler/place.go
+++ b/node/scheduler/place.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// epochOf returns the epoch of a pending task, 0 if it is not pending.
+func (s *Scheduler) epochOf(id record.TaskID) (epoch int64) {
+	s.cfg.State.View(func(z *zone.State) {
+		if t := z.Task(id); t != nil && t.State == zone.TaskPending {
+			epoch = t.Epoch
+		}
+	})
+	return epoch
+}
+
 // plan proposes binds and evictions. The zone's state decides on the binds when it reads them.
 func (s *Scheduler) plan() {
 	// Plan also returns binds to the queue that were lost on the way to the log, so it is called without waiting tasks too.
@@ -191,6 +201,7 @@
 		s.cfg.Metrics.Count("scheduler_preemptions")
 		s.post(taskPurpose("stop", e.Task.Job, e.Task.Index, e.Epoch), &record.Stop{
 			Run: record.Run{Task: e.Task, Epoch: e.Epoch, Worker: e.Worker}, Reason: "preempted by " + e.For.Job,
+			For: e.For, ForEpoch: s.epochOf(e.For),
 		})
 	}
 }
