--- a/node/contention/look.go
+++ b/node/contention/look.go
@@ -32,17 +32,17 @@
 	return &latencies{hist: hdrhistogram.New(minLatencyUs, maxLatencyUs, 2), expected: expected}
 }
 
-func (i *latencies) add(d time.Duration) {
-	_ = i.hist.RecordValue(min(max(d.Microseconds(), minLatencyUs), maxLatencyUs))
+func (l *latencies) add(d time.Duration) {
+	_ = l.hist.RecordValue(min(max(d.Microseconds(), minLatencyUs), maxLatencyUs))
 }
 
 // rate returns requests per second.
-func (i *latencies) rate(elapsed time.Duration) float64 {
-	return float64(i.hist.TotalCount()) / max(1, elapsed.Seconds())
+func (l *latencies) rate(elapsed time.Duration) float64 {
+	return float64(l.hist.TotalCount()) / max(1, elapsed.Seconds())
 }
 
-func (i *latencies) quantileMs(q float64) float64 {
-	return float64(i.hist.ValueAtQuantile(q)) / 1000
+func (l *latencies) quantileMs(q float64) float64 {
+	return float64(l.hist.ValueAtQuantile(q)) / 1000
 }
 
 // look builds the guard's views of the owned workers and learns from the interval. It returns the share of the
