--- a/node/zonetest/failure_test.go
+++ b/node/zonetest/failure_test.go
@@ -25,11 +25,7 @@
 func TestOwnerDies(t *testing.T) {
 	inBubble(t, 3, func(b *bench) {
 		is := is.New(b.t)
-		a, c := b.start("a"), b.start("c")
-		a.publish(document)
-		a.submit("job", 1, "run=60s")
-		id := b.running(a, "job")
-		owner, survivor := byOwner(id, a, c)
+		id, owner, survivor := b.pair("run=60s")
 		defer survivor.kill()
 		owner.kill()
 		b.eventually("the other daemon owns the worker", 12*time.Second, func() bool { return ownerOf(id, survivor) != nil })
@@ -65,13 +61,9 @@
 func TestOldOwnerRenewsBehindPartition(t *testing.T) {
 	inBubble(t, 3, func(b *bench) {
 		is := is.New(b.t)
-		a, c := b.start("a"), b.start("c")
-		defer a.kill()
-		defer c.kill()
-		a.publish(document)
-		a.submit("job", 1, "run=1h")
-		id := b.running(a, "job")
-		old, other := byOwner(id, a, c)
+		id, old, other := b.pair("run=1h")
+		defer old.kill()
+		defer other.kill()
 		old.link.logCut.Set(fault.Setting{Down: true})
 		other.link.workersCut.Set(fault.Setting{Down: true})
 		b.eventually("the other daemon owns the shard", 20*time.Second, func() bool { return ownerOf(id, other) != nil })
@@ -87,11 +79,7 @@
 func TestOwnerAndWorkerDie(t *testing.T) {
 	inBubble(t, 3, func(b *bench) {
 		is := is.New(b.t)
-		a, c := b.start("a"), b.start("c")
-		a.publish(document)
-		a.submit("job", 1, "run=10h")
-		id := b.running(a, "job")
-		owner, survivor := byOwner(id, a, c)
+		id, owner, survivor := b.pair("run=10h")
 		defer survivor.kill()
 		died := time.Now()
 		owner.kill()
@@ -160,14 +148,10 @@
 func TestOwnerDiesDuringLogOutage(t *testing.T) {
 	inBubble(t, 2, func(b *bench) {
 		is := is.New(b.t)
-		a, c := b.start("a"), b.start("c")
-		a.publish(document)
-		a.submit("job", 1, "run=3h")
-		id := b.running(a, "job")
-		owner, survivor := byOwner(id, a, c)
+		id, owner, survivor := b.pair("run=3h")
 		defer survivor.kill()
-		a.link.logCut.Set(fault.Setting{Down: true})
-		c.link.logCut.Set(fault.Setting{Down: true})
+		owner.link.logCut.Set(fault.Setting{Down: true})
+		survivor.link.logCut.Set(fault.Setting{Down: true})
 		time.Sleep(time.Minute)
 		owner.kill()
 		time.Sleep(20 * time.Minute)
@@ -184,12 +168,8 @@
 func TestEvictionSurvivesOwner(t *testing.T) {
 	inBubble(t, 3, func(b *bench) {
 		is := is.New(b.t)
-		a, c := b.start("a"), b.start("c")
-		a.publish(document)
-		a.submit("job", 1, "run=10m checkpoint=10s")
-		id := b.running(a, "job")
+		id, owner, survivor := b.pair("run=10m checkpoint=10s")
 		time.Sleep(time.Minute)
-		owner, survivor := byOwner(id, a, c)
 		defer survivor.kill()
 		task := owner.task("job", 0)
 		survivor.zone.Post(&record.Stop{
--- a/node/zonetest/zone_test.go
+++ b/node/zonetest/zone_test.go
@@ -273,6 +273,17 @@
 	return nil
 }
 
+// pair starts two daemons and a job of one task, and returns the worker that runs it and its owner first.
+func (b *bench) pair(payload string) (workerID string, owner, other *node) {
+	b.t.Helper()
+	a, c := b.start("a"), b.start("c")
+	a.publish(document)
+	a.submit("job", 1, payload)
+	workerID = b.running(a, "job")
+	owner, other = byOwner(workerID, a, c)
+	return workerID, owner, other
+}
+
 // byOwner returns the owner of a worker first.
 func byOwner(workerID string, a, c *node) (owner, other *node) {
 	if ownerOf(workerID, a, c) == c {
