--- a/cmd/waxwingslipd/main.go
+++ b/cmd/waxwingslipd/main.go
@@ -28,12 +28,16 @@
 func run() int {
 	path := flag.String("settings", "", "path of the YAML settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
+	hosted := flag.Bool("hosted", false, "run on the operators' platform, with the settings that it provides")
 	version := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
 	if *version {
 		fmt.Println(daemon.Build)
 		return exitOK
 	}
+	if *hosted {
+		return serveHosted(*path, *check)
+	}
 	set, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/core/jobs/job.go
@@ -0,0 +1,306 @@
+package jobs
+
+import (
+	"github.com/pkg/errors"
+)
+
+// Phase is where a task stands.
+type Phase uint8
+
+// The phases of a task.
+const (
+	// Waiting: no run of the task can be anywhere.
+	Waiting Phase = iota
+	// Bound: the run may be starting, running or stopping on the worker named.
+	Bound
+	// Done: a run ended as done. Nothing follows.
+	Done
+)
+
+// Task is the progress of one task.
+type Task struct {
+	_     struct{} `cbor:",toarray"`
+	Phase Phase
+	// Run is the number of the newest run; 0 before the first.
+	Run int64
+	// Failures counts runs that ended as failed.
+	Failures int
+	// Worker is where the newest run is bound; empty unless the phase is Bound.
+	Worker string
+	// Checkpoint is the newest saved position; empty if there is none.
+	Checkpoint string
+}
+
+// Occurrence is one execution of a job's steps.
+type Occurrence struct {
+	_      struct{} `cbor:",toarray"`
+	Number int
+	// Steps holds the tasks of each step.
+	Steps [][]Task
+}
+
+// Outcome is how a job ended.
+type Outcome uint8
+
+// The outcomes of a job.
+const (
+	Unfinished Outcome = iota
+	Completed
+	Failed
+	Cancelled
+)
+
+// String names the outcome.
+func (o Outcome) String() string {
+	return [...]string{"unfinished", "completed", "failed", "cancelled"}[o]
+}
+
+// Progress is the stored state of a job that has begun or ended.
+type Progress struct {
+	Outcome Outcome `cbor:"1,keyasint,omitempty"`
+	// EndedMs is the wall-clock time of the end.
+	EndedMs int64 `cbor:"2,keyasint,omitempty"`
+	// Next is the number of the occurrence that is created next.
+	Next int `cbor:"3,keyasint,omitempty"`
+	// Occurrences are those that began and have not ended.
+	Occurrences []*Occurrence `cbor:"4,keyasint,omitempty"`
+	// Begun tells that some task has started.
+	Begun bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Job is a job with its progress. It is not safe for concurrent use.
+type Job struct {
+	Spec *Spec
+	Progress
+}
+
+// New returns a job that has not begun.
+func New(spec *Spec) *Job { return &Job{Spec: spec} }
+
+// CreateDue creates the occurrences that are due at the wall-clock time and reports whether there are any.
+func (j *Job) CreateDue(nowMs int64) bool {
+	created := false
+	for j.Outcome == Unfinished && j.Next < j.Spec.Occurrences() && j.Spec.DueMs(j.Next) <= nowMs {
+		o := &Occurrence{Number: j.Next}
+		for i := range j.Spec.Steps {
+			o.Steps = append(o.Steps, make([]Task, j.Spec.Steps[i].Count))
+		}
+		j.Occurrences = append(j.Occurrences, o)
+		j.Next++
+		created = true
+	}
+	return created
+}
+
+// NextDueMs returns when the next occurrence is due, and false if there is none.
+func (j *Job) NextDueMs() (int64, bool) {
+	if j.Outcome != Unfinished || j.Next >= j.Spec.Occurrences() {
+		return 0, false
+	}
+	return j.Spec.DueMs(j.Next), true
+}
+
+// Occurrence returns an occurrence that has begun and not ended, or nil.
+func (j *Job) Occurrence(number int) *Occurrence {
+	for _, o := range j.Occurrences {
+		if o.Number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+// Task returns the progress of a task, or nil if its occurrence has not begun or has ended.
+func (j *Job) Task(id TaskID) *Task {
+	o := j.Occurrence(id.Occurrence)
+	if o == nil || id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step]) {
+		return nil
+	}
+	return &o.Steps[id.Step][id.Index]
+}
+
+// Ready reports whether every step that the step waits for is done.
+func (j *Job) Ready(o *Occurrence, step int) bool {
+	for _, a := range j.Spec.Steps[step].After {
+		if !stepDone(o.Steps[a]) {
+			return false
+		}
+	}
+	return true
+}
+
+func stepDone(tasks []Task) bool {
+	for i := range tasks {
+		if tasks[i].Phase != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Bind assigns the next run of a waiting task to a worker. Members of a gang pass the same run.
+func (j *Job) Bind(id TaskID, worker string, run int64) error {
+	t := j.Task(id)
+	if t == nil || t.Phase != Waiting || run <= t.Run || j.Outcome != Unfinished {
+		return errors.Errorf("bind %s: run %d is not the next run of a waiting task", id, run)
+	}
+	t.Phase, t.Worker, t.Run = Bound, worker, run
+	j.Begun = true
+	return nil
+}
+
+// EndKind is how a run ended.
+type EndKind uint8
+
+// The kinds of ends.
+const (
+	EndDone EndKind = iota
+	// EndFailed counts as an attempt.
+	EndFailed
+	// EndStopped, EndLapsed, EndBroken, EndAlone and EndLost do not count as attempts.
+	EndStopped
+	EndLapsed
+	EndBroken
+	EndAlone
+	EndLost
+)
+
+// String names the kind.
+func (k EndKind) String() string {
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}[k]
+}
+
+// End records that a run ended and returns whether it was the task's current run. Ends of other runs are late
+// and change nothing.
+func (j *Job) End(id TaskID, run int64, kind EndKind, checkpoint string, nowMs int64) bool {
+	t := j.Task(id)
+	if t == nil || t.Phase != Bound || t.Run != run {
+		return false
+	}
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	step := &j.Spec.Steps[id.Step]
+	t.Phase, t.Worker = Waiting, ""
+	switch kind {
+	case EndDone:
+		if step.LongRunning {
+			t.Checkpoint = ""
+			break
+		}
+		if step.Gang {
+			// One member's end stands for the whole gang.
+			for i := range j.Occurrence(id.Occurrence).Steps[id.Step] {
+				j.Occurrence(id.Occurrence).Steps[id.Step][i] = Task{Phase: Done, Run: run}
+			}
+			break
+		}
+		t.Phase, t.Checkpoint = Done, ""
+	case EndFailed:
+		t.Failures++
+		if !step.LongRunning && j.failures(id) >= j.Spec.MaxAttempts {
+			j.finish(Failed, nowMs)
+		}
+	}
+	j.settle(nowMs)
+	return true
+}
+
+// failures counts the failed runs of a task or, for a member of a gang, of the gang.
+func (j *Job) failures(id TaskID) int {
+	if !j.Spec.Steps[id.Step].Gang {
+		return j.Task(id).Failures
+	}
+	n := 0
+	for i := range j.Occurrence(id.Occurrence).Steps[id.Step] {
+		n += j.Occurrence(id.Occurrence).Steps[id.Step][i].Failures
+	}
+	return n
+}
+
+// settle drops occurrences that are done, and completes the job with the last one.
+func (j *Job) settle(nowMs int64) {
+	if j.Outcome != Unfinished {
+		return
+	}
+	left := j.Occurrences[:0]
+	for _, o := range j.Occurrences {
+		done := true
+		for i := range o.Steps {
+			done = done && stepDone(o.Steps[i])
+		}
+		if !done {
+			left = append(left, o)
+		}
+	}
+	j.Occurrences = left
+	if len(left) == 0 && j.Next >= j.Spec.Occurrences() {
+		j.finish(Completed, nowMs)
+	}
+}
+
+// Cancel ends the job and reports whether it was unfinished. Bound runs have to be stopped.
+func (j *Job) Cancel(nowMs int64) bool {
+	if j.Outcome != Unfinished {
+		return false
+	}
+	j.finish(Cancelled, nowMs)
+	return true
+}
+
+func (j *Job) finish(o Outcome, nowMs int64) {
+	j.Outcome, j.EndedMs = o, nowMs
+}
+
+// Bound calls f for each task that may have a run somewhere.
+func (j *Job) Bound(f func(id TaskID, t *Task)) {
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			for i := range o.Steps[s] {
+				if t := &o.Steps[s][i]; t.Phase == Bound {
+					f(TaskID{j.Spec.ID, o.Number, s, i}, t)
+				}
+			}
+		}
+	}
+}
+
+// AnyBound reports whether some task may have a run somewhere.
+func (j *Job) AnyBound() bool {
+	any := false
+	j.Bound(func(TaskID, *Task) { any = true })
+	return any
+}
+
+// State is what callers see of a job.
+type State uint8
+
+// The states of a job.
+const (
+	StateUnknown State = iota
+	StatePending
+	StateRunning
+	StateCompleted
+	StateFailed
+	StateCancelled
+)
+
+// String names the state.
+func (s State) String() string {
+	return [...]string{"unknown", "pending", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// State returns what callers see.
+func (j *Job) State() State {
+	switch {
+	case j.Outcome == Completed:
+		return StateCompleted
+	case j.Outcome == Failed:
+		return StateFailed
+	case j.Outcome == Cancelled:
+		return StateCancelled
+	case j.Begun:
+		return StateRunning
+	}
+	return StatePending
+}
--- /dev/null
+++ b/core/jobs/spec.go
@@ -0,0 +1,190 @@
+// Package jobs is the state machine of submitted jobs: steps of tasks that wait for each other, run under
+// numbered attempts, resume from checkpoints and end. It does no I/O and reads no clock.
+package jobs
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/resource"
+)
+
+// Limits of a job that is accepted. They bound the size of a stored record and of a plan.
+const (
+	MaxSteps     = 64
+	MaxTasks     = 4000
+	MaxSpecBytes = 4000
+)
+
+// Step is a group of equal tasks.
+type Step struct {
+	Count int             `cbor:"1,keyasint"`
+	Size  resource.Vector `cbor:"2,keyasint"`
+	// EstimateMs is the caller's rough estimate of one task's run time.
+	EstimateMs int64 `cbor:"3,keyasint,omitempty"`
+	// After lists earlier steps whose tasks must all be done before a task of this step starts.
+	After         []int `cbor:"4,keyasint,omitempty"`
+	Checkpointing bool  `cbor:"5,keyasint,omitempty"`
+	// Gang tasks start and end together under one run number.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack tasks run slower when they are spread over racks.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// RequiredLabel must be among the worker's labels; empty requires none.
+	RequiredLabel string `cbor:"8,keyasint,omitempty"`
+	// DataRack is the rack near the data; empty has no preference.
+	DataRack string `cbor:"9,keyasint,omitempty"`
+	// MaxPerWorker limits the tasks of one occurrence of the step on one worker; 0 is no limit.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative allows several runs of one task at a time.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// LongRunning tasks run until the job is cancelled and are restarted however they end.
+	LongRunning bool `cbor:"12,keyasint,omitempty"`
+	// Fills marks tasks that use processor time which other tasks leave unused. Their CPU is not reserved.
+	Fills bool `cbor:"13,keyasint,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `cbor:"14,keyasint,omitempty"`
+	// TailTargetMs is the latency objective of a serving task; 0 is none.
+	TailTargetMs int64 `cbor:"15,keyasint,omitempty"`
+	// MayMiss is how many tasks of a long-running step may be down at once by the system's own actions.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Reserved returns the room that one task of the step occupies on a worker.
+func (s *Step) Reserved() resource.Vector {
+	r := s.Size
+	if s.Fills {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Spec is an accepted job. It never changes.
+type Spec struct {
+	ID string `cbor:"1,keyasint"`
+	// Queue is the route through which the job came.
+	Queue   string `cbor:"2,keyasint"`
+	Service string `cbor:"3,keyasint"`
+	// Payload is handed to every task as it came from the caller.
+	Payload string `cbor:"4,keyasint"`
+	Steps   []Step `cbor:"5,keyasint"`
+	// Priority 0 is the most urgent.
+	Priority    int `cbor:"6,keyasint,omitempty"`
+	MaxAttempts int `cbor:"7,keyasint"`
+	// Stretch and TargetMs make the objective: Stretch times the longest chain of work, and TargetMs more.
+	Stretch    float64 `cbor:"8,keyasint"`
+	TargetMs   int64   `cbor:"9,keyasint"`
+	AcceptedMs int64   `cbor:"10,keyasint"`
+	// Repeat, FirstRunMs and IntervalMs describe a scheduled job; Repeat 0 runs once, at once.
+	Repeat     int   `cbor:"11,keyasint,omitempty"`
+	FirstRunMs int64 `cbor:"12,keyasint,omitempty"`
+	IntervalMs int64 `cbor:"13,keyasint,omitempty"`
+}
+
+// Validate reports what makes a job impossible to run.
+func (s *Spec) Validate() error {
+	if len(s.Payload) > MaxSpecBytes {
+		return errors.Errorf("spec has %d bytes, more than %d", len(s.Payload), MaxSpecBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Errorf("job has %d steps, not 1 to %d", len(s.Steps), MaxSteps)
+	}
+	total := 0
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		if st.Count < 1 {
+			return errors.Errorf("step %d has no tasks", i)
+		}
+		total += st.Count
+		for _, a := range st.After {
+			if a < 0 || a >= i {
+				return errors.Errorf("step %d waits for step %d, which is not an earlier one", i, a)
+			}
+		}
+		if st.Size.MilliCPU < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
+			return errors.Errorf("step %d has a negative size", i)
+		}
+	}
+	if total > MaxTasks {
+		return errors.Errorf("job has %d tasks, more than %d", total, MaxTasks)
+	}
+	return nil
+}
+
+// LongRunning reports whether the job lasts until it is cancelled.
+func (s *Spec) LongRunning() bool {
+	for i := range s.Steps {
+		if s.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// ChainMs returns the estimated run time of the longest chain of steps.
+func (s *Spec) ChainMs() int64 {
+	ends := make([]int64, len(s.Steps))
+	longest := int64(0)
+	for i := range s.Steps {
+		start := int64(0)
+		for _, a := range s.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + s.Steps[i].EstimateMs
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// DueMs returns the wall-clock time at which an occurrence may start.
+func (s *Spec) DueMs(occurrence int) int64 {
+	if s.Repeat == 0 {
+		return s.AcceptedMs
+	}
+	return s.FirstRunMs + int64(occurrence)*s.IntervalMs
+}
+
+// Occurrences returns how often the steps run.
+func (s *Spec) Occurrences() int { return max(1, s.Repeat) }
+
+// TaskID names one task.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String formats the name that workers know.
+func (t TaskID) String() string {
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// StepName names the task's step of its occurrence.
+func (t TaskID) StepName() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
+// ParseTaskID reads a task's name.
+func ParseTaskID(name string) (TaskID, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return TaskID{}, errors.Errorf("task name %q does not have four parts", name)
+	}
+	t := TaskID{Job: parts[0]}
+	for i, p := range []*int{&t.Occurrence, &t.Step, &t.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, errors.Errorf("task name %q has a part that is no number", name)
+		}
+		*p = n
+	}
+	return t, nil
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -26,7 +26,7 @@
 	// LapseMargin is added before a lease or authority counts as lapsed.
 	LapseMargin = time.Second
 	// DriftPercent is the assumed bound on the rate difference of two clocks.
-	DriftPercent = 1
+	DriftPercent = 2
 )
 
 // WorkerClock estimates a worker's clock from its newest report. The zero value knows nothing.
@@ -74,7 +74,12 @@
 
 // Lapsed reports whether every lease granted has certainly lapsed on the worker's clock.
 func (g *Grant) Lapsed(c *WorkerClock, now time.Duration) bool {
-	return c.Known() && c.AtLeast(now) > g.untilMs+LapseMargin.Milliseconds()
+	return g.LapsedBy(c, now, LapseMargin)
+}
+
+// LapsedBy reports whether every lease granted lapsed at least margin ago on the worker's clock.
+func (g *Grant) LapsedBy(c *WorkerClock, now, margin time.Duration) bool {
+	return c.Known() && c.AtLeast(now) > g.untilMs+margin.Milliseconds()
 }
 
 // Authority is the right to renew leases, extended by each heartbeat that was read back from the log.
--- /dev/null
+++ b/core/packing/packing.go
@@ -0,0 +1,189 @@
+// Package packing chooses workers for the tasks of jobs. It knows what is reserved on every worker and does no
+// I/O.
+//
+// It answers loads in which long-running serving tasks hold most of the reserved room, short steps need theirs
+// at once, and filling tasks use the processor time that the others leave.
+package packing
+
+import (
+	"slices"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/resource"
+)
+
+// servingLoadPercent is the assumed use of a serving task's reserved processor time before it is measured.
+// Serving tasks leave more than half of what they reserve on average.
+const servingLoadPercent = 45
+
+// Worker is what packing knows of a worker.
+type Worker struct {
+	ID      string
+	Service string
+	Zone    string
+	Rack    string
+	Labels  []string
+	Size    resource.Vector
+	// Open tells that the worker takes new tasks.
+	Open bool
+
+	// Reserved is the room of everything that runs, starts, stops or may still arrive.
+	Reserved resource.Vector
+	// servingCPU, batchCPU and fillingCPU split the requested processor time by kind of task.
+	servingCPU, batchCPU, fillingCPU int64
+	// steps counts the tasks of each step of an occurrence.
+	steps map[string]int
+	tasks int
+	// penalty grows with recent failures and lowers the worker's rank.
+	Penalty int64
+}
+
+// Fleet is the set of workers of one shard. It is not safe for concurrent use.
+type Fleet struct {
+	workers map[string]*Worker
+	order   []*Worker // by id, so that a plan does not depend on map order
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet() *Fleet { return &Fleet{workers: map[string]*Worker{}} }
+
+// Add adds a worker.
+func (f *Fleet) Add(w *Worker) {
+	w.steps = map[string]int{}
+	f.workers[w.ID] = w
+	i, _ := slices.BinarySearchFunc(f.order, w.ID, func(a *Worker, id string) int {
+		if a.ID < id {
+			return -1
+		}
+		if a.ID > id {
+			return 1
+		}
+		return 0
+	})
+	f.order = slices.Insert(f.order, i, w)
+}
+
+// Remove forgets a worker.
+func (f *Fleet) Remove(id string) {
+	if w := f.workers[id]; w != nil {
+		delete(f.workers, id)
+		f.order = slices.DeleteFunc(f.order, func(o *Worker) bool { return o == w })
+	}
+}
+
+// Worker returns a worker, or nil.
+func (f *Fleet) Worker(id string) *Worker { return f.workers[id] }
+
+// Workers returns the workers in a fixed order.
+func (f *Fleet) Workers() []*Worker { return f.order }
+
+// Reserve takes room for a task.
+func (f *Fleet) Reserve(id string, step *jobs.Step, stepName string) { f.change(id, step, stepName, 1) }
+
+// Release returns the room of a task.
+func (f *Fleet) Release(id string, step *jobs.Step, stepName string) {
+	f.change(id, step, stepName, -1)
+}
+
+func (f *Fleet) change(id string, step *jobs.Step, stepName string, n int64) {
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	w.Reserved = w.Reserved.Add(step.Reserved().Times(n))
+	w.tasks += int(n)
+	switch {
+	case step.Fills:
+		w.fillingCPU += n * step.Size.MilliCPU
+	case step.LongRunning:
+		w.servingCPU += n * step.Size.MilliCPU
+	default:
+		w.batchCPU += n * step.Size.MilliCPU
+	}
+	if w.steps[stepName] += int(n); w.steps[stepName] == 0 {
+		delete(w.steps, stepName)
+	}
+}
+
+// Request asks for places of tasks of one step.
+type Request struct {
+	Step     *jobs.Step
+	StepName string
+	Service  string
+	// Allowed limits the workers; nil allows all.
+	Allowed func(*Worker) bool
+	// Avoid names a worker on which the task just failed; it is taken only if no other one fits.
+	Avoid string
+}
+
+// Place returns the best worker for one task, or nil if none has room now.
+func (f *Fleet) Place(r *Request) *Worker {
+	var best, second *Worker
+	var bestScore int64
+	need := r.Step.Reserved()
+	for _, w := range f.order {
+		if !feasible(w, r, need) {
+			continue
+		}
+		if w.ID == r.Avoid {
+			second = w
+			continue
+		}
+		if score := score(w, r, need); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best == nil {
+		return second
+	}
+	return best
+}
+
+func feasible(w *Worker, r *Request, need resource.Vector) bool {
+	if !w.Open || w.Service != r.Service {
+		return false
+	}
+	if !w.Reserved.Add(need).Fits(w.Size) {
+		return false
+	}
+	if r.Step.MaxPerWorker > 0 && w.steps[r.StepName] >= r.Step.MaxPerWorker {
+		return false
+	}
+	if r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel) {
+		return false
+	}
+	return r.Allowed == nil || r.Allowed(w)
+}
+
+// Weights of a rank, in millicores of free processor time.
+const (
+	// rackWeight exceeds every difference of free processor time: the wrong rack multiplies the run time.
+	rackWeight = 10_000_000
+)
+
+func score(w *Worker, r *Request, need resource.Vector) int64 {
+	s := -w.Penalty
+	if r.Step.DataRack != "" && w.Rack == r.Step.DataRack {
+		s += rackWeight
+	}
+	switch {
+	case r.Step.Fills:
+		return s + w.unused() - w.fillingCPU
+	case r.Step.LongRunning:
+		// Spreading keeps the tail latency of each low and the loss by one worker small.
+		return s + w.Size.MilliCPU - w.Reserved.MilliCPU
+	}
+	// A tight fit keeps large rooms whole for large tasks.
+	return s - (w.Size.MilliCPU - w.Reserved.MilliCPU - need.MilliCPU)
+}
+
+// unused estimates the processor time that tasks other than filling ones leave.
+func (w *Worker) unused() int64 {
+	return w.Size.MilliCPU - w.batchCPU - w.servingCPU*servingLoadPercent/100
+}
+
+// Free returns the processor time that is not reserved.
+func (w *Worker) Free() int64 { return w.Size.MilliCPU - w.Reserved.MilliCPU }
+
+// Tasks returns the number of tasks for which room is reserved.
+func (w *Worker) Tasks() int { return w.tasks }
--- a/core/strictyaml/decode.go
+++ b/core/strictyaml/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 
@@ -160,6 +161,12 @@
 			return
 		}
 		f.addAt(lineOf(node), path, "is %s, must be a whole number%s", describe(node), unitOf(path))
+	case reflect.Float64:
+		if v, ok := number(node); ok {
+			out.SetFloat(v)
+			return
+		}
+		f.addAt(lineOf(node), path, "is %s, must be a number%s", describe(node), unitOf(path))
 	default:
 		panic("strictyaml: unsupported type " + out.Type().String())
 	}
@@ -196,6 +203,18 @@
 	return 0, false
 }
 
+// number accepts decimal numbers, with or without a fraction.
+func number(node ast.Node) (float64, bool) {
+	if v, ok := decimal(node); ok {
+		return float64(v), true
+	}
+	n, ok := node.(*ast.FloatNode)
+	if !ok || math.IsInf(n.Value, 0) || math.IsNaN(n.Value) {
+		return 0, false
+	}
+	return n.Value, true
+}
+
 func describe(node ast.Node) string {
 	switch n := node.(type) {
 	case nil, *ast.NullNode:
--- a/platform/directory/fake/directory.go
+++ b/external/directory/fake/directory.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/fault"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/fault"
 )
 
 // OpList is the name of the operation for fault.Setting.Operations.
--- a/platform/directory/http.go
+++ b/external/directory/http.go
@@ -11,8 +11,8 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/internal/httpapi"
-	"waxwingslip.example/platform/traffic"
+	"waxwingslip.example/external/internal/httpapi"
+	"waxwingslip.example/external/traffic"
 )
 
 const (
--- a/platform/internal/httpapi/client.go
+++ b/external/internal/httpapi/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/traffic"
+	"waxwingslip.example/external/traffic"
 )
 
 // ClientOptions bounds the connections of a client.
--- a/platform/logstore/client.go
+++ b/external/logstore/client.go
@@ -11,8 +11,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/internal/httpapi"
-	"waxwingslip.example/platform/traffic"
+	"waxwingslip.example/external/internal/httpapi"
+	"waxwingslip.example/external/traffic"
 )
 
 // Timeouts of the HTTP client on top of the time that a Read waits.
--- a/platform/logstore/fake/store.go
+++ b/external/logstore/fake/store.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/fault"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/fault"
+	"waxwingslip.example/external/logstore"
 )
 
 // Names of the operations for fault.Setting.Operations.
--- a/platform/logstore/handler.go
+++ b/external/logstore/handler.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/internal/httpapi"
+	"waxwingslip.example/external/internal/httpapi"
 )
 
 // NewHandler serves a store over HTTP with CBOR bodies:
--- a/platform/logstore/wire.go
+++ b/external/logstore/wire.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/internal/httpapi"
+	"waxwingslip.example/external/internal/httpapi"
 )
 
 const (
--- a/platform/worker/fake/faults.go
+++ b/external/worker/fake/faults.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"waxwingslip.example/platform/fault"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/fault"
+	"waxwingslip.example/external/worker"
 )
 
 // Condition is the health of a worker. The zero value is a healthy worker.
--- a/platform/worker/fake/fleet.go
+++ b/external/worker/fake/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // Fleet is a worker.Client for fake workers in the same process. It is safe for concurrent use.
--- a/platform/worker/fake/worker.go
+++ b/external/worker/fake/worker.go
@@ -15,8 +15,8 @@
 
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/resource"
-	"waxwingslip.example/platform/fault"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/fault"
+	"waxwingslip.example/external/worker"
 )
 
 // Names of the operations for fault.Setting.Operations.
--- a/platform/worker/http.go
+++ b/external/worker/http.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/platform/internal/httpapi"
-	"waxwingslip.example/platform/traffic"
+	"waxwingslip.example/external/internal/httpapi"
+	"waxwingslip.example/external/traffic"
 )
 
 const (
--- /dev/null
+++ b/node/boottime/boottime.go
@@ -0,0 +1,18 @@
+// Package boottime reads the clock that also counts the time in which the machine was suspended. Leases are
+// checked against it, since the monotonic clock of the runtime stands still meanwhile.
+package boottime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the machine started.
+func Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every Linux that Go supports has this clock
+	}
+	return time.Duration(t.Nano())
+}
--- a/node/contention/contention.go
+++ b/node/contention/contention.go
@@ -16,7 +16,7 @@
 	"waxwingslip.example/core/resource"
 	"waxwingslip.example/core/verdict"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // interval is the time between looks at the workers; reports arrive as often.
--- a/node/contention/look.go
+++ b/node/contention/look.go
@@ -11,7 +11,7 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/verdict"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // Range of the latency histograms, in microseconds.
--- a/node/contention/observe.go
+++ b/node/contention/observe.go
@@ -13,7 +13,7 @@
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // Usual times of a request that does not wait, used until a daemon has measured its own.
--- a/node/daemon/adapters.go
+++ b/node/daemon/adapters.go
@@ -9,8 +9,8 @@
 	"waxwingslip.example/core/environment"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/replica"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/worker"
 )
 
 // listPoll is the time between looks at the VM list. With it, a leaving endpoint gets no new work after 3 s.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -29,9 +29,9 @@
 	"waxwingslip.example/node/scheduler"
 	"waxwingslip.example/node/settings"
 	"waxwingslip.example/node/telemetry"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/logstore"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/external/worker"
 )
 
 // Build is the version of the program, set by the linker for releases.
--- a/node/daemon/observability.go
+++ b/node/daemon/observability.go
@@ -14,7 +14,7 @@
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/stream"
 	"waxwingslip.example/node/telemetry"
-	"waxwingslip.example/platform/traffic"
+	"waxwingslip.example/external/traffic"
 )
 
 // gaugeInterval is the time between readings of the state for gauges.
--- a/node/daemon/peering.go
+++ b/node/daemon/peering.go
@@ -11,7 +11,7 @@
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/peers"
-	"waxwingslip.example/platform/directory"
+	"waxwingslip.example/external/directory"
 )
 
 // pressureEvery is the number of hellos of which one carries the pressure of workers. Two hellos sent
--- a/node/daemon/queries.go
+++ b/node/daemon/queries.go
@@ -12,7 +12,7 @@
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/node/peers"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // queries implements operator.Queries from the daemon's copies of the state.
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -12,8 +12,8 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/worker"
 )
 
 // leaveTimeout limits how long a shutdown waits for the log to show that shards were released.
--- a/node/executor/act.go
+++ b/node/executor/act.go
@@ -10,7 +10,7 @@
 
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // act carries out what Decide says about the newest report, and reports whether a command was sent whose effect only
--- a/node/executor/agent.go
+++ b/node/executor/agent.go
@@ -10,8 +10,8 @@
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/worker"
 )
 
 // Timing of an agent.
--- a/node/executor/decide.go
+++ b/node/executor/decide.go
@@ -8,7 +8,7 @@
 
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // ActionKind is what to do about one run.
--- a/node/executor/pool.go
+++ b/node/executor/pool.go
@@ -9,8 +9,8 @@
 
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/worker"
 )
 
 // Journal appends records to the zone stream without waiting. The effect is seen in the zone state.
--- a/node/executor/throttle.go
+++ b/node/executor/throttle.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"waxwingslip.example/platform/worker"
+	"waxwingslip.example/external/worker"
 )
 
 // maxThrottles limits the throttle commands that wait for a worker; the guard asks again after its next look.
--- /dev/null
+++ b/node/hosted/control.go
@@ -0,0 +1,86 @@
+package hosted
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/external/jobqueue"
+	"waxwingslip.example/external/keyedlog"
+)
+
+// Layout names where the operators and the workers write in the store, and how to read it.
+type Layout struct {
+	Control  keyedlog.Partition
+	Registry keyedlog.Partition
+	// ConfigKey holds the configuration; EvacuatedPrefix precedes the name of an availability zone that is out of
+	// service.
+	ConfigKey       string
+	EvacuatedPrefix string
+	DecodeConfig    func(value []byte) (*jobqueue.Config, error)
+}
+
+// control is what the operators have published.
+type control struct {
+	layout Layout
+	log    zerolog.Logger
+
+	mu        sync.RWMutex
+	config    *jobqueue.Config
+	evacuated map[string]bool
+	changed   func()
+}
+
+func newControl(layout Layout, log zerolog.Logger) *control {
+	return &control{layout: layout, log: log, evacuated: map[string]bool{}}
+}
+
+func (c *control) apply(records []keyedlog.Record, reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reset {
+		c.evacuated = map[string]bool{}
+	}
+	for _, r := range records {
+		zone, isZone := strings.CutPrefix(r.Key, c.layout.EvacuatedPrefix)
+		switch {
+		case r.Key == c.layout.ConfigKey:
+			c.applyConfig(r)
+		case isZone && (r.Value != nil) != c.evacuated[zone]:
+			c.evacuated[zone] = r.Value != nil
+			c.log.Info().Str("out_zone", zone).Bool("out", r.Value != nil).Int64("offset", r.Offset).Msg("zone changed")
+		}
+	}
+}
+
+// applyConfig takes a newer configuration. Older ones come again when the topic is listed anew. The caller holds mu.
+func (c *control) applyConfig(r keyedlog.Record) {
+	if r.Value == nil {
+		return // the store dropped it; it stays in force
+	}
+	config, err := c.layout.DecodeConfig(r.Value)
+	if err != nil {
+		c.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration cannot be read")
+		return
+	}
+	if c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.config = config
+	c.log.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).Int64("offset", r.Offset).Msg("configuration in force")
+}
+
+// Config returns the newest configuration, or nil.
+func (c *control) Config() *jobqueue.Config {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.config
+}
+
+// Evacuated reports whether an availability zone is out of service.
+func (c *control) Evacuated(zone string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.evacuated[zone]
+}
--- /dev/null
+++ b/node/hosted/settings.go
@@ -0,0 +1,123 @@
+// Package hosted assembles the daemon that runs on the operators' platform: it takes jobs from callers, keeps them
+// in the platform's store, and runs the shards that it owns.
+package hosted
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/strictyaml"
+)
+
+// maxSettingsBytes limits the size of a settings file.
+const maxSettingsBytes = 64 << 10
+
+// Settings configure a hosted daemon. Times are milliseconds.
+type Settings struct {
+	// Name identifies the VM in logs, certificates and records.
+	Name   string `yaml:"name"`
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+	// Regions maps each availability zone to its region.
+	Regions map[string]string `yaml:"regions"`
+
+	Listen Listen      `yaml:"listen"`
+	Store  StoreLimits `yaml:"store"`
+	// Advice is the address of the service that names the workers which may run a step; empty if there is none.
+	Advice string `yaml:"advice"`
+	// Machines is the address of the service that lists and moves VMs; empty if there is none.
+	Machines string `yaml:"machines"`
+	VM       VM     `yaml:"vm"`
+	Bounds   Bounds `yaml:"bounds"`
+	Log      Log    `yaml:"log"`
+}
+
+// Listen holds listener addresses as IP:port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Peers     string `yaml:"peers"`
+	Metrics   string `yaml:"metrics"`
+}
+
+// StoreLimits locate the store and state its rates.
+type StoreLimits struct {
+	Address    string `yaml:"address"`
+	Partitions int    `yaml:"partitions"`
+	// WritesPerSecond and ReadsPerSecond are shared by all daemons.
+	WritesPerSecond float64 `yaml:"writesPerSecond"`
+	ReadsPerSecond  float64 `yaml:"readsPerSecond"`
+}
+
+// VM is what the daemon may use of its VM.
+type VM struct {
+	Cores    float64 `yaml:"cores"`
+	MemoryMB int64   `yaml:"memoryMB"`
+}
+
+// Bounds are the platform's bounds on the daemon's behaviour.
+type Bounds struct {
+	HoldMaxMs float64 `yaml:"holdMaxMs"`
+	// StatusSeconds is how long the state of an ended job is kept.
+	StatusSeconds float64 `yaml:"statusSeconds"`
+	// GraceSeconds is the time between the request to stop and the end by force.
+	GraceSeconds float64 `yaml:"graceSeconds"`
+	// HarmMs is how long a serving task may miss its objective because of filling tasks.
+	HarmMs float64 `yaml:"harmMs"`
+	// NoticeMs is how long a serving task may be away before it counts as unavailable.
+	NoticeMs float64 `yaml:"noticeMs"`
+}
+
+// Log configures the log.
+type Log struct {
+	Level string `yaml:"level"`
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	s := &Settings{}
+	f := strictyaml.Decode(data, maxSettingsBytes, s)
+	s.validate(f)
+	return s, f.Err(path)
+}
+
+func (s *Settings) validate(f *strictyaml.File) {
+	for _, t := range []struct{ field, value string }{{"name", s.Name}, {"zone", s.Zone}, {"region", s.Region}} {
+		if t.value == "" {
+			f.Add(t.field, "is missing")
+		}
+	}
+	for _, a := range []struct{ field, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.readiness", s.Listen.Readiness},
+		{"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics}, {"store.address", s.Store.Address},
+	} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			f.Add(a.field, "%q is no IP:port", a.value)
+		}
+	}
+	if s.Store.Partitions < 1 {
+		f.Add("store.partitions", "is %d, the least is 1", s.Store.Partitions)
+	}
+	if s.Bounds.HoldMaxMs < 1000 {
+		f.Add("bounds.holdMaxMs", "is %v, the least is 1000", s.Bounds.HoldMaxMs)
+	}
+	if s.Bounds.GraceSeconds < 1 {
+		f.Add("bounds.graceSeconds", "is %v, the least is 1", s.Bounds.GraceSeconds)
+	}
+	if s.VM.Cores <= 0 {
+		f.Add("vm.cores", "is %v, must be above 0", s.VM.Cores)
+	}
+}
+
+func (b *Bounds) holdMax() time.Duration   { return times(b.HoldMaxMs, time.Millisecond) }
+func (b *Bounds) keepEnded() time.Duration { return times(b.StatusSeconds, time.Second) }
+func (b *Bounds) grace() time.Duration     { return times(b.GraceSeconds, time.Second) }
+
+func times(n float64, unit time.Duration) time.Duration { return time.Duration(n * float64(unit)) }
--- /dev/null
+++ b/node/ledger/follower.go
@@ -0,0 +1,111 @@
+// Package ledger reads and writes keyed partitions of the platform's store.
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/external/keyedlog"
+)
+
+// ReadMargin is how long an answer may be late before the connection counts as silent.
+const ReadMargin = time.Second
+
+// Apply receives records in order. With reset, records are the newest of all keys and replace what was known;
+// records after them may repeat some of them.
+type Apply func(records []keyedlog.Record, reset bool)
+
+// Follower reads a partition from its newest records on. It is safe for concurrent use.
+type Follower struct {
+	store     keyedlog.Store
+	partition keyedlog.Partition
+	apply     Apply
+
+	mu     sync.Mutex // held while records are applied
+	next   int64      // offset of the first record that is not applied
+	loaded bool
+}
+
+// NewFollower returns a follower that has read nothing.
+func NewFollower(store keyedlog.Store, partition keyedlog.Partition, apply Apply) *Follower {
+	return &Follower{store: store, partition: partition, apply: apply}
+}
+
+// Load reads the newest record of every key.
+func (f *Follower) Load(ctx context.Context) error {
+	var records []keyedlog.Record
+	end, after := int64(-1), ""
+	for {
+		page, err := f.store.Newest(ctx, f.partition, after)
+		if err != nil {
+			return errors.Wrapf(err, "load %s/%d", f.partition.Topic, f.partition.Number)
+		}
+		if end < 0 {
+			end = page.End // pages are no snapshot; what is newer than the first one is read again
+		}
+		records = append(records, page.Records...)
+		if after = page.Next; after == "" {
+			break
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(records, true)
+	f.next, f.loaded = end, true
+	return nil
+}
+
+// Poll reads records once, after a Load where that is needed. It may be called while another Poll waits.
+func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	next, loaded := f.next, f.loaded
+	f.mu.Unlock()
+	if !loaded {
+		return f.Load(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+ReadMargin)
+	defer cancel()
+	batch, err := f.store.Read(ctx, f.partition, next, wait)
+	if errors.Is(err, keyedlog.ErrTrimmed) {
+		return f.Load(ctx)
+	}
+	if err != nil {
+		return errors.Wrapf(err, "follow %s/%d", f.partition.Topic, f.partition.Number)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	records := batch.Records
+	for len(records) > 0 && records[0].Offset < f.next {
+		records = records[1:] // applied by a Poll that ended earlier
+	}
+	if len(records) > 0 {
+		f.apply(records, false)
+		f.next = records[len(records)-1].Offset + 1
+	}
+	return nil
+}
+
+// Run polls until the context ends and reports each change between working and failing.
+func (f *Follower) Run(ctx context.Context, wait, pause time.Duration, changed func(error)) {
+	var retry Backoff
+	failing := false
+	for ctx.Err() == nil {
+		err := f.Poll(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != failing {
+			failing = err != nil
+			changed(err)
+		}
+		if err != nil {
+			retry.Sleep(ctx)
+			continue
+		}
+		retry.Reset()
+		Sleep(ctx, pause)
+	}
+}
--- a/node/peer/devcert/devcert.go
+++ b/node/peer/devcert/devcert.go
@@ -1,11 +1,12 @@
-// Package devcert makes certificates for trials on one machine and for tests. They are not for production:
-// the key of the authority is thrown away, so no further certificate can be made for it later.
+// Package devcert makes certificates of daemons: for trials and tests from an authority whose key is thrown
+// away, and for daemons on the platform from an authority that is kept in the platform's store.
 package devcert
 
 import (
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -19,8 +20,9 @@
 	"waxwingslip.example/node/peer"
 )
 
-// validity is how long the certificates are valid; trials are shorter.
-const validity = 7 * 24 * time.Hour
+// validity is how long certificates are valid. Daemons get a new one at each start, and the authority in the
+// store is replaced by dropping its record.
+const validity = 5 * 365 * 24 * time.Hour
 
 // clockSkew lets certificates be used at once by processes whose clock is behind.
 const clockSkew = time.Hour
@@ -58,6 +60,29 @@
 	}
 }
 
+// Encode returns the authority's certificate and key as PEM blocks, to be kept as a secret.
+func (a *Authority) Encode() ([]byte, error) {
+	key, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode CA key")
+	}
+	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+	return append(text, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})...), nil
+}
+
+// ParseAuthority reads what Encode returned.
+func ParseAuthority(text []byte) (*Authority, error) {
+	pair, err := tls.X509KeyPair(text, text)
+	if err != nil {
+		return nil, errors.Wrap(err, "read CA")
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, errors.New("read CA: its key is not for ECDSA")
+	}
+	return &Authority{cert: pair.Leaf, key: key}, nil
+}
+
 // Write makes the certificate of a daemon and writes its PEM files, NAME.crt and NAME.key, together with
 // ca.crt into a directory.
 func (a *Authority) Write(dir, name string) (peer.Files, error) {
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -7,7 +7,7 @@
 
 	"waxwingslip.example/core/resource"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // Methods of the calls between daemons that this package handles.
--- a/node/replica/control.go
+++ b/node/replica/control.go
@@ -6,7 +6,7 @@
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // Control is a daemon's copy of the state of the control stream.
--- a/node/replica/zone.go
+++ b/node/replica/zone.go
@@ -9,7 +9,7 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // ZoneStream returns the name of a zone's stream.
--- /dev/null
+++ b/node/shard/counters.go
@@ -0,0 +1,25 @@
+package shard
+
+import "waxwingslip.example/node/telemetry"
+
+// Counters are the metrics of all shards of a daemon.
+type Counters struct {
+	Starts, StartsRefused, StartsUnknown *telemetry.Counter
+	EndsDone, EndsFailed, EndsOther      *telemetry.Counter
+	Lost, Stops, Holds, HoldsFailed      *telemetry.Counter
+	Paces, StoredBytes                   *telemetry.Counter
+	Commit, StartDelay, Plan             *telemetry.Histogram
+}
+
+// NewCounters registers the metrics.
+func NewCounters(r *telemetry.Registry) *Counters {
+	return &Counters{
+		Starts: r.Counter("shard_starts"), StartsRefused: r.Counter("shard_starts_refused"),
+		StartsUnknown: r.Counter("shard_starts_unknown"), EndsDone: r.Counter("shard_ends_done"),
+		EndsFailed: r.Counter("shard_ends_failed"), EndsOther: r.Counter("shard_ends_other"),
+		Lost: r.Counter("shard_runs_lost"), Stops: r.Counter("shard_stops"), Holds: r.Counter("shard_holds"),
+		HoldsFailed: r.Counter("shard_holds_failed"), Paces: r.Counter("shard_paces"),
+		StoredBytes: r.Counter("shard_stored_bytes"), Commit: r.Histogram("shard_commit_time"),
+		StartDelay: r.Histogram("shard_start_delay_time"), Plan: r.Histogram("shard_plan_time"),
+	}
+}
--- /dev/null
+++ b/node/shard/orders.go
@@ -0,0 +1,176 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/external/jobworker"
+	"waxwingslip.example/node/ledger"
+)
+
+// Timing of orders.
+const (
+	// orderTimeout covers a round trip between regions and a lost packet.
+	orderTimeout = 900 * time.Millisecond
+	// startAttempts is how often a start is sent while it is not known whether it arrived.
+	startAttempts = 2
+	// refusedPause keeps a worker closed after it refused a start for a reason that does not pass at once.
+	refusedPause = 300 * time.Millisecond
+)
+
+// order runs f with one of the worker's order slots, unless the worker is removed first.
+func (s *Shard) order(w *worker, f func()) {
+	s.orders.Go(func() {
+		select {
+		case w.orders <- struct{}{}:
+		case <-s.ctx.Done():
+			return
+		}
+		defer func() { <-w.orders }()
+		f()
+	})
+}
+
+// start sends the start of a run whose binding is stored. The caller holds mu.
+func (s *Shard) start(r *run) {
+	w, e := s.workers[r.workerID], s.jobs[r.id.Job]
+	if s.runs[r.name] != r {
+		return
+	}
+	if w == nil || e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayOrder() {
+		s.endRun(r, jobs.EndLost, "", "the start was not sent")
+		return
+	}
+	r.stage = starting
+	s.order(w, func() { s.sendStart(w, r, e.job.Spec.Payload) })
+}
+
+func (s *Shard) sendStart(w *worker, r *run, payload string) {
+	for attempt := 1; ; attempt++ {
+		s.mu.Lock()
+		if s.runs[r.name] != r || r.stage != starting {
+			s.mu.Unlock()
+			return
+		}
+		e := s.jobs[r.id.Job]
+		if attempt == 1 && (e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayOrder() || s.env.Evacuated(w.info.Zone)) {
+			s.endRun(r, jobs.EndLost, "", "the start was not sent")
+			s.mu.Unlock()
+			return
+		}
+		now := s.env.Now()
+		info := w.info
+		deadline := w.clock.Deadline(now, s.env.Bounds.HoldMax)
+		w.grant.Sent(deadline)
+		order := jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
+			Fence: s.epoch, DeadlineMs: deadline}
+		s.mu.Unlock()
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		_, err := s.env.Workers.Start(ctx, info, order)
+		cancel()
+		s.env.Counters.Starts.Inc()
+		if s.ctx.Err() != nil || s.startAnswered(w, r, err, attempt) {
+			return
+		}
+	}
+}
+
+// startAnswered records the answer to a start and reports whether the start is settled.
+func (s *Shard) startAnswered(w *worker, r *run, err error, attempt int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[r.name] != r || r.stage != starting {
+		return true
+	}
+	switch {
+	case err == nil:
+		r.stage, r.answeredAt = running, s.env.Now()
+		s.env.Counters.StartDelay.Record(r.answeredAt - r.boundAt)
+	case attempt > 1 && errors.Is(err, jobworker.ErrOldRun):
+		// The first attempt arrived and its run has ended; the end is listed.
+		r.stage, r.answeredAt = running, s.env.Now()
+	case jobworker.Refused(err) && attempt == 1:
+		s.startRefused(w, r, err)
+	case attempt < startAttempts:
+		return false
+	default:
+		s.env.Counters.StartsUnknown.Inc()
+		s.log.Warn().Err(err).Str("job", r.id.Job).Str("task", r.name).Int64("run", r.number).
+			Str("worker", w.info.ID).Msg("start has no answer, is taken back")
+		s.stopRun(w, r)
+	}
+	return true
+}
+
+// startRefused returns the task to the queue. The caller holds mu.
+func (s *Shard) startRefused(w *worker, r *run, err error) {
+	s.env.Counters.StartsRefused.Inc()
+	s.log.Info().Err(err).Str("job", r.id.Job).Str("task", r.name).Int64("run", r.number).
+		Str("worker", w.info.ID).Msg("start refused")
+	switch {
+	case errors.Is(err, jobworker.ErrFenced):
+		s.cancel()
+	case errors.Is(err, jobworker.ErrLate), errors.Is(err, jobworker.ErrOldRun):
+	default:
+		w.closedUntil = s.env.Now() + refusedPause
+		s.refresh(w)
+	}
+	s.endRun(r, jobs.EndLost, "", "the start was refused")
+}
+
+// stopRuns stops everything of a job that ended. The caller holds mu.
+func (s *Shard) stopRuns(e *entry) {
+	e.job.Bound(func(id jobs.TaskID, t *jobs.Task) {
+		r := s.runs[id.String()]
+		if r == nil || r.stage == stopping || r.stage == stopped || r.stage == committing {
+			return // a committing run ends when it is stored
+		}
+		if w := s.workers[r.workerID]; w != nil {
+			s.stopRun(w, r)
+		}
+	})
+}
+
+// stopRun stops a run, or settles that it never starts. The caller holds mu.
+func (s *Shard) stopRun(w *worker, r *run) {
+	r.stage = stopping
+	s.env.Counters.Stops.Inc()
+	s.order(w, func() {
+		var backoff ledger.Backoff
+		for s.ctx.Err() == nil {
+			s.mu.Lock()
+			info, current := w.info, s.runs[r.name] == r && s.workers[w.info.ID] == w
+			s.mu.Unlock()
+			if !current {
+				return
+			}
+			ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+			err := s.env.Workers.Stop(ctx, info, r.name, r.number, s.epoch)
+			cancel()
+			if err == nil || errors.Is(err, jobworker.ErrOldRun) {
+				s.mu.Lock()
+				if r.stage == stopping {
+					r.stage, r.answeredAt = stopped, s.env.Now()
+				}
+				s.mu.Unlock()
+				return
+			}
+			backoff.Sleep(s.ctx)
+		}
+	})
+}
+
+// stopUnwanted stops a run that is not in the shard's books. It is listed again if the order is lost.
+func (s *Shard) stopUnwanted(w *worker, task string, number int64) {
+	info := w.info
+	s.order(w, func() {
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		defer cancel()
+		if err := s.env.Workers.Stop(ctx, info, task, number, s.epoch); err != nil {
+			s.log.Warn().Err(err).Str("task", task).Str("worker", info.ID).Msg("stop failed")
+		}
+	})
+}
--- /dev/null
+++ b/node/shard/plan.go
@@ -0,0 +1,171 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/packing"
+	"waxwingslip.example/external/jobqueue"
+	"waxwingslip.example/node/ledger"
+)
+
+// planLoop binds waiting tasks whenever something changed.
+func (s *Shard) planLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.planSignal:
+		}
+		ledger.Sleep(s.ctx, planPause)
+		if !s.auth.MayOrder() {
+			continue
+		}
+		begun := s.env.Now()
+		s.mu.Lock()
+		s.plan(begun)
+		s.mu.Unlock()
+		s.env.Counters.Plan.Record(s.env.Now() - begun)
+	}
+}
+
+// plan binds as many waiting tasks as there is room for. The caller holds mu.
+func (s *Shard) plan(now time.Duration) {
+	config := s.env.Config()
+	if config == nil {
+		return
+	}
+	var waiting []*entry
+	for _, e := range s.jobs {
+		if e.open && e.job.Outcome == jobs.Unfinished {
+			waiting = append(waiting, e)
+		}
+	}
+	slices.SortFunc(waiting, compareUrgency)
+	for _, e := range waiting {
+		s.planJob(e, config, now)
+	}
+}
+
+// compareUrgency orders jobs by priority and by the time of their objective.
+func compareUrgency(a, b *entry) int {
+	if d := a.job.Spec.Priority - b.job.Spec.Priority; d != 0 {
+		return d
+	}
+	if a.dueMs != b.dueMs {
+		return int(min(max(a.dueMs-b.dueMs, -1), 1))
+	}
+	if a.job.Spec.ID < b.job.Spec.ID {
+		return -1
+	}
+	return 1
+}
+
+// planJob binds the waiting tasks of a job. The caller holds mu.
+func (s *Shard) planJob(e *entry, config *jobqueue.Config, now time.Duration) {
+	service := e.job.Spec.Service
+	regions := []string(nil)
+	if q := config.Queue(e.job.Spec.Queue); q != nil {
+		service, regions = q.Service, q.Regions
+	}
+	left, bound := false, 0
+	for _, o := range e.job.Occurrences {
+		for step := range o.Steps {
+			if !e.job.Ready(o, step) {
+				continue
+			}
+			n, more := s.planStep(e, o, step, service, regions, now)
+			bound += n
+			left = left || more
+		}
+	}
+	e.open = left
+	if bound > 0 {
+		s.log.Info().Str("job", e.job.Spec.ID).Int("tasks", bound).Bool("more", left).
+			Int64("age_ms", s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs).Int64("config", config.Version).Msg("tasks bound")
+		s.touch(e)
+	}
+}
+
+// planStep binds the waiting tasks of a step and reports how many and whether some still wait.
+func (s *Shard) planStep(e *entry, o *jobs.Occurrence, step int, service string, regions []string, now time.Duration) (int, bool) {
+	spec := &e.job.Spec.Steps[step]
+	request := packing.Request{Step: spec, Service: service,
+		StepName: jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step}.StepName()}
+	if len(regions) > 0 {
+		request.Allowed = func(w *packing.Worker) bool { return slices.Contains(regions, s.env.Region(w.Zone)) }
+	}
+	if spec.Gang {
+		return s.planGang(e, o, step, &request)
+	}
+	bound, left := 0, false
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].Phase != jobs.Waiting {
+			continue
+		}
+		id := jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step, Index: i}
+		if e.retryAt[id] > now {
+			left = true
+			continue
+		}
+		request.Avoid = e.avoid[id]
+		w := s.fleet.Place(&request)
+		if w == nil {
+			return bound, true
+		}
+		s.bind(e, id, w, o.Steps[step][i].Run+1, request.StepName)
+		bound++
+	}
+	return bound, left
+}
+
+// planGang binds all members of a gang or none.
+func (s *Shard) planGang(e *entry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
+	tasks := o.Steps[step]
+	next := int64(0)
+	for i := range tasks {
+		if tasks[i].Phase == jobs.Done {
+			return 0, false
+		}
+		if tasks[i].Phase != jobs.Waiting {
+			return 0, true
+		}
+		next = max(next, tasks[i].Run+1)
+	}
+	places := make([]*packing.Worker, 0, len(tasks))
+	for range tasks {
+		w := s.fleet.Place(request)
+		if w == nil {
+			break
+		}
+		s.fleet.Reserve(w.ID, request.Step, request.StepName)
+		places = append(places, w)
+	}
+	for _, w := range places {
+		s.fleet.Release(w.ID, request.Step, request.StepName)
+	}
+	if len(places) < len(tasks) {
+		return 0, true
+	}
+	for i, w := range places {
+		s.bind(e, jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step, Index: i}, w, next, request.StepName)
+	}
+	return len(tasks), false
+}
+
+// bind reserves room for a task's next run and starts it once the binding is stored. The caller holds mu.
+func (s *Shard) bind(e *entry, id jobs.TaskID, w *packing.Worker, number int64, stepName string) {
+	if err := e.job.Bind(id, w.ID, number); err != nil {
+		s.log.Error().Err(err).Msg("binding a task failed")
+		return
+	}
+	step := &e.job.Spec.Steps[id.Step]
+	r := &run{id: id, name: id.String(), number: number, workerID: w.ID, step: step, stepName: stepName,
+		stage: committing, boundAt: s.env.Now(), progressAt: s.env.Now(), percent: -1, pace: 100,
+		checkpoint: e.job.Task(id).Checkpoint}
+	s.runs[r.name] = r
+	s.fleet.Reserve(w.ID, step, stepName)
+	s.touch(e)
+	s.whenStored(func() { s.start(r) })
+}
--- /dev/null
+++ b/node/shard/query.go
@@ -0,0 +1,47 @@
+package shard
+
+import (
+	"context"
+
+	"waxwingslip.example/core/jobs"
+)
+
+// State returns the stored state of a job, after a look at the newest commands if the job is not known.
+func (s *Shard) State(ctx context.Context, id string) (jobs.State, error) {
+	if state := s.state(id); state != jobs.StateUnknown {
+		return state, nil
+	}
+	if err := s.jobsFollower.Poll(ctx, 0); err != nil {
+		return jobs.StateUnknown, err
+	}
+	return s.state(id), nil
+}
+
+func (s *Shard) state(id string) jobs.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.jobs[id]; e != nil {
+		return e.shown
+	}
+	return jobs.StateUnknown
+}
+
+// Waiting counts the accepted jobs of a queue of which no task has started. Scheduled jobs wait for their time.
+func (s *Shard) Waiting(queue string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.jobs {
+		if e.job.Spec.Queue == queue && e.job.Outcome == jobs.Unfinished && !e.job.Begun && e.job.Spec.Repeat == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Loaded reports whether all jobs have been read.
+func (s *Shard) Loaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
--- /dev/null
+++ b/node/shardlease/lease.go
@@ -0,0 +1,319 @@
+// Package shardlease decides which daemon owns a shard. The owner renews a record in the store; another daemon
+// that sees no renewal for longer than the lease claims the shard by an append that takes effect only if nothing
+// was added since. The offset of the claim is the owner's epoch, so that no two owners have the same one.
+package shardlease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/ledger"
+)
+
+// Topic holds one partition for each shard.
+const Topic = "keyed.owner"
+
+const (
+	ownerKey   = "owner"
+	writerName = "owner"
+)
+
+// Timing of ownership.
+const (
+	// RenewInterval is the time between renewals; three may be lost within one Lease.
+	RenewInterval = 400 * time.Millisecond
+	// Lease is how long after sending its last successful renewal an owner gives orders.
+	Lease = 1800 * time.Millisecond
+	// ClaimAfter is how long other daemons must have seen no renewal. It exceeds Lease by the drift of clocks.
+	ClaimAfter = 2 * time.Second
+	// HoldOn is how long after its last renewal an owner still renews the leases of running tasks, so that
+	// they survive an outage of the store. A new owner waits for it before it takes tasks on workers that it
+	// cannot reach for ended.
+	HoldOn = 6 * time.Second
+	// readWait is how long a read of the owner's record waits for a change.
+	readWait = 700 * time.Millisecond
+	// renewTimeout limits one attempt of a renewal.
+	renewTimeout = 1200 * time.Millisecond
+	// claimSpread separates the claims of daemons of different preference.
+	claimSpread = 150 * time.Millisecond
+)
+
+// Owner is the record of a shard's owner.
+type Owner struct {
+	Name string `cbor:"1,keyasint"`
+	// Address is where the owner takes calls of other daemons.
+	Address string `cbor:"2,keyasint"`
+	Epoch   int64  `cbor:"3,keyasint"`
+	// Released tells that the owner has given the shard up and gives no more orders.
+	Released bool `cbor:"4,keyasint,omitempty"`
+	// Lifetime tells two processes with the same name apart.
+	Lifetime int64 `cbor:"5,keyasint"`
+}
+
+// Options configure a Lease.
+type Options struct {
+	Store keyedlog.Store
+	Shard int
+	Self  Owner
+	Now   func() time.Duration
+	Log   zerolog.Logger
+	// Preference delays this daemon's claims; 0 is the most preferred.
+	Preference func() int
+	// Lead is called in a goroutine while the shard is owned. Its context ends when the shard is lost.
+	Lead func(ctx context.Context, held *Held)
+}
+
+// Keeper takes part in the ownership of one shard.
+type Keeper struct {
+	opts     Options
+	follower *ledger.Follower
+
+	mu       sync.Mutex
+	owner    *Owner
+	end      int64         // offset after the newest record seen
+	seen     time.Duration // when the newest record was read, or the store became readable again
+	readable bool
+	draining bool
+}
+
+// Held is the ownership of a shard under one epoch.
+type Held struct {
+	Epoch int64
+	// PreviousSeen is when the previous owner's last renewal was read; zero if there was none.
+	PreviousSeen time.Duration
+
+	now     func() time.Duration
+	mu      sync.Mutex
+	renewed time.Duration // when the last successful renewal was sent
+}
+
+// MayOrder reports whether no other daemon can own the shard now.
+func (h *Held) MayOrder() bool { return h.now()-h.lastRenewal() < Lease }
+
+// MayHold reports whether the leases of running tasks may still be renewed.
+func (h *Held) MayHold() bool { return h.now()-h.lastRenewal() < HoldOn }
+
+func (h *Held) lastRenewal() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renewed
+}
+
+func (h *Held) renew(sent time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renewed = max(h.renewed, sent)
+}
+
+// New returns a keeper.
+func New(opts Options) *Keeper {
+	k := &Keeper{opts: opts}
+	k.follower = ledger.NewFollower(opts.Store, k.partition(), k.apply)
+	return k
+}
+
+func (k *Keeper) partition() keyedlog.Partition {
+	return keyedlog.Partition{Topic: Topic, Number: k.opts.Shard}
+}
+
+func (k *Keeper) apply(records []keyedlog.Record, _ bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range records {
+		if r.Key != ownerKey || r.Offset < k.end {
+			continue
+		}
+		var o Owner
+		if err := cbor.Unmarshal(r.Value, &o); err != nil {
+			k.opts.Log.Error().Err(err).Int("shard", k.opts.Shard).Msg("owner record cannot be read")
+			continue
+		}
+		if k.owner == nil || k.owner.Epoch != o.Epoch || k.owner.Released != o.Released {
+			k.opts.Log.Info().Int("shard", k.opts.Shard).Str("owner", o.Name).Int64("epoch", o.Epoch).
+				Bool("released", o.Released).Int64("offset", r.Offset).Msg("owner of shard changed")
+		}
+		k.owner, k.end, k.seen = &o, r.Offset+1, k.opts.Now()
+	}
+}
+
+// Owner returns the newest known owner, or nil.
+func (k *Keeper) Owner() *Owner {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.owner
+}
+
+// Drain stops this daemon from claiming, and gives the shard up if it is owned.
+func (k *Keeper) Drain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.draining = true
+}
+
+func (k *Keeper) isDraining() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.draining
+}
+
+// Run follows the owner's record and claims the shard when it has no owner, until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := k.follower.Poll(ctx, readWait)
+		k.mu.Lock()
+		if err != nil {
+			k.readable = false
+		} else if !k.readable {
+			// An owner needs time to renew after an outage of the store.
+			k.readable, k.seen = true, k.opts.Now()
+		}
+		claim := err == nil && k.mayClaim()
+		previous := k.seen
+		k.mu.Unlock()
+		if err != nil {
+			ledger.Sleep(ctx, RenewInterval/2)
+			continue
+		}
+		if claim {
+			if held := k.claim(ctx, previous); held != nil {
+				k.lead(ctx, held)
+			}
+		}
+	}
+}
+
+// mayClaim decides whether the shard has no owner. The caller holds mu.
+func (k *Keeper) mayClaim() bool {
+	if k.draining {
+		return false
+	}
+	wait := time.Duration(k.opts.Preference()) * claimSpread
+	if k.owner != nil && !k.owner.Released {
+		wait += ClaimAfter
+	}
+	return k.opts.Now()-k.seen >= wait
+}
+
+// claim appends the record of this daemon if nothing was added since the newest record seen.
+func (k *Keeper) claim(ctx context.Context, previous time.Duration) *Held {
+	k.mu.Lock()
+	at, owner := k.end, k.owner
+	k.mu.Unlock()
+	self := k.opts.Self
+	self.Epoch = at + 1
+	value, err := cbor.Marshal(self)
+	if err != nil {
+		k.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
+		return nil
+	}
+	held := &Held{Epoch: self.Epoch, now: k.opts.Now}
+	if owner != nil && !owner.Released {
+		held.PreviousSeen = previous
+	}
+	attempt, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	sent := k.opts.Now()
+	_, err = k.opts.Store.Append(attempt, keyedlog.Append{
+		Partition: k.partition(), At: &at, Records: []keyedlog.Record{{Key: ownerKey, Value: value}},
+		Writer: &keyedlog.Writer{Name: writerName, Epoch: self.Epoch, Sequence: 1},
+	})
+	if err != nil {
+		k.opts.Log.Info().Err(err).Int("shard", k.opts.Shard).Int64("at", at).Msg("claim of shard failed")
+		return nil
+	}
+	held.renew(sent)
+	return held
+}
+
+// lead runs the shard's work while renewals succeed.
+func (k *Keeper) lead(ctx context.Context, held *Held) {
+	log := k.opts.Log.With().Int("shard", k.opts.Shard).Int64("epoch", held.Epoch).Logger()
+	log.Info().Dur("previous_seen_ago", k.opts.Now()-held.PreviousSeen).Msg("shard claimed")
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.opts.Lead(ctx, held)
+	}()
+	// The record is followed meanwhile so that Owner stays right.
+	go k.followWhileLeading(ctx)
+	writer := keyedlog.Writer{Name: writerName, Epoch: held.Epoch, Sequence: 2}
+	reason := k.renewUntilLost(ctx, held, &writer)
+	cancel()
+	<-done
+	log.Info().Str("reason", reason).Msg("shard given up")
+	if reason == reasonDraining {
+		k.release(held, &writer)
+	}
+	k.mu.Lock()
+	k.seen = k.opts.Now() // the new owner's record is not read yet
+	k.mu.Unlock()
+}
+
+func (k *Keeper) followWhileLeading(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := k.follower.Poll(ctx, readWait); err != nil {
+			ledger.Sleep(ctx, RenewInterval)
+		}
+	}
+}
+
+const reasonDraining = "draining"
+
+func (k *Keeper) renewUntilLost(ctx context.Context, held *Held, writer *keyedlog.Writer) string {
+	value, err := k.record(held, false)
+	if err != nil {
+		return err.Error()
+	}
+	for {
+		ledger.Sleep(ctx, RenewInterval)
+		if ctx.Err() != nil {
+			return "daemon ends"
+		}
+		if k.isDraining() {
+			return reasonDraining
+		}
+		if o := k.Owner(); o != nil && o.Epoch > held.Epoch {
+			return "shard is owned by " + o.Name
+		}
+		attempt, cancel := context.WithTimeout(ctx, renewTimeout)
+		sent := k.opts.Now()
+		_, err := k.opts.Store.Append(attempt, keyedlog.Append{Partition: k.partition(),
+			Records: []keyedlog.Record{{Key: ownerKey, Value: value}}, Writer: writer})
+		cancel()
+		switch {
+		case err == nil:
+			writer.Sequence++
+			held.renew(sent)
+		case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence):
+			return err.Error()
+		}
+		// Any other error leaves the renewal open; it is sent again with the same sequence number.
+	}
+}
+
+func (k *Keeper) record(held *Held, released bool) ([]byte, error) {
+	self := k.opts.Self
+	self.Epoch, self.Released = held.Epoch, released
+	return cbor.Marshal(self)
+}
+
+// release tells the other daemons that the shard has no owner. They find out by themselves if it fails.
+func (k *Keeper) release(held *Held, writer *keyedlog.Writer) {
+	value, err := k.record(held, true)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	if _, err := k.opts.Store.Append(ctx, keyedlog.Append{Partition: k.partition(),
+		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}, Writer: writer}); err != nil {
+		k.opts.Log.Warn().Err(err).Int("shard", k.opts.Shard).Msg("release of shard failed")
+	}
+}
--- a/node/stream/appender.go
+++ b/node/stream/appender.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // AppenderOptions configures an Appender. Zero values give the defaults.
--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // FollowerOptions configures a Follower. Zero values give the defaults.
--- a/node/stream/queue.go
+++ b/node/stream/queue.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // item is one record on its way to the log.
--- a/node/stream/relay.go
+++ b/node/stream/relay.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // Relay is what a peer passes on of a stream.
--- a/node/stream/startup.go
+++ b/node/stream/startup.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/platform/logstore"
+	"waxwingslip.example/external/logstore"
 )
 
 // firstWindow is how many entries before the end are searched for a snapshot first; the usual distance
--- a/standin/platformd/admin.go
+++ b/standin/platformd/admin.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"waxwingslip.example/platform/directory"
+	"waxwingslip.example/external/directory"
 )
 
 const adminTimeout = 5 * time.Second
--- a/standin/platformd/platformd.go
+++ b/standin/platformd/platformd.go
@@ -9,11 +9,11 @@
 
 	"github.com/gorilla/mux"
 
-	"waxwingslip.example/platform/directory"
-	dirfake "waxwingslip.example/platform/directory/fake"
-	"waxwingslip.example/platform/fault"
-	"waxwingslip.example/platform/logstore"
-	logfake "waxwingslip.example/platform/logstore/fake"
+	"waxwingslip.example/external/directory"
+	dirfake "waxwingslip.example/external/directory/fake"
+	"waxwingslip.example/external/fault"
+	"waxwingslip.example/external/logstore"
+	logfake "waxwingslip.example/external/logstore/fake"
 	"waxwingslip.example/standin/internal/listen"
 )
 
--- a/standin/workerd/endpoints.go
+++ b/standin/workerd/endpoints.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"waxwingslip.example/platform/worker"
-	"waxwingslip.example/platform/worker/fake"
+	"waxwingslip.example/external/worker"
+	"waxwingslip.example/external/worker/fake"
 	"waxwingslip.example/standin/endpointd"
 	"waxwingslip.example/standin/internal/listen"
 )
--- a/standin/workerd/workerd.go
+++ b/standin/workerd/workerd.go
@@ -13,9 +13,9 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/resource"
-	"waxwingslip.example/platform/directory"
-	"waxwingslip.example/platform/worker"
-	"waxwingslip.example/platform/worker/fake"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/worker"
+	"waxwingslip.example/external/worker/fake"
 	"waxwingslip.example/standin/endpointd"
 	"waxwingslip.example/standin/internal/listen"
 	"waxwingslip.example/standin/platformd"
