--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -9,12 +9,13 @@
 	"slices"
 
 	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/pressure"
 	"waxwingslip.example/core/resource"
 )
 
 // servingLoadPercent is the assumed use of a serving task's reserved processor time before it is measured.
 // Serving tasks leave more than half of what they reserve on average.
-const servingLoadPercent = 45
+const servingLoadPercent = 50
 
 // Worker is what packing knows of a worker.
 type Worker struct {
@@ -34,22 +35,34 @@
 	// steps counts the tasks of each step of an occurrence.
 	steps map[string]int
 	tasks int
+	// serving counts the serving tasks of each image, and filling sums the processor time of filling ones.
+	serving map[string]*servingImage
+	filling map[string]int64
 	// penalty grows with recent failures and lowers the worker's rank.
 	Penalty int64
 }
 
+// servingImage is what serves on a worker under one image.
+type servingImage struct {
+	tasks    int
+	targetMs float64
+}
+
 // Fleet is the set of workers of one shard. It is not safe for concurrent use.
 type Fleet struct {
 	workers map[string]*Worker
 	order   []*Worker // by id, so that a plan does not depend on map order
+	// pressure tells which images disturb each other.
+	pressure *pressure.Model
 }
 
 // NewFleet returns an empty fleet.
-func NewFleet() *Fleet { return &Fleet{workers: map[string]*Worker{}} }
+func NewFleet(m *pressure.Model) *Fleet { return &Fleet{workers: map[string]*Worker{}, pressure: m} }
 
 // Add adds a worker.
 func (f *Fleet) Add(w *Worker) {
 	w.steps = map[string]int{}
+	w.serving, w.filling = map[string]*servingImage{}, map[string]int64{}
 	f.workers[w.ID] = w
 	i, _ := slices.BinarySearchFunc(f.order, w.ID, func(a *Worker, id string) int {
 		if a.ID < id {
@@ -95,14 +108,34 @@
 	switch {
 	case step.Fills:
 		w.fillingCPU += n * step.Size.MilliCPU
+		w.filling[step.Image] += n * step.Size.MilliCPU
 	case step.LongRunning:
 		w.servingCPU += n * step.Size.MilliCPU
+		w.changeServing(step, int(n))
 	default:
 		w.batchCPU += n * step.Size.MilliCPU
 	}
 	if w.steps[stepName] += int(n); w.steps[stepName] == 0 {
 		delete(w.steps, stepName)
 	}
+	if w.filling[step.Image] == 0 {
+		delete(w.filling, step.Image)
+	}
+}
+
+func (w *Worker) changeServing(step *jobs.Step, n int) {
+	if step.TailTargetMs == 0 {
+		return
+	}
+	im := w.serving[step.Image]
+	if im == nil {
+		im = &servingImage{targetMs: float64(step.TailTargetMs)}
+		w.serving[step.Image] = im
+	}
+	im.targetMs = min(im.targetMs, float64(step.TailTargetMs))
+	if im.tasks += n; im.tasks == 0 {
+		delete(w.serving, step.Image)
+	}
 }
 
 // Request asks for places of tasks of one step.
@@ -114,6 +147,8 @@
 	Allowed func(*Worker) bool
 	// Avoid names a worker on which the task just failed; it is taken only if no other one fits.
 	Avoid string
+	// Urgent places a filling task although it disturbs serving tasks or has to share what is unused.
+	Urgent bool
 }
 
 // Place returns the best worker for one task, or nil if none has room now.
@@ -122,14 +157,14 @@
 	var bestScore int64
 	need := r.Step.Reserved()
 	for _, w := range f.order {
-		if !feasible(w, r, need) {
+		if !feasible(w, r, need) || r.Step.Fills && !r.Urgent && !f.bears(w, r.Step) {
 			continue
 		}
 		if w.ID == r.Avoid {
 			second = w
 			continue
 		}
-		if score := score(w, r, need); best == nil || score > bestScore {
+		if score := f.score(w, r, need); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -159,24 +194,73 @@
 const (
 	// rackWeight exceeds every difference of free processor time: the wrong rack multiplies the run time.
 	rackWeight = 10_000_000
+	// pressureWeight is for each whole utilization beyond what a serving image bears.
+	pressureWeight = 400_000
+	// imageWeight is for each serving task of another image on the worker. Serving tasks of one image together
+	// leave more workers on which a filling image disturbs nobody.
+	imageWeight = 30_000
+	// vacantWeight keeps workers without serving tasks free as long as others of the image have room.
+	vacantWeight = 20_000
 )
 
-func score(w *Worker, r *Request, need resource.Vector) int64 {
+func (f *Fleet) score(w *Worker, r *Request, need resource.Vector) int64 {
 	s := -w.Penalty
 	if r.Step.DataRack != "" && w.Rack == r.Step.DataRack {
 		s += rackWeight
 	}
 	switch {
 	case r.Step.Fills:
-		return s + w.unused() - w.fillingCPU
+		return s + w.unused() - w.fillingCPU - int64(pressureWeight*f.excess(w, r.Step, true))
+	case r.Step.TailTargetMs > 0:
+		return s + w.affinity(r.Step.Image) - (w.Size.MilliCPU - w.Reserved.MilliCPU - need.MilliCPU)
 	case r.Step.LongRunning:
-		// Spreading keeps the tail latency of each low and the loss by one worker small.
+		// Spreading keeps the loss by one worker small.
 		return s + w.Size.MilliCPU - w.Reserved.MilliCPU
 	}
 	// A tight fit keeps large rooms whole for large tasks.
 	return s - (w.Size.MilliCPU - w.Reserved.MilliCPU - need.MilliCPU)
 }
 
+// affinity ranks a worker for a serving task by the images that serve there.
+func (w *Worker) affinity(image string) int64 {
+	if len(w.serving) == 0 {
+		return -vacantWeight
+	}
+	others := 0
+	for name, im := range w.serving {
+		if name != image {
+			others += im.tasks
+		}
+	}
+	return -imageWeight * int64(others)
+}
+
+// bears reports whether a worker has unused processor time for a filling task that disturbs its serving tasks little.
+func (f *Fleet) bears(w *Worker, step *jobs.Step) bool {
+	if w.fillingCPU+step.Size.MilliCPU > w.unused() && w.fillingCPU > 0 {
+		return false
+	}
+	return f.excess(w, step, true) == 0
+}
+
+// excess is the utilization beyond what the serving tasks of a worker bear, with a filling task more or one that is
+// there already.
+func (f *Fleet) excess(w *Worker, step *jobs.Step, more bool) float64 {
+	total := 0.0
+	for name, im := range w.serving {
+		press := 0.0
+		if more {
+			press = f.pressure.Factor(pressure.Pair{Serving: name, Filling: step.Image}) * float64(step.Size.MilliCPU)
+		}
+		for filling, cpu := range w.filling {
+			press += f.pressure.Factor(pressure.Pair{Serving: name, Filling: filling}) * float64(cpu)
+		}
+		press /= float64(max(1, w.Size.MilliCPU))
+		total += float64(im.tasks) * max(0, press-f.pressure.Headroom(name, im.targetMs))
+	}
+	return total
+}
+
 // unused estimates the processor time that tasks other than filling ones leave.
 func (w *Worker) unused() int64 {
 	return w.Size.MilliCPU - w.batchCPU - w.servingCPU*servingLoadPercent/100
--- /dev/null
+++ b/core/pressure/estimator.go
@@ -0,0 +1,148 @@
+package pressure
+
+import "math"
+
+// Bounds of the estimator.
+const (
+	// priorFactor is assumed of a pair that was not seen together. With the usual size of a filling task it lets
+	// one, not two, run beside an image, which is how the pair is learned.
+	priorFactor = 1.5
+	maxFactor   = 12
+	// priorWeight is how many squared shares of observation outweigh the assumption.
+	priorWeight = 0.15
+	// keep is the weight that an older observation of the image keeps at each newer one; some thousand count.
+	keep = 0.9995
+	// maxFillingImages bounds the memory and the time of one solution.
+	maxFillingImages = 24
+	// solveEvery is the number of observations between solutions.
+	solveEvery = 20
+)
+
+// estimator fits the utilization of one serving image by least squares: a constant, its own load, plus a factor for
+// each filling image times the share that it uses.
+type estimator struct {
+	index   map[string]int // filling image to column; column 0 is the constant
+	squares [][]float64    // sum of products of columns
+	sums    []float64      // sum of columns times utilization
+	factors []float64      // newest solution
+	unseen  int
+	x       []float64 // scratch
+}
+
+func newEstimator() *estimator {
+	e := &estimator{index: map[string]int{}}
+	e.grow(priorLoad, priorLoadWeight)
+	return e
+}
+
+// priorLoadWeight is how many observations outweigh priorLoad.
+const priorLoadWeight = 4
+
+// grow adds a column with an assumed value.
+func (e *estimator) grow(value, weight float64) int {
+	n := len(e.sums)
+	for i := range e.squares {
+		e.squares[i] = append(e.squares[i], 0)
+	}
+	e.squares = append(e.squares, make([]float64, n+1))
+	e.squares[n][n] = weight
+	e.sums = append(e.sums, weight*value)
+	e.factors = append(e.factors, value)
+	return n
+}
+
+// column returns the column of a filling image, or -1 if there are too many.
+func (e *estimator) column(filling string) int {
+	if i, ok := e.index[filling]; ok {
+		return i
+	}
+	if len(e.index) >= maxFillingImages {
+		return -1
+	}
+	i := e.grow(priorFactor, priorWeight)
+	e.index[filling] = i
+	return i
+}
+
+// observe adds one observation.
+func (e *estimator) observe(utilization float64, filling []Filling) {
+	for i := range filling {
+		e.column(filling[i].Image)
+	}
+	e.x = append(e.x[:0], make([]float64, len(e.sums))...)
+	e.x[0] = 1
+	for i := range filling {
+		if c := e.column(filling[i].Image); c > 0 {
+			e.x[c] += filling[i].Share
+		}
+	}
+	for i, xi := range e.x {
+		e.fade(i)
+		if xi == 0 {
+			continue
+		}
+		e.sums[i] += xi * utilization
+		for j, xj := range e.x {
+			e.squares[i][j] += xi * xj
+		}
+	}
+	if e.unseen++; e.unseen >= solveEvery {
+		e.unseen = 0
+		e.solve()
+	}
+}
+
+// fade lowers the weight of older observations of a row, but not that of the assumption.
+func (e *estimator) fade(i int) {
+	value, weight := priorFactor, priorWeight
+	if i == 0 {
+		value, weight = priorLoad, priorLoadWeight
+	}
+	e.sums[i] = keep*e.sums[i] + (1-keep)*weight*value
+	for j := range e.squares[i] {
+		e.squares[i][j] *= keep
+	}
+	e.squares[i][i] += (1 - keep) * weight
+}
+
+// solve computes the factors by elimination. The matrix is positive definite because of the assumptions.
+func (e *estimator) solve() {
+	n := len(e.sums)
+	m := make([][]float64, n)
+	for i := range m {
+		m[i] = append(append(make([]float64, 0, n+1), e.squares[i]...), e.sums[i])
+	}
+	for i := range n {
+		if math.Abs(m[i][i]) < 1e-12 {
+			return
+		}
+		for k := i + 1; k < n; k++ {
+			f := m[k][i] / m[i][i]
+			for j := i; j <= n; j++ {
+				m[k][j] -= f * m[i][j]
+			}
+		}
+	}
+	for i := n - 1; i >= 0; i-- {
+		v := m[i][n]
+		for j := i + 1; j < n; j++ {
+			v -= m[i][j] * e.factors[j]
+		}
+		e.factors[i] = v / m[i][i]
+	}
+	e.factors[0] = min(max(e.factors[0], 0), saturated)
+	for i := 1; i < n; i++ {
+		e.factors[i] = min(max(e.factors[i], 0), maxFactor)
+	}
+}
+
+// factor returns the newest factor of a filling image.
+func (e *estimator) factor(filling string) float64 {
+	if i, ok := e.index[filling]; ok {
+		return e.factors[i]
+	}
+	return priorFactor
+}
+
+// load returns the utilization without filling tasks.
+func (e *estimator) load() float64 { return e.factors[0] }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -84,8 +84,7 @@
 		step := &e.job.Spec.Steps[id.Step]
 		r := &run{id: id, name: id.String(), number: t.Run, workerID: t.Worker, step: step, stepName: id.StepName(),
 			stage: running, percent: -1, pace: 100, checkpoint: t.Checkpoint, boundAt: s.env.Now(), progressAt: s.env.Now()}
-		s.runs[r.name] = r
-		s.fleet.Reserve(r.workerID, r.step, r.stepName)
+		s.addRun(r)
 	})
 }
 
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -64,18 +64,13 @@
 
 // planJob binds the waiting tasks of a job. The caller holds mu.
 func (s *Shard) planJob(e *entry, config *jobqueue.Config, now time.Duration) {
-	service := e.job.Spec.Service
-	regions := []string(nil)
-	if q := config.Queue(e.job.Spec.Queue); q != nil {
-		service, regions = q.Service, q.Regions
-	}
 	left, bound := false, 0
 	for _, o := range e.job.Occurrences {
 		for step := range o.Steps {
 			if !e.job.Ready(o, step) {
 				continue
 			}
-			n, more := s.planStep(e, o, step, service, regions, now)
+			n, more := s.planStep(e, o, step, now)
 			bound += n
 			left = left || more
 		}
@@ -88,17 +83,30 @@
 	}
 }
 
+// request asks for a place of a task by the newest configuration of its queue. The caller holds mu.
+func (s *Shard) request(e *entry, id jobs.TaskID) packing.Request {
+	r := packing.Request{Step: &e.job.Spec.Steps[id.Step], StepName: id.StepName(), Service: e.job.Spec.Service}
+	config := s.env.Config()
+	if config == nil {
+		return r
+	}
+	if q := config.Queue(e.job.Spec.Queue); q != nil {
+		r.Service = q.Service
+		if len(q.Regions) > 0 {
+			r.Allowed = func(w *packing.Worker) bool { return slices.Contains(q.Regions, s.env.Region(w.Zone)) }
+		}
+	}
+	return r
+}
+
 // planStep binds the waiting tasks of a step and reports how many and whether some still wait.
-func (s *Shard) planStep(e *entry, o *jobs.Occurrence, step int, service string, regions []string, now time.Duration) (int, bool) {
+func (s *Shard) planStep(e *entry, o *jobs.Occurrence, step int, now time.Duration) (int, bool) {
 	spec := &e.job.Spec.Steps[step]
-	request := packing.Request{Step: spec, Service: service,
-		StepName: jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step}.StepName()}
-	if len(regions) > 0 {
-		request.Allowed = func(w *packing.Worker) bool { return slices.Contains(regions, s.env.Region(w.Zone)) }
-	}
+	request := s.request(e, jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step})
 	if spec.Gang {
 		return s.planGang(e, o, step, &request)
 	}
+	request.Urgent = s.hurried(e)
 	bound, left := 0, false
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != jobs.Waiting {
@@ -120,6 +128,11 @@
 	return bound, left
 }
 
+// hurried reports whether a step cannot wait for a better place if the job is to reach its objective.
+func (s *Shard) hurried(e *entry) bool {
+	return s.env.Wall().UnixMilli()+e.job.Spec.ChainMs() > e.dueMs
+}
+
 // planGang binds all members of a gang or none.
 func (s *Shard) planGang(e *entry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
 	tasks := o.Steps[step]
@@ -164,8 +177,7 @@
 	r := &run{id: id, name: id.String(), number: number, workerID: w.ID, step: step, stepName: stepName,
 		stage: committing, boundAt: s.env.Now(), progressAt: s.env.Now(), percent: -1, pace: 100,
 		checkpoint: e.job.Task(id).Checkpoint}
-	s.runs[r.name] = r
-	s.fleet.Reserve(w.ID, step, stepName)
+	s.addRun(r)
 	s.touch(e)
 	s.whenStored(func() { s.start(r) })
 }
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -37,8 +37,8 @@
 	if report.Truncated {
 		return
 	}
-	for _, r := range s.runs {
-		if _, ok := listed[r.name]; !ok && r.workerID == w.info.ID {
+	for _, r := range s.runsOn[w.info.ID] {
+		if _, ok := listed[r.name]; !ok {
 			s.missing(r, sent)
 		}
 	}
@@ -99,8 +99,7 @@
 
 // endRun records that a run is over and frees its room. The caller holds mu.
 func (s *Shard) endRun(r *run, kind jobs.EndKind, checkpoint, why string) {
-	delete(s.runs, r.name)
-	s.fleet.Release(r.workerID, r.step, r.stepName)
+	s.removeRun(r)
 	e := s.jobs[r.id.Job]
 	if e == nil {
 		return
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -14,6 +14,7 @@
 
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/packing"
+	"waxwingslip.example/core/pressure"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/external/keyedlog"
@@ -114,6 +115,8 @@
 	figure     int64
 	// pace is the percentage that the worker was told last.
 	pace int
+	// slowSince is when the pace became too slow to stay; zero if it is not.
+	slowSince time.Duration
 	// checkpoint is the newest that the worker reported.
 	checkpoint string
 }
@@ -139,6 +142,9 @@
 	workers map[string]*worker
 	fleet   *packing.Fleet
 	runs    map[string]*run // by the task's name
+	// runsOn holds the same runs by worker.
+	runsOn   map[string]map[string]*run
+	pressure *pressure.Model
 	// dirty holds the ids of jobs whose progress is not stored, and stored what follows when it is.
 	dirty  map[string]struct{}
 	stored []func()
@@ -157,10 +163,11 @@
 	s := &Shard{
 		number: number, epoch: epoch, env: env, auth: auth, orphanLapse: orphanLapse,
 		log:  env.Log.With().Int("shard", number).Int64("epoch", epoch).Logger(),
-		jobs: map[string]*entry{}, workers: map[string]*worker{}, fleet: packing.NewFleet(),
-		runs: map[string]*run{}, dirty: map[string]struct{}{},
+		jobs: map[string]*entry{}, workers: map[string]*worker{}, pressure: pressure.NewModel(),
+		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
+	s.fleet = packing.NewFleet(s.pressure)
 	s.jobsFollower = ledger.NewFollower(env.Store, keyedlog.Partition{Topic: JobsTopic, Number: number}, s.applyCommands)
 	s.writer = ledger.NewWriter(env.Store, keyedlog.Partition{Topic: ProgressTopic, Number: number}, "owner", epoch)
 	return s
@@ -208,6 +215,28 @@
 	}
 }
 
+// addRun notes a run and reserves its room. The caller holds mu.
+func (s *Shard) addRun(r *run) {
+	s.runs[r.name] = r
+	on := s.runsOn[r.workerID]
+	if on == nil {
+		on = map[string]*run{}
+		s.runsOn[r.workerID] = on
+	}
+	on[r.name] = r
+	s.fleet.Reserve(r.workerID, r.step, r.stepName)
+}
+
+// removeRun forgets a run and frees its room. The caller holds mu.
+func (s *Shard) removeRun(r *run) {
+	delete(s.runs, r.name)
+	delete(s.runsOn[r.workerID], r.name)
+	if len(s.runsOn[r.workerID]) == 0 {
+		delete(s.runsOn, r.workerID)
+	}
+	s.fleet.Release(r.workerID, r.step, r.stepName)
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -110,10 +110,8 @@
 	s.workers[info.ID] = w
 	s.fleet.Add(&packing.Worker{ID: info.ID, Service: info.Service, Zone: info.Zone, Rack: info.Rack,
 		Labels: info.Labels, Size: info.Size})
-	for _, r := range s.runs {
-		if r.workerID == info.ID {
-			s.fleet.Reserve(r.workerID, r.step, r.stepName)
-		}
+	for _, r := range s.runsOn[info.ID] {
+		s.fleet.Reserve(r.workerID, r.step, r.stepName)
 	}
 	s.log.Info().Str("worker", info.ID).Str("zone", info.Zone).Stringer("size", info.Size).Msg("worker found")
 	s.orders.Go(func() { s.converse(ctx, w) })
@@ -241,9 +239,14 @@
 	if now < s.orphanLapse {
 		return
 	}
-	for _, r := range s.runs {
-		if s.workers[r.workerID] == nil && r.stage != committing {
-			s.endRun(r, jobs.EndLost, "", "its worker is not known and its lease has lapsed")
+	for id, on := range s.runsOn {
+		if s.workers[id] != nil {
+			continue
+		}
+		for _, r := range on {
+			if r.stage != committing {
+				s.endRun(r, jobs.EndLost, "", "its worker is not known and its lease has lapsed")
+			}
 		}
 	}
 }
@@ -257,8 +260,8 @@
 
 // loseRuns ends all runs of a worker that no longer runs anything. The caller holds mu.
 func (s *Shard) loseRuns(w *worker, why string) {
-	for _, r := range s.runs {
-		if r.workerID == w.info.ID && r.stage != committing {
+	for _, r := range s.runsOn[w.info.ID] {
+		if r.stage != committing {
 			s.endRun(r, jobs.EndLost, "", why)
 		}
 	}
