Claim shards by conditional appends alone, and stop listed runs of ended jobs

Ruled out: late renewals of the previous owner, which were fenced. Claims and renewals now hold only if the partition ends where the owner's newest record ends; a lost answer is settled by reading the record.

A run of an ended job is now stopped whenever a worker lists it.

--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -80,6 +80,10 @@
 			e.job.Task(r.id).Checkpoint = row.Checkpoint
 		}
 	}
+	if e := s.jobs[r.id.Job]; r.stage == running && (e == nil || e.job.Outcome != jobs.Unfinished) {
+		// The job ended before the worker was known, or the stop was lost with the previous owner.
+		s.stopRun(w, r)
+	}
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, s.env.Now()
 	}
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -19,10 +19,7 @@
 // Topic holds one partition for each shard.
 const Topic = "keyed.owner"
 
-const (
-	ownerKey   = "owner"
-	writerName = "owner"
-)
+const ownerKey = "owner"
 
 // Timing of ownership.
 const (
@@ -88,7 +85,11 @@
 	// PreviousSeen is when the previous owner's last renewal was read; zero if there was none.
 	PreviousSeen time.Duration
 
-	now     func() time.Duration
+	now func() time.Duration
+	// end is the offset after the owner's newest record. Nobody else appends while the shard is owned, so a renewal
+	// takes effect only if no other daemon has claimed the shard.
+	end int64
+
 	mu      sync.Mutex
 	renewed time.Duration // when the last successful renewal was sent
 }
@@ -126,7 +127,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range records {
-		if r.Key != ownerKey || r.Offset < k.end {
+		if r.Offset < k.end {
+			continue
+		}
+		k.end, k.seen = r.Offset+1, k.opts.Now()
+		if r.Key != ownerKey {
 			continue
 		}
 		var o Owner
@@ -138,7 +143,7 @@
 			k.opts.Log.Info().Int("shard", k.opts.Shard).Str("owner", o.Name).Int64("epoch", o.Epoch).
 				Bool("released", o.Released).Int64("offset", r.Offset).Msg("owner of shard changed")
 		}
-		k.owner, k.end, k.seen = &o, r.Offset+1, k.opts.Now()
+		k.owner = &o
 	}
 }
 
@@ -221,16 +226,26 @@
 	sent := k.opts.Now()
 	_, err = k.opts.Store.Append(attempt, keyedlog.Append{
 		Partition: k.partition(), At: &at, Records: []keyedlog.Record{{Key: ownerKey, Value: value}},
-		Writer: &keyedlog.Writer{Name: writerName, Epoch: self.Epoch, Sequence: 1},
 	})
-	if err != nil {
+	if err != nil && !k.landed(ctx, self.Epoch) {
 		k.opts.Log.Info().Err(err).Int("shard", k.opts.Shard).Int64("at", at).Msg("claim of shard failed")
 		return nil
 	}
 	held.renew(sent)
+	held.end = at + 1
 	return held
 }
 
+// landed reports whether the newest record was appended by this daemon under an epoch. An append without an answer
+// may have taken effect.
+func (k *Keeper) landed(ctx context.Context, epoch int64) bool {
+	if err := k.follower.Poll(ctx, 0); err != nil {
+		return false
+	}
+	o := k.Owner()
+	return o != nil && o.Epoch == epoch && o.Lifetime == k.opts.Self.Lifetime
+}
+
 // lead runs the shard's work while renewals succeed.
 func (k *Keeper) lead(ctx context.Context, held *Held) {
 	log := k.opts.Log.With().Int("shard", k.opts.Shard).Int64("epoch", held.Epoch).Logger()
@@ -243,13 +258,12 @@
 	}()
 	// The record is followed meanwhile so that Owner stays right.
 	go k.followWhileLeading(ctx)
-	writer := keyedlog.Writer{Name: writerName, Epoch: held.Epoch, Sequence: 2}
-	reason := k.renewUntilLost(ctx, held, &writer)
+	reason := k.renewUntilLost(ctx, held, done)
 	cancel()
 	<-done
 	log.Info().Str("reason", reason).Msg("shard given up")
-	if reason == reasonDraining {
-		k.release(held, &writer)
+	if reason == reasonDraining || reason == reasonStopped {
+		k.release(held)
 	}
 	k.mu.Lock()
 	k.seen = k.opts.Now() // the new owner's record is not read yet
@@ -264,15 +278,25 @@
 	}
 }
 
-const reasonDraining = "draining"
+// Reasons for which an owner gives a shard up by itself.
+const (
+	reasonDraining = "draining"
+	reasonStopped  = "its work stopped"
+)
 
-func (k *Keeper) renewUntilLost(ctx context.Context, held *Held, writer *keyedlog.Writer) string {
+// renewUntilLost renews the ownership and returns why it ended.
+func (k *Keeper) renewUntilLost(ctx context.Context, held *Held, stopped <-chan struct{}) string {
 	value, err := k.record(held, false)
 	if err != nil {
 		return err.Error()
 	}
 	for {
 		ledger.Sleep(ctx, RenewInterval)
+		select {
+		case <-stopped:
+			return reasonStopped
+		default:
+		}
 		if ctx.Err() != nil {
 			return "daemon ends"
 		}
@@ -282,22 +306,37 @@
 		if o := k.Owner(); o != nil && o.Epoch > held.Epoch {
 			return "shard is owned by " + o.Name
 		}
-		attempt, cancel := context.WithTimeout(ctx, renewTimeout)
-		sent := k.opts.Now()
-		_, err := k.opts.Store.Append(attempt, keyedlog.Append{Partition: k.partition(),
-			Records: []keyedlog.Record{{Key: ownerKey, Value: value}}, Writer: writer})
-		cancel()
-		switch {
-		case err == nil:
-			writer.Sequence++
-			held.renew(sent)
-		case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence):
+		if err := k.renew(ctx, held, value); err != nil {
 			return err.Error()
 		}
-		// Any other error leaves the renewal open; it is sent again with the same sequence number.
 	}
 }
 
+// renew appends one renewal. It fails if the shard is lost; an attempt without an answer is no failure.
+func (k *Keeper) renew(ctx context.Context, held *Held, value []byte) error {
+	attempt, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	sent := k.opts.Now()
+	offset, err := k.opts.Store.Append(attempt, keyedlog.Append{Partition: k.partition(), At: &held.end,
+		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}})
+	switch {
+	case err == nil:
+		held.end = offset + 1
+		held.renew(sent)
+	case errors.Is(err, keyedlog.ErrMoved):
+		if err := k.follower.Poll(ctx, 0); err != nil {
+			return nil // the store is out of reach again
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.owner == nil || k.owner.Epoch != held.Epoch || k.owner.Lifetime != k.opts.Self.Lifetime {
+			return errors.New("another daemon claimed the shard")
+		}
+		held.end = k.end // an earlier attempt landed
+	}
+	return nil
+}
+
 func (k *Keeper) record(held *Held, released bool) ([]byte, error) {
 	self := k.opts.Self
 	self.Epoch, self.Released = held.Epoch, released
@@ -305,15 +344,16 @@
 }
 
 // release tells the other daemons that the shard has no owner. They find out by themselves if it fails.
-func (k *Keeper) release(held *Held, writer *keyedlog.Writer) {
+func (k *Keeper) release(held *Held) {
 	value, err := k.record(held, true)
 	if err != nil {
+		k.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
-	if _, err := k.opts.Store.Append(ctx, keyedlog.Append{Partition: k.partition(),
-		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}, Writer: writer}); err != nil {
+	if _, err := k.opts.Store.Append(ctx, keyedlog.Append{Partition: k.partition(), At: &held.end,
+		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}}); err != nil {
 		k.opts.Log.Warn().Err(err).Int("shard", k.opts.Shard).Msg("release of shard failed")
 	}
 }
