Run filling tasks only beside images that they do not disturb, in-time jobs first

Pairs are either light or heavy, so a filling task now goes only where every serving image bears it, light ones are not slowed at the natural peak of a serving task, and jobs that can reach their objective are planned before those that cannot.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -147,7 +147,7 @@
 	Allowed func(*Worker) bool
 	// Avoid names a worker on which the task just failed; it is taken only if no other one fits.
 	Avoid string
-	// Urgent places a filling task although it disturbs serving tasks or has to share what is unused.
+	// Urgent places a filling task although it may disturb serving tasks.
 	Urgent bool
 }
 
@@ -157,7 +157,7 @@
 	var bestScore int64
 	need := r.Step.Reserved()
 	for _, w := range f.order {
-		if !feasible(w, r, need) || r.Step.Fills && !r.Urgent && !f.bears(w, r.Step) {
+		if !feasible(w, r, need) || r.Step.Fills && !f.bears(w, r) {
 			continue
 		}
 		if w.ID == r.Avoid {
@@ -210,7 +210,7 @@
 	}
 	switch {
 	case r.Step.Fills:
-		return s + w.unused() - w.fillingCPU - int64(pressureWeight*f.excess(w, r.Step, true))
+		return s + w.unused() - w.fillingCPU - int64(pressureWeight*f.press(w, r.Step))
 	case r.Step.TailTargetMs > 0:
 		return s + w.affinity(r.Step.Image) - (w.Size.MilliCPU - w.Reserved.MilliCPU - need.MilliCPU)
 	case r.Step.LongRunning:
@@ -235,28 +235,30 @@
 	return -imageWeight * int64(others)
 }
 
-// bears reports whether a worker has unused processor time for a filling task that disturbs its serving tasks little.
-func (f *Fleet) bears(w *Worker, step *jobs.Step) bool {
-	if w.fillingCPU+step.Size.MilliCPU > w.unused() && w.fillingCPU > 0 {
+// bears reports whether a worker has unused processor time for a filling task, and serving tasks that it does not
+// disturb.
+func (f *Fleet) bears(w *Worker, r *Request) bool {
+	if w.fillingCPU > 0 && w.fillingCPU+r.Step.Size.MilliCPU > w.unused() {
 		return false
 	}
-	return f.excess(w, step, true) == 0
+	return r.Urgent || f.press(w, r.Step) == 0
 }
 
-// excess is the utilization beyond what the serving tasks of a worker bear, with a filling task more or one that is
-// there already.
-func (f *Fleet) excess(w *Worker, step *jobs.Step, more bool) float64 {
+// press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker
+// beyond what these bear.
+func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
+	if len(w.serving) == 0 {
+		return 0
+	}
+	size := float64(max(1, w.Size.MilliCPU))
+	shares := make(map[string]float64, len(w.filling)+1)
+	for image, cpu := range w.filling {
+		shares[image] = float64(cpu) / size
+	}
+	shares[step.Image] += float64(step.Size.MilliCPU) / size
 	total := 0.0
-	for name, im := range w.serving {
-		press := 0.0
-		if more {
-			press = f.pressure.Factor(pressure.Pair{Serving: name, Filling: step.Image}) * float64(step.Size.MilliCPU)
-		}
-		for filling, cpu := range w.filling {
-			press += f.pressure.Factor(pressure.Pair{Serving: name, Filling: filling}) * float64(cpu)
-		}
-		press /= float64(max(1, w.Size.MilliCPU))
-		total += float64(im.tasks) * max(0, press-f.pressure.Headroom(name, im.targetMs))
+	for image, im := range w.serving {
+		total += float64(im.tasks) * f.pressure.Press(image, shares)
 	}
 	return total
 }
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
@@ -98,113 +97,119 @@
 	im.estimator.observe(min(im.utilization(s.TailMs), saturated), filling)
 }
 
-// Shares of the objective between which the pace is left alone.
+// Bounds of planning the pace.
 const (
 	// slowAbove is the tail, as a share of the objective, above which filling tasks are slowed.
-	slowAbove = 0.85
-	// aimShare is the tail that slowing aims at.
+	slowAbove = 0.8
+	// aimShare is the tail that slowing and raising aim at.
 	aimShare = 0.65
 	// leastPace is the pace in percent below which a task is halted.
 	leastPace = 10
-	// raiseStep is the largest rise of the pace in one report, in percent.
+	// raiseStep is the largest rise of the pace of a disturbing task in one report, in percent.
 	raiseStep = 35
+	// LightFactor is the factor up to which a filling image counts as harmless to a serving one.
+	LightFactor = 0.8
+	// beyondMeasure is added to the utilization of a serving task that is over its objective, since near saturation
+	// the tail shows less than there is.
+	beyondMeasure = 0.1
 )
 
 // Plan returns the pace in percent of each filling task for the next moments.
 func (m *Model) Plan(serving []Serving, filling []Filling) []int {
 	pace := make([]int, len(filling))
-	calm := true
 	for i := range filling {
-		pace[i] = filling[i].Pace
+		pace[i] = 100
 	}
 	for i := range serving {
-		s := &serving[i]
-		if s.TargetMs <= 0 || s.TailMs <= 0 {
-			continue
-		}
-		if s.TailMs > slowAbove*s.TargetMs {
-			m.slow(s, filling, pace)
+		if s := &serving[i]; s.TargetMs > 0 && s.TailMs > 0 {
+			m.limitPace(s, filling, pace)
 		}
-		calm = calm && s.TailMs <= aimShare*s.TargetMs
-	}
-	if calm {
-		m.raise(serving, filling, pace)
 	}
 	return pace
 }
 
-// slow lowers the paces of those that press most until the serving task's tail would be at its aim.
-func (m *Model) slow(s *Serving, filling []Filling, pace []int) {
+// limitPace lowers the paces to those that one serving task bears.
+func (m *Model) limitPace(s *Serving, filling []Filling, pace []int) {
 	im := m.image(s.Image, s.TargetMs)
-	excess := im.utilization(s.TailMs) - im.limit(s.TargetMs, aimShare)
+	u := im.utilization(s.TailMs)
 	if s.TailMs > s.TargetMs {
-		excess += 0.1 // the tail shows less than the utilization near saturation
-	}
-	order := make([]int, len(filling))
-	for i := range order {
-		order[i] = i
+		u += beyondMeasure
 	}
-	press := func(i int) float64 { return m.Factor(Pair{s.Image, filling[i].Image}) * filling[i].Share }
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(press(b), press(a)) })
+	excess := u - im.limit(s.TargetMs, aimShare)
+	slow := s.TailMs > slowAbove*s.TargetMs
+	order := m.byFactor(s.Image, filling)
 	for _, i := range order {
-		p := press(i)
-		if excess <= 0 || p <= 0 {
-			return
-		}
-		left := max(0, 1-excess/p)
-		slower := int(math.Floor(float64(filling[i].Pace) * left))
-		if slower < leastPace {
-			slower = 0
-		}
-		pace[i] = min(pace[i], slower)
-		excess -= p
-	}
-}
-
-// raise raises paces as far as every serving task's tail would stay at its aim.
-func (m *Model) raise(serving []Serving, filling []Filling, pace []int) {
-	room := make([]float64, len(serving))
-	for i := range serving {
-		s := &serving[i]
-		im := m.image(s.Image, s.TargetMs)
-		room[i] = math.Inf(1)
-		if s.TargetMs > 0 {
-			room[i] = im.limit(s.TargetMs, aimShare) - im.utilization(max(s.TailMs, im.base))
-		}
-	}
-	for i := range filling {
 		f := &filling[i]
-		if f.Pace >= 100 {
-			continue
+		factor := im.estimator.factor(f.Image)
+		if factor <= LightFactor {
+			break // the rest disturbs too little to be told from the swing of the load
 		}
-		rise := float64(min(100-f.Pace, raiseStep)) / 100
-		for j := range serving {
-			if press := m.Factor(Pair{serving[j].Image, f.Image}) * f.FullShare; press > 0 {
-				rise = min(rise, max(0, room[j])/press)
+		if slow {
+			press := factor * f.Share
+			lower := 0
+			if press > 0 {
+				lower = int(float64(f.Pace) * max(0, 1-excess/press))
 			}
-		}
-		if rise < 0.02 {
+			if lower < leastPace {
+				lower = 0
+			}
+			pace[i] = min(pace[i], lower, f.Pace)
+			excess -= press
 			continue
 		}
-		pace[i] = max(pace[i], min(100, f.Pace+int(rise*100)))
-		if pace[i] > 90 {
-			pace[i] = 100
-		}
-		for j := range serving {
-			room[j] -= m.Factor(Pair{serving[j].Image, f.Image}) * f.FullShare * rise
+		rise := min(float64(raiseStep), max(0, -excess)/(factor*max(f.FullShare, 0.001))*100)
+		if rise < 2 {
+			rise = 0
 		}
+		pace[i] = min(pace[i], f.Pace+int(rise))
+		excess += factor * f.FullShare * rise / 100
 	}
 }
 
-// bearShare is the tail, as a share of the objective, up to which filling tasks may raise the average tail. The load
-// of serving tasks swings around the average, and their tail with it.
-const bearShare = 0.6
+// byFactor returns the indices of the filling tasks, those that disturb the image most first.
+func (m *Model) byFactor(serving string, filling []Filling) []int {
+	order := make([]int, len(filling))
+	for i := range order {
+		order[i] = i
+	}
+	factor := func(i int) float64 { return m.Factor(Pair{serving, filling[i].Image}) }
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(factor(b), factor(a)) })
+	return order
+}
 
-// Headroom is the utilization that filling tasks may add to a serving image on average.
-func (m *Model) Headroom(servingImage string, targetMs float64) float64 {
-	im := m.image(servingImage, targetMs)
-	return max(leastHeadroom, im.limit(targetMs, bearShare)-im.estimator.load())
+// Bears reports whether a serving image bears a filling image beside it, whatever else its load does.
+func (m *Model) Bears(p Pair) bool { return m.Factor(p) <= LightFactor }
+
+// unknownShare is the share of a worker that filling images which were not seen beside an image may use together
+// while they are tried.
+const unknownShare = 0.12
+
+// Press is what filling tasks on a worker add to the utilization of a serving image beyond what it bears.
+func (m *Model) Press(serving string, shares map[string]float64) float64 {
+	total, unknown := 0.0, 0.0
+	for filling, share := range shares {
+		p := Pair{serving, filling}
+		switch {
+		case !m.seen(p):
+			unknown += share
+		case !m.Bears(p):
+			total += m.Factor(p) * share
+		}
+	}
+	if unknown > unknownShare {
+		total += priorFactor * (unknown - unknownShare)
+	}
+	return total
 }
 
-// leastHeadroom lets filling tasks that disturb little run beside every image.
-const leastHeadroom = 0.08
+// seenWeight is the weight of observations after which a pair counts as seen.
+const seenWeight = 0.1
+
+func (m *Model) seen(p Pair) bool {
+	im := m.images[p.Serving]
+	if im == nil {
+		return false
+	}
+	c, ok := im.estimator.index[p.Filling]
+	return ok && im.estimator.squares[c][c] > priorWeight+seenWeight
+}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -138,7 +138,8 @@
 		return errors.Errorf("record of job %s names job %s", id, spec.ID)
 	}
 	e := &entry{job: jobs.New(spec), shown: jobs.StatePending, open: true}
-	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(spec.ChainMs())) + spec.TargetMs
+	e.chainMs, e.lasting = spec.ChainMs(), spec.LongRunning()
+	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(e.chainMs)) + spec.TargetMs
 	s.jobs[id] = e
 	if s.loaded {
 		e.job.CreateDue(s.env.Wall().UnixMilli())
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -42,17 +42,57 @@
 			waiting = append(waiting, e)
 		}
 	}
+	wall := s.env.Wall().UnixMilli()
+	for _, e := range waiting {
+		e.prospect = prospectOf(e, wall)
+	}
 	slices.SortFunc(waiting, compareUrgency)
 	for _, e := range waiting {
 		s.planJob(e, config, now)
 	}
 }
 
-// compareUrgency orders jobs by priority and by the time of their objective.
+// prospect tells what a job can still reach.
+type prospect uint8
+
+const (
+	inTime prospect = iota
+	// late jobs miss their objective but are still of use.
+	late
+	// veryLate jobs are of use to hardly anybody; they run when there is room.
+	veryLate
+)
+
+// lateFactor is how many objectives after its acceptance a job is of use.
+const lateFactor = 3
+
+func prospectOf(e *entry, wallMs int64) prospect {
+	spec := e.job.Spec
+	if spec.Repeat > 0 || e.lasting {
+		return inTime
+	}
+	end := wallMs + e.chainMs
+	if e.job.Begun {
+		end = wallMs
+	}
+	switch {
+	case end <= e.dueMs:
+		return inTime
+	case end <= spec.AcceptedMs+lateFactor*(e.dueMs-spec.AcceptedMs):
+		return late
+	}
+	return veryLate
+}
+
+// compareUrgency orders jobs by priority, by what they can still reach, and by the time of their objective. Under
+// overload, the oldest first would make all of them late.
 func compareUrgency(a, b *entry) int {
 	if d := a.job.Spec.Priority - b.job.Spec.Priority; d != 0 {
 		return d
 	}
+	if a.prospect != b.prospect {
+		return int(a.prospect) - int(b.prospect)
+	}
 	if a.dueMs != b.dueMs {
 		return int(min(max(a.dueMs-b.dueMs, -1), 1))
 	}
@@ -106,7 +146,7 @@
 	if spec.Gang {
 		return s.planGang(e, o, step, &request)
 	}
-	request.Urgent = s.hurried(e)
+	request.Urgent = s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs > urgentAfterMs
 	bound, left := 0, false
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != jobs.Waiting {
@@ -128,10 +168,9 @@
 	return bound, left
 }
 
-// hurried reports whether a step cannot wait for a better place if the job is to reach its objective.
-func (s *Shard) hurried(e *entry) bool {
-	return s.env.Wall().UnixMilli()+e.job.Spec.ChainMs() > e.dueMs
-}
+// urgentAfterMs is the age of a job from which its filling tasks no longer wait for workers on which they disturb
+// nobody. Their pace is limited there.
+const urgentAfterMs = 20_000
 
 // planGang binds all members of a gang or none.
 func (s *Shard) planGang(e *entry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -80,6 +80,10 @@
 	open bool
 	// dueAt is when the job's objective is reached, for the order of planning.
 	dueMs int64
+	// chainMs is the estimated time of the longest chain of steps.
+	chainMs  int64
+	lasting  bool
+	prospect prospect // at the newest plan
 	// cancelled tells that a cancelling was read.
 	cancelled bool
 	// retryAt holds tasks back that ended badly a moment ago.
