Start known disturbers halted, and slow light filling tasks before the harm bound

Light filling tasks together add up to 0.2 of utilization at the peak of a serving task, so it may stay over its objective. Kept: light ones are slowed 1.4 s before the harm bound, and only pairs seen to disturb start halted.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -244,6 +244,20 @@
 	return r.Urgent || f.press(w, r.Step) == 0
 }
 
+// Disturbs reports whether filling tasks of a step are known to disturb a serving task of a worker.
+func (f *Fleet) Disturbs(id string, step *jobs.Step) bool {
+	w := f.workers[id]
+	if w == nil || !step.Fills {
+		return false
+	}
+	for image := range w.serving {
+		if f.pressure.Disturbs(pressure.Pair{Serving: image, Filling: step.Image}) {
+			return true
+		}
+	}
+	return false
+}
+
 // press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker
 // beyond what these bear.
 func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Starting points of what is learned.
@@ -32,10 +33,17 @@
 }
 
 // Model is what was learned. It is not safe for concurrent use.
-type Model struct{ images map[string]*image }
+type Model struct {
+	images map[string]*image
+	// patience is how long a serving task may be over its objective before tasks that disturb little are slowed. At
+	// the peak of its load it often is for a moment; slowing all of them then costs more than half of their work.
+	patience time.Duration
+}
 
 // NewModel returns a model that has learned nothing.
-func NewModel() *Model { return &Model{images: map[string]*image{}} }
+func NewModel(patience time.Duration) *Model {
+	return &Model{images: map[string]*image{}, patience: patience}
+}
 
 // Serving is a serving task on a worker.
 type Serving struct {
@@ -43,6 +51,8 @@
 	TargetMs float64
 	// TailMs is the newest figure; 0 if there is none.
 	TailMs float64
+	// Over is for how long the tail has been over the objective.
+	Over time.Duration
 }
 
 // Filling is a filling task on a worker.
@@ -103,6 +113,10 @@
 	slowAbove = 0.8
 	// aimShare is the tail that slowing and raising aim at.
 	aimShare = 0.65
+	// lightAimShare is the tail up to which tasks that disturb little are slowed.
+	lightAimShare = 0.95
+	// leastLight is assumed of tasks that seem not to disturb at all.
+	leastLight = 0.1
 	// leastPace is the pace in percent below which a task is halted.
 	leastPace = 10
 	// raiseStep is the largest rise of the pace of a disturbing task in one report, in percent.
@@ -128,33 +142,27 @@
 	return pace
 }
 
-// limitPace lowers the paces to those that one serving task bears.
+// limitPace lowers the paces to those that one serving task bears: first of the images that disturb it, then, if its
+// tail is still too high, of all others alike.
 func (m *Model) limitPace(s *Serving, filling []Filling, pace []int) {
 	im := m.image(s.Image, s.TargetMs)
 	u := im.utilization(s.TailMs)
 	if s.TailMs > s.TargetMs {
 		u += beyondMeasure
 	}
+	order := m.byFactor(s.Image, filling)
+	heavy := 0
+	for heavy < len(order) && im.estimator.factor(filling[order[heavy]].Image) > LightFactor {
+		heavy++
+	}
 	excess := u - im.limit(s.TargetMs, aimShare)
 	slow := s.TailMs > slowAbove*s.TargetMs
-	order := m.byFactor(s.Image, filling)
-	for _, i := range order {
+	for _, i := range order[:heavy] {
 		f := &filling[i]
 		factor := im.estimator.factor(f.Image)
-		if factor <= LightFactor {
-			break // the rest disturbs too little to be told from the swing of the load
-		}
 		if slow {
-			press := factor * f.Share
-			lower := 0
-			if press > 0 {
-				lower = int(float64(f.Pace) * max(0, 1-excess/press))
-			}
-			if lower < leastPace {
-				lower = 0
-			}
-			pace[i] = min(pace[i], lower, f.Pace)
-			excess -= press
+			pace[i] = min(pace[i], slower(f.Pace, excess, factor*f.Share))
+			excess -= factor * f.Share
 			continue
 		}
 		rise := min(float64(raiseStep), max(0, -excess)/(factor*max(f.FullShare, 0.001))*100)
@@ -164,6 +172,45 @@
 		pace[i] = min(pace[i], f.Pace+int(rise))
 		excess += factor * f.FullShare * rise / 100
 	}
+	if s.Over < m.patience {
+		return
+	}
+	m.limitLight(s, im, filling, order[heavy:], excess+im.limit(s.TargetMs, aimShare), pace)
+}
+
+// slower returns the pace at which a task that presses so much adds less by the excess.
+func slower(pace int, excess, press float64) int {
+	if press <= 0 {
+		return pace
+	}
+	lower := int(float64(pace) * min(1, max(0, 1-excess/press)))
+	if lower < leastPace {
+		return 0
+	}
+	return lower
+}
+
+// limitLight sets the paces of filling tasks that disturb little, but together may be too much at the peak of the
+// serving task's load. The utilization u is what the others leave.
+func (m *Model) limitLight(s *Serving, im *image, filling []Filling, light []int, u float64, pace []int) {
+	now, full := 0.0, 0.0
+	for _, i := range light {
+		factor := max(im.estimator.factor(filling[i].Image), leastLight)
+		now += factor * filling[i].Share
+		full += factor * filling[i].FullShare
+	}
+	if full <= 0 {
+		return
+	}
+	bearable := im.limit(s.TargetMs, lightAimShare) - (u - now)
+	share := min(1, max(0, bearable/full))
+	percent := int(share * 100)
+	if percent < leastPace {
+		percent = 0
+	}
+	for _, i := range light {
+		pace[i] = min(pace[i], percent)
+	}
 }
 
 // byFactor returns the indices of the filling tasks, those that disturb the image most first.
@@ -180,6 +227,9 @@
 // Bears reports whether a serving image bears a filling image beside it, whatever else its load does.
 func (m *Model) Bears(p Pair) bool { return m.Factor(p) <= LightFactor }
 
+// Disturbs reports whether a filling image was seen to disturb a serving one.
+func (m *Model) Disturbs(p Pair) bool { return m.seen(p) && !m.Bears(p) }
+
 // unknownShare is the share of a worker that filling images which were not seen beside an image may use together
 // while they are tried.
 const unknownShare = 0.12
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -69,7 +69,8 @@
 		Store: out.Store, Workers: out.Workers, Config: d.control.Config, Evacuated: d.control.Evacuated,
 		Region:       func(zone string) string { return set.Regions[zone] },
 		DecodeWorker: out.DecodeWorker, Registry: out.Layout.Registry, Assigned: d.assigned,
-		Bounds: shard.Bounds{HoldMax: set.Bounds.holdMax(), KeepEnded: set.Bounds.keepEnded()},
+		Bounds: shard.Bounds{HoldMax: set.Bounds.holdMax(), KeepEnded: set.Bounds.keepEnded(),
+			HarmAfter: times(set.Bounds.HarmMs, time.Millisecond)},
 		Now:    out.Now, Wall: time.Now, Log: log, Counters: shard.NewCounters(d.metrics),
 	}
 	return d
--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -19,8 +19,11 @@
 		}
 		switch {
 		case r.step.TailTargetMs > 0:
-			serving = append(serving, pressure.Serving{Image: r.step.Image,
-				TargetMs: float64(r.step.TailTargetMs), TailMs: float64(r.figure)})
+			t := pressure.Serving{Image: r.step.Image, TargetMs: float64(r.step.TailTargetMs), TailMs: float64(r.figure)}
+			if r.overSince > 0 {
+				t.Over = s.env.Now() - r.overSince
+			}
+			serving = append(serving, t)
 		case r.step.Fills:
 			filling = append(filling, pressure.Filling{Image: r.step.Image, Share: float64(r.figure) / size,
 				FullShare: float64(r.step.Size.MilliCPU) / size, Pace: r.pace})
--- a/node/shard/orders.go
+++ b/node/shard/orders.go
@@ -88,6 +88,9 @@
 	switch {
 	case err == nil:
 		r.stage, r.answeredAt = running, s.env.Now()
+		if s.fleet.Disturbs(r.workerID, r.step) {
+			s.setPace(w, r, 0) // reports raise it as far as the serving tasks bear it
+		}
 		s.env.Counters.StartDelay.Record(r.answeredAt - r.boundAt)
 	case attempt > 1 && errors.Is(err, jobworker.ErrOldRun):
 		// The first attempt arrived and its run has ended; the end is listed.
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -88,6 +88,12 @@
 		r.percent, r.progressAt = row.Percent, s.env.Now()
 	}
 	r.figure = row.Figure
+	switch {
+	case r.step.TailTargetMs == 0 || r.figure <= r.step.TailTargetMs:
+		r.overSince = 0
+	case r.overSince == 0:
+		r.overSince = s.env.Now()
+	}
 	return r
 }
 
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -45,6 +45,8 @@
 type Bounds struct {
 	// HoldMax is the longest lease of a worker.
 	HoldMax time.Duration
+	// HarmAfter is how long a serving task may miss its objective because of filling tasks.
+	HarmAfter time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
 }
@@ -119,6 +121,8 @@
 	figure     int64
 	// pace is the percentage that the worker was told last.
 	pace int
+	// overSince is when the tail of a serving task rose over its objective; zero if it is not over it.
+	overSince time.Duration
 	// slowSince is when the pace became too slow to stay; zero if it is not.
 	slowSince time.Duration
 	// checkpoint is the newest that the worker reported.
@@ -162,12 +166,15 @@
 	orders       sync.WaitGroup
 }
 
+// harmReserve covers the age of a report, an order's way and the time until the figures follow.
+const harmReserve = 1400 * time.Millisecond
+
 // New returns a shard that Run fills.
 func New(env *Environment, number int, epoch int64, auth Authority, orphanLapse time.Duration) *Shard {
 	s := &Shard{
 		number: number, epoch: epoch, env: env, auth: auth, orphanLapse: orphanLapse,
 		log:  env.Log.With().Int("shard", number).Int64("epoch", epoch).Logger(),
-		jobs: map[string]*entry{}, workers: map[string]*worker{}, pressure: pressure.NewModel(),
+		jobs: map[string]*entry{}, workers: map[string]*worker{}, pressure: pressure.NewModel(env.Bounds.HarmAfter - harmReserve),
 		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
