Let leases of silent workers lapse, and move tasks away from draining workers

Every failed hold carried a later deadline, so the lease that had to lapse moved on for ever. Ruled out: the registry, which had dropped the workers at once. A worker that does not answer is now asked without a renewal.

--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -265,6 +265,7 @@
 		s.mu.Lock()
 		now := s.env.Now()
 		s.lapseWorkers(now)
+		s.leaveDraining(now)
 		s.createDue()
 		s.dropEnded()
 		s.mu.Unlock()
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -45,8 +45,10 @@
 	// closedUntil holds starts back after a refusal.
 	closedUntil time.Duration
 	failures    failureWindow
-	ended       context.CancelFunc
-	orders      chan struct{} // limits orders under way
+	// leavesAt is the earliest end of a draining worker.
+	leavesAt time.Duration
+	ended    context.CancelFunc
+	orders   chan struct{} // limits orders under way
 }
 
 // maxOrders is the number of orders under way to one worker.
@@ -92,6 +94,9 @@
 		s.addWorker(info)
 		return
 	}
+	if info.Draining {
+		w.leavesAt = s.env.Now() + info.LeavesIn
+	}
 	if w.info.Draining != info.Draining {
 		s.log.Info().Str("worker", info.ID).Bool("draining", info.Draining).Int64("offset", r.Offset).Msg("worker changed")
 	}
@@ -139,7 +144,9 @@
 		info := w.info
 		h := jobworker.Hold{Fence: s.epoch, Ack: w.acked}
 		sent := s.env.Now()
-		if w.clock.Known() {
+		if w.clock.Known() && !w.failing {
+			// A worker that does not answer is asked without a renewal, so that its lease lapses at a known time
+			// even if the requests reach it and only the answers are lost.
 			h.DeadlineMs = w.clock.Deadline(sent, s.env.Bounds.HoldMax)
 			w.grant.Sent(h.DeadlineMs)
 		}
