--- /dev/null
+++ b/external/keyedlog/fake/store.go
@@ -0,0 +1,291 @@
+// Package fake is a store in memory for tests and trials, with faults.
+package fake
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/external/keyedlog"
+)
+
+// Fault is what befalls a call.
+type Fault struct {
+	// Refuse answers that nothing was done.
+	Refuse bool
+	// LoseAnswer carries the call out and returns an error that leaves this open.
+	LoseAnswer bool
+	// Late carries the call out after this time, and returns an error that leaves this open at once.
+	Late time.Duration
+	// Delay passes before the call is carried out.
+	Delay time.Duration
+	// Silent gives no answer until the caller's context ends; nothing is carried out.
+	Silent bool
+}
+
+// errLost is an answer that got lost.
+var errLost = errors.New("the answer got lost")
+
+// Store is a store in memory. It is safe for concurrent use.
+type Store struct {
+	mu         sync.Mutex
+	partitions map[keyedlog.Partition]*partition
+	changed    chan struct{} // closed and replaced with each append
+	fault      func(caller, method string, p keyedlog.Partition) Fault
+}
+
+type partition struct {
+	records []keyedlog.Record
+	first   int64 // offset of the first record kept
+	newest  map[string]keyedlog.Record
+	writers map[string]*writer
+}
+
+type writer struct {
+	epoch    int64
+	sequence int64
+	answers  map[int64]int64 // offset by sequence number, of the last few appends
+}
+
+// rememberedAppends is the number of appends of a writer of which a repeat is recognised.
+const rememberedAppends = 5
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{partitions: map[keyedlog.Partition]*partition{}, changed: make(chan struct{})}
+}
+
+// SetFault sets what befalls calls; nil means none. Method is append, read or newest.
+func (s *Store) SetFault(f func(caller, method string, p keyedlog.Partition) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// As returns the store as one caller sees it, so that faults may tell callers apart.
+func (s *Store) As(caller string) keyedlog.Store { return &view{s, caller} }
+
+type view struct {
+	*Store
+	caller string
+}
+
+func (v *view) faultOf(method string, p keyedlog.Partition) Fault {
+	v.mu.Lock()
+	f := v.fault
+	v.mu.Unlock()
+	if f == nil {
+		return Fault{}
+	}
+	return f(v.caller, method, p)
+}
+
+// before lets a fault act before a call and returns an error if the call ends there.
+func (f Fault) before(ctx context.Context) error {
+	if f.Silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if f.Refuse {
+		return errors.Wrap(keyedlog.ErrRefused, "fault")
+	}
+	return nil
+}
+
+// Append implements keyedlog.Store.
+func (v *view) Append(ctx context.Context, a keyedlog.Append) (int64, error) {
+	f := v.faultOf("append", a.Partition)
+	if err := f.before(ctx); err != nil {
+		return 0, err
+	}
+	if f.Late > 0 {
+		if a.Writer != nil {
+			w := *a.Writer
+			a.Writer = &w
+		}
+		if a.At != nil {
+			at := *a.At
+			a.At = &at
+		}
+		time.AfterFunc(f.Late, func() { _, _ = v.append(a) }) // nobody waits for the answer
+		return 0, errLost
+	}
+	offset, err := v.append(a)
+	if f.LoseAnswer {
+		return 0, errLost
+	}
+	return offset, err
+}
+
+func (s *Store) partition(p keyedlog.Partition) *partition {
+	part := s.partitions[p]
+	if part == nil {
+		part = &partition{newest: map[string]keyedlog.Record{}, writers: map[string]*writer{}}
+		s.partitions[p] = part
+	}
+	return part
+}
+
+func (s *Store) append(a keyedlog.Append) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part := s.partition(a.Partition)
+	end := part.first + int64(len(part.records))
+	if a.Writer != nil {
+		offset, known, err := part.check(a)
+		if err != nil || known {
+			return offset, err
+		}
+	}
+	if a.At != nil && *a.At != end {
+		return end, keyedlog.ErrMoved
+	}
+	if a.Writer != nil {
+		part.note(a, end)
+	}
+	for i, r := range a.Records {
+		r.Offset = end + int64(i)
+		part.records = append(part.records, r)
+		if r.Value == nil {
+			delete(part.newest, r.Key)
+		} else {
+			part.newest[r.Key] = r
+		}
+	}
+	if len(a.Records) > 0 {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return end, nil
+}
+
+// check recognises repeats and refuses older epochs and gaps.
+func (p *partition) check(a keyedlog.Append) (offset int64, repeat bool, err error) {
+	w := p.writers[a.Writer.Name]
+	if w == nil || a.Writer.Epoch > w.epoch {
+		return 0, false, nil
+	}
+	if a.Writer.Epoch < w.epoch {
+		return 0, false, keyedlog.ErrFenced
+	}
+	if len(a.Records) == 0 {
+		return 0, true, nil
+	}
+	if offset, ok := w.answers[a.Writer.Sequence]; ok {
+		return offset, true, nil
+	}
+	if w.sequence != 0 && a.Writer.Sequence != w.sequence+1 {
+		return 0, false, keyedlog.ErrSequence
+	}
+	return 0, false, nil
+}
+
+func (p *partition) note(a keyedlog.Append, offset int64) {
+	w := p.writers[a.Writer.Name]
+	if w == nil || a.Writer.Epoch > w.epoch {
+		w = &writer{epoch: a.Writer.Epoch, answers: map[int64]int64{}}
+		p.writers[a.Writer.Name] = w
+	}
+	if len(a.Records) == 0 {
+		return
+	}
+	w.sequence = a.Writer.Sequence
+	w.answers[w.sequence] = offset
+	delete(w.answers, w.sequence-rememberedAppends)
+}
+
+// Read implements keyedlog.Store.
+func (v *view) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.Batch, error) {
+	f := v.faultOf("read", p)
+	if err := f.before(ctx); err != nil {
+		return keyedlog.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := v.read(p, from)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			if f.LoseAnswer {
+				err = errLost
+			}
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return keyedlog.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) read(p keyedlog.Partition, from int64) (keyedlog.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part := s.partition(p)
+	if from < part.first {
+		return keyedlog.Batch{}, nil, keyedlog.ErrTrimmed
+	}
+	end := part.first + int64(len(part.records))
+	b := keyedlog.Batch{End: end}
+	if from < end {
+		b.Records = append(b.Records, part.records[from-part.first:]...)
+	}
+	return b, s.changed, nil
+}
+
+// pageKeys is the number of keys in a page; small, so that tests meet several.
+const pageKeys = 50
+
+// Newest implements keyedlog.Store.
+func (v *view) Newest(ctx context.Context, p keyedlog.Partition, after string) (keyedlog.Page, error) {
+	f := v.faultOf("newest", p)
+	if err := f.before(ctx); err != nil {
+		return keyedlog.Page{}, err
+	}
+	if f.LoseAnswer {
+		return keyedlog.Page{}, errLost
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	part := v.partition(p)
+	var keys []string
+	for k := range part.newest {
+		if k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	page := keyedlog.Page{End: part.first + int64(len(part.records))}
+	if len(keys) > pageKeys {
+		keys = keys[:pageKeys]
+		page.Next = keys[pageKeys-1]
+	}
+	for _, k := range keys {
+		page.Records = append(page.Records, part.newest[k])
+	}
+	return page, nil
+}
+
+// Trim drops the history of all partitions; the newest record of each key stays.
+func (s *Store) Trim() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range s.partitions {
+		part.first += int64(len(part.records))
+		part.records = nil
+	}
+}
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -71,7 +71,7 @@
 		DecodeWorker: out.DecodeWorker, Registry: out.Layout.Registry, Assigned: d.assigned,
 		Bounds: shard.Bounds{HoldMax: set.Bounds.holdMax(), KeepEnded: set.Bounds.keepEnded(),
 			HarmAfter: times(set.Bounds.HarmMs, time.Millisecond)},
-		Now:    out.Now, Wall: time.Now, Log: log, Counters: shard.NewCounters(d.metrics),
+		Now: out.Now, Wall: time.Now, Log: log, Counters: shard.NewCounters(d.metrics),
 	}
 	return d
 }
--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -129,7 +129,7 @@
 	for n := range i.d.shardCount() {
 		count := 0
 		err := i.query(ctx, n,
-			func(_ context.Context, s *shard.Shard) error { count = s.Waiting(queue); return nil },
+			func(_ context.Context, s *shard.Shard) (err error) { count, err = s.Waiting(queue); return },
 			func(ctx context.Context, address string) error {
 				return i.d.peers.Call(ctx, address, methodWaiting, waitingQuery{n, queue}, &count)
 			})
@@ -201,6 +201,6 @@
 		if owned == nil {
 			return 0, &peer.RemoteError{Code: codeNotOwner, Message: "not the owner of the shard"}
 		}
-		return owned.Waiting(q.Queue), nil
+		return owned.Waiting(q.Queue)
 	})
 }
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -3,11 +3,19 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"waxwingslip.example/core/jobs"
 )
 
+// ErrStale means that another daemon may have led the shard for so long that nothing is known of its jobs.
+var ErrStale = errors.New("the shard may have another owner")
+
 // State returns the stored state of a job, after a look at the newest commands if the job is not known.
 func (s *Shard) State(ctx context.Context, id string) (jobs.State, error) {
+	if !s.auth.MayHold() {
+		return jobs.StateUnknown, ErrStale
+	}
 	if state := s.state(id); state != jobs.StateUnknown {
 		return state, nil
 	}
@@ -27,7 +35,10 @@
 }
 
 // Waiting counts the accepted jobs of a queue of which no task has started. Scheduled jobs wait for their time.
-func (s *Shard) Waiting(queue string) int {
+func (s *Shard) Waiting(queue string) (int, error) {
+	if !s.auth.MayHold() {
+		return 0, ErrStale
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -36,7 +47,7 @@
 			n++
 		}
 	}
-	return n
+	return n, nil
 }
 
 // Loaded reports whether all jobs have been read.
