Keep to the leases that a predecessor gave before it handed its shard over

A daemon that took over a released shard took the tasks on workers that it could not reach for ended at once; only a claim after silence counted the predecessor's leases. The test fails without the change.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -354,8 +354,8 @@
 // lead runs a shard while it is owned.
 func (d *Daemon) lead(ctx context.Context, n int, held *shardlease.Held) {
 	lapse := time.Duration(0)
-	if held.PreviousSeen > 0 {
-		lapse = held.PreviousSeen + shardlease.HoldOn + d.env.Bounds.HoldMax*102/100 + leaseMargin
+	if held.PreviousHeld > 0 {
+		lapse = held.PreviousHeld + d.env.Bounds.HoldMax*102/100 + leaseMargin
 	}
 	s := shard.New(d.env, n, held.Epoch, held, lapse)
 	d.mu.Lock()
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -143,8 +143,8 @@
 		Now: now, Log: env.Log, Preference: func() int { return index },
 		Lead: func(ctx context.Context, held *shardlease.Held) {
 			lapse := time.Duration(0)
-			if held.PreviousSeen > 0 {
-				lapse = held.PreviousSeen + shardlease.HoldOn + holdMax*102/100
+			if held.PreviousHeld > 0 {
+				lapse = held.PreviousHeld + holdMax*102/100
 			}
 			s := shard.New(env, 0, held.Epoch, held, lapse)
 			m.set(s)
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -321,3 +321,18 @@
 		is.True(errors.Is(err, shard.ErrStale))
 	})
 }
+
+// Guards against a second run of tasks on a worker that the new owner cannot reach after its predecessor handed the
+// shard over: the leases that the predecessor gave last as long as ever.
+func TestHandOverWithUnreachableWorker(t *testing.T) {
+	run(t, 3, 2, lasting, func(w *world, is *is.I) {
+		first := w.owner()
+		w.submit("a", jobs.Step{LongRunning: true, MaxPerWorker: 2}, 4)
+		w.awaitThat("all tasks run", 2*time.Second, func() bool { return w.running("a", 4) })
+		w.fleet.SetFault(func(worker, _ string) workerfake.Fault { return workerfake.Fault{NotConnected: worker == "w0"} })
+		first.keeper.Drain()
+		w.awaitThat("the other member owns the shard", 3*time.Second, func() bool { return w.owner() != first })
+		time.Sleep(holdMax + 2*time.Second)
+		is.True(w.running("a", 4))
+	})
+}
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -82,8 +82,8 @@
 // Held is the ownership of a shard under one epoch.
 type Held struct {
 	Epoch int64
-	// PreviousSeen is when the previous owner's last renewal was read; zero if there was none.
-	PreviousSeen time.Duration
+	// PreviousHeld is until when the previous owner may have renewed leases of workers; zero if there was none.
+	PreviousHeld time.Duration
 
 	now func() time.Duration
 	// end is the offset after the owner's newest record. Nobody else appends while the shard is owned, so a renewal
@@ -218,8 +218,12 @@
 		return nil
 	}
 	held := &Held{Epoch: self.Epoch, now: k.opts.Now}
-	if owner != nil && !owner.Released {
-		held.PreviousSeen = previous
+	switch {
+	case owner == nil:
+	case owner.Released:
+		held.PreviousHeld = previous // it gave its last order before it released the shard
+	default:
+		held.PreviousHeld = previous + HoldOn
 	}
 	attempt, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -249,7 +253,7 @@
 // lead runs the shard's work while renewals succeed.
 func (k *Keeper) lead(ctx context.Context, held *Held) {
 	log := k.opts.Log.With().Int("shard", k.opts.Shard).Int64("epoch", held.Epoch).Logger()
-	log.Info().Dur("previous_seen_ago", k.opts.Now()-held.PreviousSeen).Msg("shard claimed")
+	log.Info().Dur("previous_held_ago", k.opts.Now()-held.PreviousHeld).Msg("shard claimed")
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
