Take no lock of the daemon while a shard is asked, nor the reverse

The daemon asked the shard under its lock whether it is loaded; the shard asked the daemon under its own for the number of shards. Both answers now come from atomics.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -53,6 +53,8 @@
 
 	draining  atomic.Bool
 	storeSeen atomic.Int64 // boot time at which the control topic was read last, ns
+	// shardTotal is the number of shards; 0 until it is known.
+	shardTotal atomic.Int64
 
 	mu      sync.Mutex
 	keepers []*shardlease.Keeper
@@ -208,6 +210,7 @@
 		d.keepers = append(d.keepers, k)
 		go k.Run(ctx)
 	}
+	d.shardTotal.Store(int64(count))
 }
 
 func (d *Daemon) followControl(ctx context.Context) {
@@ -396,11 +399,9 @@
 	return o.Address
 }
 
-func (d *Daemon) shardCount() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.keepers)
-}
+// shardCount returns the number of shards, or 0 if it is not known. Shards call it under their locks, so it takes
+// none.
+func (d *Daemon) shardCount() int { return int(d.shardTotal.Load()) }
 
 // LogLinesDropped counts log lines that were not written.
 func (d *Daemon) LogLinesDropped(n int) { d.metrics.Counter("log_lines_dropped").Add(int64(n)) }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -43,6 +43,7 @@
 	s.applyCancels()
 	s.createDue()
 	s.loaded = true
+	s.isLoaded.Store(true)
 	s.log.Info().Int("jobs", len(s.jobs)).Int("runs", len(s.runs)).Dur("took", s.env.Now()-begun).Msg("shard loaded")
 	return true
 }
--- /dev/null
+++ b/node/shard/lock_test.go
@@ -0,0 +1,59 @@
+package shard_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"waxwingslip.example/external/jobqueue"
+	"waxwingslip.example/external/jobworker"
+	workerfake "waxwingslip.example/external/jobworker/fake"
+	"waxwingslip.example/external/keyedlog"
+	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/shard"
+	"waxwingslip.example/node/telemetry"
+)
+
+type always struct{}
+
+func (always) MayOrder() bool { return true }
+func (always) MayHold() bool  { return true }
+
+// Guards against a deadlock: the daemon asked under its lock whether the shard is loaded, and the shard asked the
+// daemon under its own whether a worker is assigned. The shard's owner then led on without doing anything.
+func TestLoadedTakesNoLock(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New().As("d0")
+	var s *shard.Shard
+	answered := make(chan bool, 1)
+	env := &shard.Environment{
+		Store: store, Workers: workerfake.NewFleet(brief), Config: func() *jobqueue.Config { return nil },
+		Evacuated: func(string) bool { return false },
+		DecodeWorker: func(string, []byte) (jobworker.Info, error) {
+			loaded := make(chan bool, 1)
+			go func() { loaded <- s.Loaded() }()
+			select {
+			case v := <-loaded:
+				answered <- v
+			case <-time.After(5 * time.Second):
+				answered <- false
+			}
+			return jobworker.Info{ID: "w0"}, nil
+		},
+		Registry: registry, Assigned: func(int, jobworker.Info) bool { return false },
+		Now: func() time.Duration { return time.Hour }, Wall: time.Now, Log: zerolog.Nop(),
+		Counters: shard.NewCounters(telemetry.New(time.Now)),
+	}
+	_, err := store.Append(t.Context(), keyedlog.Append{Partition: registry, Records: []keyedlog.Record{{Key: "w0", Value: []byte("up")}}})
+	is.NoErr(err)
+	s = shard.New(env, 0, 1, always{}, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Run(ctx) }()
+	is.True(<-answered)
+	cancel()
+	<-done
+}
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -50,9 +50,5 @@
 	return n, nil
 }
 
-// Loaded reports whether all jobs have been read.
-func (s *Shard) Loaded() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.loaded
-}
+// Loaded reports whether all jobs have been read. It takes no lock, so that callers may hold their own.
+func (s *Shard) Loaded() bool { return s.isLoaded.Load() }
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -144,6 +145,10 @@
 	jobsFollower *ledger.Follower
 	writer       *ledger.Writer
 
+	isLoaded atomic.Bool
+
+	// mu is held while functions of the environment are called; these must not wait for a lock under which the
+	// shard is called.
 	mu      sync.Mutex
 	loaded  bool
 	jobs    map[string]*entry
