Halt filling tasks well before the harm bound, and add none beside strained tasks

A quiet worker reports once a second, so a serving task over its objective was seen up to a second late and the next look came as late; light tasks that started meanwhile ran at full pace.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -27,6 +27,8 @@
 	Size    resource.Vector
 	// Open tells that the worker takes new tasks.
 	Open bool
+	// Strained tells that a serving task misses its objective, so that no filling task is added.
+	Strained bool
 
 	// Reserved is the room of everything that runs, starts, stops or may still arrive.
 	Reserved resource.Vector
@@ -238,6 +240,9 @@
 // bears reports whether a worker has unused processor time for a filling task, and serving tasks that it does not
 // disturb.
 func (f *Fleet) bears(w *Worker, r *Request) bool {
+	if w.Strained {
+		return false
+	}
 	if w.fillingCPU > 0 && w.fillingCPU+r.Step.Size.MilliCPU > w.unused() {
 		return false
 	}
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -113,10 +113,6 @@
 	slowAbove = 0.8
 	// aimShare is the tail that slowing and raising aim at.
 	aimShare = 0.65
-	// lightAimShare is the tail up to which tasks that disturb little are slowed.
-	lightAimShare = 0.95
-	// leastLight is assumed of tasks that seem not to disturb at all.
-	leastLight = 0.1
 	// leastPace is the pace in percent below which a task is halted.
 	leastPace = 10
 	// raiseStep is the largest rise of the pace of a disturbing task in one report, in percent.
@@ -142,8 +138,8 @@
 	return pace
 }
 
-// limitPace lowers the paces to those that one serving task bears: first of the images that disturb it, then, if its
-// tail is still too high, of all others alike.
+// limitPace lowers the paces to those that one serving task bears: of the images that disturb it and, if it
+// has been over its objective for long, of all.
 func (m *Model) limitPace(s *Serving, filling []Filling, pace []int) {
 	im := m.image(s.Image, s.TargetMs)
 	u := im.utilization(s.TailMs)
@@ -172,10 +168,12 @@
 		pace[i] = min(pace[i], f.Pace+int(rise))
 		excess += factor * f.FullShare * rise / 100
 	}
-	if s.Over < m.patience {
-		return
+	if s.Over >= m.patience {
+		// What the others add was not enough, so the factors are wrong or all the light ones together are too much.
+		for i := range filling {
+			pace[i] = 0
+		}
 	}
-	m.limitLight(s, im, filling, order[heavy:], excess+im.limit(s.TargetMs, aimShare), pace)
 }
 
 // slower returns the pace at which a task that presses so much adds less by the excess.
@@ -190,29 +188,6 @@
 	return lower
 }
 
-// limitLight sets the paces of filling tasks that disturb little, but together may be too much at the peak of the
-// serving task's load. The utilization u is what the others leave.
-func (m *Model) limitLight(s *Serving, im *image, filling []Filling, light []int, u float64, pace []int) {
-	now, full := 0.0, 0.0
-	for _, i := range light {
-		factor := max(im.estimator.factor(filling[i].Image), leastLight)
-		now += factor * filling[i].Share
-		full += factor * filling[i].FullShare
-	}
-	if full <= 0 {
-		return
-	}
-	bearable := im.limit(s.TargetMs, lightAimShare) - (u - now)
-	share := min(1, max(0, bearable/full))
-	percent := int(share * 100)
-	if percent < leastPace {
-		percent = 0
-	}
-	for _, i := range light {
-		pace[i] = min(pace[i], percent)
-	}
-}
-
 // byFactor returns the indices of the filling tasks, those that disturb the image most first.
 func (m *Model) byFactor(serving string, filling []Filling) []int {
 	order := make([]int, len(filling))
--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -30,6 +30,10 @@
 			fillers = append(fillers, r)
 		}
 	}
+	w.strained = false
+	for i := range serving {
+		w.strained = w.strained || serving[i].TailMs > serving[i].TargetMs
+	}
 	if len(serving) == 0 && len(fillers) == 0 {
 		return
 	}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -171,8 +171,8 @@
 	orders       sync.WaitGroup
 }
 
-// harmReserve covers the age of a report, an order's way and the time until the figures follow.
-const harmReserve = 1400 * time.Millisecond
+// harmReserve covers the time until a report first shows the harm, until the next one, and an order's way.
+const harmReserve = holdWait + strainedWait + 650*time.Millisecond
 
 // New returns a shard that Run fills.
 func New(env *Environment, number int, epoch int64, auth Authority, orphanLapse time.Duration) *Shard {
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -19,6 +19,8 @@
 	// holdWait is how long a worker waits for an end before it reports. It bounds the age of the figures by
 	// which serving tasks are guarded.
 	holdWait = time.Second
+	// strainedWait is the wait while a serving task is over its objective.
+	strainedWait = 350 * time.Millisecond
 	// holdMargin is how long an answer may be late before the connection counts as silent.
 	holdMargin = 700 * time.Millisecond
 	// holdPause separates holds while an end is not stored or the worker does not answer.
@@ -40,6 +42,8 @@
 	incarnation int64
 	// processed is the number of the newest end that was recorded, and acked the newest that is stored.
 	processed, acked int64
+	// strained tells that a serving task on it is over its objective.
+	strained bool
 	// failing tells that the newest hold failed.
 	failing bool
 	// closedUntil holds starts back after a refusal.
@@ -128,6 +132,7 @@
 	now := s.env.Now()
 	p.Open = w.listed && w.adopted && !w.failing && !w.info.Draining && now >= w.closedUntil &&
 		!s.env.Evacuated(w.info.Zone) && !w.failures.quarantined(now)
+	p.Strained = w.strained
 	p.Size = w.info.Size
 	p.Penalty = w.failures.penalty(now)
 }
@@ -152,6 +157,9 @@
 		}
 		if w.adopted && w.acked == w.processed {
 			h.Wait = holdWait
+			if w.strained {
+				h.Wait = strainedWait
+			}
 		}
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, h.Wait+holdMargin)
