--- /dev/null
+++ b/core/pressure/pressure_test.go
@@ -0,0 +1,149 @@
+package pressure
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// bench plays serving tasks whose load swings, and filling tasks beside them.
+type bench struct {
+	rng   *rand.Rand
+	truth map[Pair]float64
+	now   float64 // s
+}
+
+const (
+	targetMs = 18.0
+	baseMs   = 4.0
+)
+
+func newBench() *bench {
+	b := &bench{rng: rand.New(rand.NewPCG(1, 2)), truth: map[Pair]float64{}}
+	for i, s := range []string{"s0", "s1", "s2"} {
+		for j, f := range []string{"f0", "f1", "f2", "f3"} {
+			b.truth[Pair{s, f}] = 0.3
+			if (i+j)%2 == 0 {
+				b.truth[Pair{s, f}] = 5
+			}
+		}
+	}
+	return b
+}
+
+// tail returns the tail of a serving task beside filling ones.
+func (b *bench) tail(image string, phase float64, filling []Filling) float64 {
+	u := 0.42 * (1 + 0.5*math.Sin(2*math.Pi*b.now/10+phase))
+	for _, f := range filling {
+		u += b.truth[Pair{image, f.Image}] * f.Share
+	}
+	return baseMs / (1 - min(u, 0.985))
+}
+
+// Guards against pairs that are never told apart, on the load for which the estimator is made: swinging load, a few
+// filling tasks at a time, a saturated tail.
+func TestPairsAreLearned(t *testing.T) {
+	is := is.New(t)
+	b, m := newBench(), NewModel(2*time.Second)
+	for range 1500 {
+		b.now += 0.05
+		image := []string{"s0", "s1", "s2"}[b.rng.IntN(3)]
+		var filling []Filling
+		for range b.rng.IntN(3) {
+			share := 0.05 + 0.1*b.rng.Float64()
+			filling = append(filling, Filling{Image: []string{"f0", "f1", "f2", "f3"}[b.rng.IntN(4)], Share: share, FullShare: share, Pace: 100})
+		}
+		m.Observe([]Serving{{Image: image, TargetMs: targetMs, TailMs: b.tail(image, b.rng.Float64()*6, filling)}}, filling)
+	}
+	for p, factor := range b.truth {
+		is.Equal(m.Bears(p), factor < 1) // the pair was taken for the wrong kind
+		is.Equal(m.Disturbs(p), factor > 1)
+	}
+}
+
+// Guards against factors of pairs that changed and are believed for ever.
+func TestOldObservationsFade(t *testing.T) {
+	is := is.New(t)
+	b, m := newBench(), NewModel(2*time.Second)
+	filling := []Filling{{Image: "f0", Share: 0.1, FullShare: 0.1, Pace: 100}}
+	play := func(n int) {
+		for range n {
+			b.now += 0.1
+			m.Observe([]Serving{{Image: "s0", TargetMs: targetMs, TailMs: b.tail("s0", 0, filling)}}, filling)
+			m.Observe([]Serving{{Image: "s0", TargetMs: targetMs, TailMs: b.tail("s0", 0, nil)}}, nil)
+		}
+	}
+	play(1000)
+	is.True(m.Disturbs(Pair{"s0", "f0"}))
+	b.truth[Pair{"s0", "f0"}] = 0.1
+	play(6000)
+	is.True(m.Bears(Pair{"s0", "f0"}))
+}
+
+// Guards against a disturbing task that keeps its pace, or drags a harmless one down with it.
+func TestDisturberIsSlowed(t *testing.T) {
+	is := is.New(t)
+	m := learned()
+	filling := []Filling{{Image: "heavy", Share: 0.1, FullShare: 0.1, Pace: 100}, {Image: "light", Share: 0.1, FullShare: 0.1, Pace: 100}}
+	pace := m.Plan([]Serving{{Image: "s", TargetMs: targetMs, TailMs: 40}}, filling)
+	is.True(pace[0] < 50)
+	is.Equal(pace[1], 100)
+}
+
+// Guards against a disturbing task that is never let on again although the serving task bears it.
+func TestPaceRises(t *testing.T) {
+	is := is.New(t)
+	m := learned()
+	pace := m.Plan([]Serving{{Image: "s", TargetMs: targetMs, TailMs: 5}}, []Filling{{Image: "heavy", FullShare: 0.05, Pace: 0}})
+	is.True(pace[0] > 0)
+	is.True(pace[0] <= raiseStep)
+}
+
+// Guards against filling tasks, whatever is believed of them, that hold a serving task over its objective for as long
+// as the bound on harm allows.
+func TestAllHaltAfterPatience(t *testing.T) {
+	is := is.New(t)
+	m := learned()
+	filling := []Filling{{Image: "light", Share: 0.3, FullShare: 0.3, Pace: 100}}
+	over := Serving{Image: "s", TargetMs: targetMs, TailMs: 19, Over: 1900 * time.Millisecond}
+	is.Equal(m.Plan([]Serving{over}, filling)[0], 100)
+	over.Over = 2 * time.Second
+	is.Equal(m.Plan([]Serving{over}, filling)[0], 0)
+}
+
+// Guards against untried images that come in numbers beside a serving task before one of them was tried.
+func TestUntriedImagesAreTriedInSmall(t *testing.T) {
+	is := is.New(t)
+	m := learned()
+	is.Equal(m.Press("s", map[string]float64{"new": 0.1}), 0.0)
+	is.True(m.Press("s", map[string]float64{"new": 0.2, "newer": 0.1}) > 0)
+	is.Equal(m.Press("s", map[string]float64{"light": 0.5}), 0.0)
+	is.True(m.Press("s", map[string]float64{"heavy": 0.1}) > 0)
+}
+
+// learned returns a model that knows one light and one heavy image beside the image s.
+func learned() *Model {
+	b, m := newBench(), NewModel(2*time.Second)
+	b.truth = map[Pair]float64{{"s", "light"}: 0.2, {"s", "heavy"}: 5}
+	for i := range 2000 {
+		b.now += 0.05
+		f := []Filling{{Image: []string{"light", "heavy"}[i%2], Share: 0.1, FullShare: 0.1, Pace: 100}}
+		if i%3 == 0 {
+			f = nil
+		}
+		m.Observe([]Serving{{Image: "s", TargetMs: targetMs, TailMs: b.tail("s", float64(i), f)}}, f)
+	}
+	return m
+}
+
+func BenchmarkObserve(b *testing.B) {
+	m := learned()
+	serving := []Serving{{Image: "s", TargetMs: targetMs, TailMs: 12}}
+	filling := []Filling{{Image: "light", Share: 0.1}, {Image: "heavy", Share: 0.05}, {Image: "light", Share: 0.1}}
+	for b.Loop() {
+		m.Observe(serving, filling)
+	}
+}
--- a/node/stream/follow_test.go
+++ b/node/stream/follow_test.go
@@ -210,8 +210,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newTestStore()
+		// The first answer is under way while it is asserted that nothing is known yet.
+		store.Faults.Set(fault.Setting{AnswerDelayMs: 1500})
+		begun := time.Now()
 		n := start(t, store)
 		is.True(n.f.CurrentAsOf().IsZero())
+		time.Sleep(time.Second)
+		is.True(n.f.CurrentAsOf().IsZero())
+		store.Faults.Set(fault.Setting{})
+		time.Sleep(3 * time.Second)
+		is.True(!n.f.CurrentAsOf().Before(begun))
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			is.True(time.Since(n.f.CurrentAsOf()) <= 2100*time.Millisecond)
