--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -170,7 +170,7 @@
 
 // urgentAfterMs is the age of a job from which its filling tasks no longer wait for workers on which they disturb
 // nobody. Their pace is limited there.
-const urgentAfterMs = 20_000
+const urgentAfterMs = 60_000
 
 // planGang binds all members of a gang or none.
 func (s *Shard) planGang(e *entry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
