--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -56,6 +56,9 @@
 	order   []*Worker // by id, so that a plan does not depend on map order
 	// pressure tells which images disturb each other.
 	pressure *pressure.Model
+	// trials counts, for the filling image that is placed now, the workers where it is beside each serving image.
+	trials      map[string]int
+	trialsImage string
 }
 
 // NewFleet returns an empty fleet.
@@ -158,6 +161,9 @@
 	var best, second *Worker
 	var bestScore int64
 	need := r.Step.Reserved()
+	if r.Step.Fills {
+		f.countTrials(r.Step.Image)
+	}
 	for _, w := range f.order {
 		if !feasible(w, r, need) || r.Step.Fills && !f.bears(w, r) {
 			continue
@@ -263,6 +269,22 @@
 	return false
 }
 
+// maxTrials is the number of workers on which a pair of images is tried at a time.
+const maxTrials = 3
+
+// countTrials notes where a filling image runs.
+func (f *Fleet) countTrials(filling string) {
+	f.trialsImage, f.trials = filling, map[string]int{}
+	for _, w := range f.order {
+		if w.filling[filling] == 0 {
+			continue
+		}
+		for image := range w.serving {
+			f.trials[image]++
+		}
+	}
+}
+
 // press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker
 // beyond what these bear.
 func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
@@ -277,7 +299,9 @@
 	shares[step.Image] += float64(step.Size.MilliCPU) / size
 	total := 0.0
 	for image, im := range w.serving {
-		total += float64(im.tasks) * f.pressure.Press(image, shares)
+		total += float64(im.tasks) * f.pressure.Press(image, shares, func(filling string) bool {
+			return filling == f.trialsImage && w.filling[filling] == 0 && f.trials[image] >= maxTrials
+		})
 	}
 	return total
 }
--- a/core/pressure/estimator.go
+++ b/core/pressure/estimator.go
@@ -10,8 +10,9 @@
 	maxFactor   = 12
 	// priorWeight is how many squared shares of observation outweigh the assumption.
 	priorWeight = 0.15
-	// keep is the weight that an older observation of the image keeps at each newer one; some thousand count.
-	keep = 0.9995
+	// keep is the weight that an older observation of the image keeps at each newer one. With some fifty reports a
+	// second the newest minutes count; a shorter memory tries the pairs that disturb again and again.
+	keep = 0.9999
 	// maxFillingImages bounds the memory and the time of one solution.
 	maxFillingImages = 24
 	// solveEvery is the number of observations between solutions.
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -203,20 +203,24 @@
 func (m *Model) Bears(p Pair) bool { return m.Factor(p) <= LightFactor }
 
 // Disturbs reports whether a filling image was seen to disturb a serving one.
-func (m *Model) Disturbs(p Pair) bool { return m.seen(p) && !m.Bears(p) }
+func (m *Model) Disturbs(p Pair) bool { return m.Seen(p) && !m.Bears(p) }
 
 // unknownShare is the share of a worker that filling images which were not seen beside an image may use together
 // while they are tried.
 const unknownShare = 0.12
 
-// Press is what filling tasks on a worker add to the utilization of a serving image beyond what it bears.
-func (m *Model) Press(serving string, shares map[string]float64) float64 {
+// Press is what filling tasks on a worker add to the utilization of a serving image beyond what it bears. Images in
+// untried must not be tried beside it now.
+func (m *Model) Press(serving string, shares map[string]float64, untried func(filling string) bool) float64 {
 	total, unknown := 0.0, 0.0
 	for filling, share := range shares {
 		p := Pair{serving, filling}
 		switch {
-		case !m.seen(p):
+		case !m.Seen(p):
 			unknown += share
+			if untried(filling) {
+				total += priorFactor * share
+			}
 		case !m.Bears(p):
 			total += m.Factor(p) * share
 		}
@@ -228,9 +232,10 @@
 }
 
 // seenWeight is the weight of observations after which a pair counts as seen.
-const seenWeight = 0.1
+const seenWeight = 0.06
 
-func (m *Model) seen(p Pair) bool {
+// Seen reports whether there are enough observations of a pair to judge it.
+func (m *Model) Seen(p Pair) bool {
 	im := m.images[p.Serving]
 	if im == nil {
 		return false
