--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -37,7 +37,9 @@
 	if len(serving) == 0 && len(fillers) == 0 {
 		return
 	}
-	s.pressure.Observe(serving, filling)
+	if s.credible(w, serving, filling) {
+		s.pressure.Observe(serving, filling)
+	}
 	for i, pace := range s.pressure.Plan(serving, filling) {
 		r := fillers[i]
 		if pace != r.pace {
@@ -47,6 +49,37 @@
 	}
 }
 
+// Bounds of judging whether a worker's figures tell something about its tasks.
+const (
+	// idleShare is the use of a worker by filling tasks that disturbs nobody.
+	idleShare = 0.02
+	// sickTail is the tail, as a multiple of the objective, that serving tasks do not have by themselves.
+	sickTail = 1.5
+	// sickFor is how long the figures of a worker are left out after it showed such a tail.
+	sickFor = 4 * time.Second
+)
+
+// credible reports whether the tails on a worker can be put down to filling tasks. On a slow worker they are high
+// without any. The caller holds mu.
+func (s *Shard) credible(w *worker, serving []pressure.Serving, filling []pressure.Filling) bool {
+	now, share := s.env.Now(), 0.0
+	for i := range filling {
+		share += filling[i].Share
+	}
+	if share > idleShare {
+		w.filledAt = now
+	}
+	for i := range serving {
+		if serving[i].TailMs > sickTail*serving[i].TargetMs && now-w.filledAt > figureSpan {
+			w.sickUntil = now + sickFor
+		}
+	}
+	return now >= w.sickUntil
+}
+
+// figureSpan is the time over which workers average their figures.
+const figureSpan = 600 * time.Millisecond
+
 // setPace tells a worker the pace of a run. The caller holds mu.
 func (s *Shard) setPace(w *worker, r *run, pace int) {
 	previous := r.pace
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -42,6 +42,8 @@
 	incarnation int64
 	// processed is the number of the newest end that was recorded, and acked the newest that is stored.
 	processed, acked int64
+	// filledAt is when filling tasks were seen at work on it last, and sickUntil how long its figures are left out.
+	filledAt, sickUntil time.Duration
 	// strained tells that a serving task on it is over its objective.
 	strained bool
 	// failing tells that the newest hold failed.
