--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -265,6 +265,28 @@
 	}
 }
 
+// RemainingMs returns the estimated time of the longest chain of steps that are not done, of the first occurrence.
+func (j *Job) RemainingMs() int64 {
+	if len(j.Occurrences) == 0 {
+		return j.Spec.ChainMs()
+	}
+	o := j.Occurrences[0]
+	ends := make([]int64, len(o.Steps))
+	longest := int64(0)
+	for i := range o.Steps {
+		if stepDone(o.Steps[i]) {
+			continue
+		}
+		start := int64(0)
+		for _, a := range j.Spec.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + j.Spec.Steps[i].EstimateMs
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // AnyBound reports whether some task may have a run somewhere.
 func (j *Job) AnyBound() bool {
 	any := false
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -71,10 +71,7 @@
 	if spec.Repeat > 0 || e.lasting {
 		return inTime
 	}
-	end := wallMs + e.chainMs
-	if e.job.Begun {
-		end = wallMs
-	}
+	end := wallMs + e.job.RemainingMs()
 	switch {
 	case end <= e.dueMs:
 		return inTime
