Make shards larger, and hold room for large lasting tasks

Six shards of 58 workers had no worker with 13 free cores, while others did, and short tasks took each room that came free. Shards now have 48 to 175 workers by the processor time of the VMs, and a worker that needs the least more room is held for a lasting task that fits nowhere.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -30,6 +30,8 @@
 	// Strained tells that a serving task misses its objective, so that no filling task is added.
 	Strained bool
 
+	// heldFor names the step for whose large task the worker takes no other reserved tasks; empty for none.
+	heldFor string
 	// Reserved is the room of everything that runs, starts, stops or may still arrive.
 	Reserved resource.Vector
 	// servingCPU, batchCPU and fillingCPU split the requested processor time by kind of task.
@@ -183,7 +185,7 @@
 }
 
 func feasible(w *Worker, r *Request, need resource.Vector) bool {
-	if !w.Open || w.Service != r.Service {
+	if !w.Open || w.Service != r.Service || w.heldFor != "" && w.heldFor != r.StepName && !r.Step.Fills {
 		return false
 	}
 	if !w.Reserved.Add(need).Fits(w.Size) {
@@ -198,6 +200,36 @@
 	return r.Allowed == nil || r.Allowed(w)
 }
 
+// ReleaseHolds lets all workers take any task again.
+func (f *Fleet) ReleaseHolds() {
+	for _, w := range f.order {
+		w.heldFor = ""
+	}
+}
+
+// Hold keeps room free for a task that fits nowhere now, on the worker that needs the least more of it. Only room of
+// tasks that end by themselves counts. Without it, short tasks take every room before it is large enough.
+func (f *Fleet) Hold(r *Request) {
+	var best *Worker
+	need := r.Step.Reserved()
+	for _, w := range f.order {
+		if w.heldFor != "" || !w.Open || w.Service != r.Service || r.Allowed != nil && !r.Allowed(w) ||
+			r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel) ||
+			r.Step.MaxPerWorker > 0 && w.steps[r.StepName] >= r.Step.MaxPerWorker {
+			continue
+		}
+		if w.Free()+w.batchCPU < need.MilliCPU || w.Reserved.MemoryMB+need.MemoryMB > w.Size.MemoryMB {
+			continue
+		}
+		if best == nil || w.Free() > best.Free() {
+			best = w
+		}
+	}
+	if best != nil {
+		best.heldFor = r.StepName
+	}
+}
+
 // Weights of a rank, in millicores of free processor time.
 const (
 	// rackWeight exceeds every difference of free processor time: the wrong rack multiplies the run time.
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -301,8 +301,13 @@
 
 // Sizing of shards.
 const (
-	// workersPerShard is the number of workers that the smallest VM can talk to.
-	workersPerShard = 64
+	// workersPerCore is the number of workers whose shard takes a third of a core.
+	workersPerCore = 350
+	// Bounds of the workers in a shard: with fewer, large tasks find no room beside others; with more, an owner's
+	// loss stops too much at once.
+	leastWorkersPerShard, mostWorkersPerShard = 48, 175
+	// weakVMWait lets VMs with more processor time propose the number of shards.
+	weakVMWait = 1500 * time.Millisecond
 	// registrationTime is how long workers may take to register before they are counted.
 	registrationTime = 3 * time.Second
 )
@@ -311,7 +316,11 @@
 func (d *Daemon) countShards(ctx context.Context) (int, error) {
 	begun := d.now()
 	value, err := ledger.Ensure(ctx, d.out.Store, agreed, shardsKey, func() ([]byte, error) {
-		ledger.Sleep(ctx, registrationTime-(d.now()-begun))
+		wait := registrationTime
+		if d.set.VM.Cores < 2*smallVMCores {
+			wait += weakVMWait
+		}
+		ledger.Sleep(ctx, wait-(d.now()-begun))
 		workers := 0
 		after := ""
 		for {
@@ -324,7 +333,8 @@
 				break
 			}
 		}
-		shards := max(1, min((workers+workersPerShard/2)/workersPerShard, d.set.Store.Partitions))
+		perShard := min(max(int(workersPerCore*d.set.VM.Cores), leastWorkersPerShard), mostWorkersPerShard)
+		shards := max(1, min((workers+perShard/2)/perShard, d.set.Store.Partitions))
 		d.log.Info().Int("workers", workers).Int("shards", shards).Msg("number of shards proposed")
 		return cbor.Marshal(shards)
 	})
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -42,6 +42,7 @@
 			waiting = append(waiting, e)
 		}
 	}
+	s.fleet.ReleaseHolds()
 	wall := s.env.Wall().UnixMilli()
 	for _, e := range waiting {
 		e.prospect = prospectOf(e, wall)
@@ -157,6 +158,9 @@
 		request.Avoid = e.avoid[id]
 		w := s.fleet.Place(&request)
 		if w == nil {
+			if spec.LongRunning {
+				s.fleet.Hold(&request)
+			}
 			return bound, true
 		}
 		s.bind(e, id, w, o.Steps[step][i].Run+1, request.StepName)
