Search each kind of task once in a plan, rest between plans, own near the store

Ruled out: the store, which answered, and the link. A search that found no place is not repeated for as large a task in the same plan; a plan is followed by a rest of three times its length; daemons far from the store claim later.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -58,6 +58,9 @@
 	order   []*Worker // by id, so that a plan does not depend on map order
 	// pressure tells which images disturb each other.
 	pressure *pressure.Model
+	// noPlace holds, during a pass, what found no place. Room only shrinks in a pass, so whatever needs as much or more
+	// of the same kind finds none either; under overload most searches end here.
+	noPlace map[kind]resource.Vector
 	// trials counts, for the filling image that is placed now, the workers where it is beside each serving image.
 	trials      map[string]int
 	trialsImage string
@@ -145,6 +148,48 @@
 	}
 }
 
+// kind tells requests apart that may find different workers.
+type kind struct {
+	service, label, fillingImage string
+	urgent                       bool
+}
+
+func (r *Request) kind() kind {
+	k := kind{service: r.Service, label: r.Step.RequiredLabel, urgent: r.Urgent}
+	if r.Step.Fills {
+		k.fillingImage = r.Step.Image
+	}
+	return k
+}
+
+// BeginPass begins a series of placements between which no room becomes free.
+func (f *Fleet) BeginPass() {
+	f.noPlace = map[kind]resource.Vector{}
+	for _, w := range f.order {
+		w.heldFor = ""
+	}
+}
+
+// EndPass ends the series.
+func (f *Fleet) EndPass() { f.noPlace = nil }
+
+// knownFull reports whether a request cannot find a place in this pass. Room may be held for a lasting step, which
+// is therefore always searched.
+func (f *Fleet) knownFull(r *Request, need resource.Vector) bool {
+	if f.noPlace == nil || r.Step.LongRunning {
+		return false
+	}
+	full, ok := f.noPlace[r.kind()]
+	return ok && full.Fits(need)
+}
+
+// noteFull remembers that a request found no place, if that was for want of room or company alone.
+func (f *Fleet) noteFull(r *Request, need resource.Vector) {
+	if f.noPlace != nil && !r.Step.LongRunning && !r.Step.Gang && r.Allowed == nil && r.Step.MaxPerWorker == 0 {
+		f.noPlace[r.kind()] = need
+	}
+}
+
 // Request asks for places of tasks of one step.
 type Request struct {
 	Step     *jobs.Step
@@ -163,6 +208,13 @@
 	var best, second *Worker
 	var bestScore int64
 	need := r.Step.Reserved()
+	searched := need
+	if r.Step.Fills {
+		searched.MilliCPU = r.Step.Size.MilliCPU // not reserved, but it decides where the task is borne
+	}
+	if f.knownFull(r, searched) {
+		return nil
+	}
 	if r.Step.Fills {
 		f.countTrials(r.Step.Image)
 	}
@@ -179,7 +231,10 @@
 		}
 	}
 	if best == nil {
-		return second
+		best = second
+	}
+	if best == nil {
+		f.noteFull(r, searched)
 	}
 	return best
 }
@@ -200,13 +255,6 @@
 	return r.Allowed == nil || r.Allowed(w)
 }
 
-// ReleaseHolds lets all workers take any task again.
-func (f *Fleet) ReleaseHolds() {
-	for _, w := range f.order {
-		w.heldFor = ""
-	}
-}
-
 // Hold keeps room free for a task that fits nowhere now, on the worker that needs the least more of it. Only room of
 // tasks that end by themselves counts. Without it, short tasks take every room before it is large enough.
 func (f *Fleet) Hold(r *Request) {
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -53,6 +53,8 @@
 
 	draining  atomic.Bool
 	storeSeen atomic.Int64 // boot time at which the control topic was read last, ns
+	// storeWay is the shortest time that the store took to answer, ns.
+	storeWay atomic.Int64
 	// shardTotal is the number of shards; 0 until it is known.
 	shardTotal atomic.Int64
 
@@ -196,6 +198,7 @@
 		d.log.Error().Err(err).Msg("reading the number of shards failed")
 		return
 	}
+	d.measureStore(ctx)
 	self := shardlease.Owner{Name: d.set.Name, Address: d.set.Listen.Peers, Lifetime: time.Now().UnixNano()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -353,12 +356,31 @@
 	return int(xxhash.Sum64String(w.ID)%uint64(max(1, d.shardCount()))) == n
 }
 
-// preference orders the daemons that claim a shard: those with processor time to spare and few shards first.
+// preference orders the daemons that claim a shard: those with processor time to spare, near the
+// store and with few shards first.
 func (d *Daemon) preference() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	weak := int(smallVMCores / d.set.VM.Cores)
-	return 2*len(d.shards) + min(weak, 3) + rand.IntN(2)
+	far := int(time.Duration(d.storeWay.Load()) / regionWay)
+	return 2*len(d.shards) + min(weak, 3) + min(far, 3) + rand.IntN(2)
+}
+
+// regionWay is a time that a call to a store in the same region does not take.
+const regionWay = 20 * time.Millisecond
+
+// measureStore notes how far the store is. An owner waits for it before each start.
+func (d *Daemon) measureStore(ctx context.Context) {
+	for range 3 {
+		begun := d.now()
+		if _, err := d.out.Store.Newest(ctx, agreed, ""); err != nil {
+			continue
+		}
+		took := int64(d.now() - begun)
+		if least := d.storeWay.Load(); least == 0 || took < least {
+			d.storeWay.Store(took)
+		}
+	}
 }
 
 // smallVMCores is the processor share below which a VM is the last choice for a shard.
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -10,6 +10,13 @@
 	"waxwingslip.example/node/ledger"
 )
 
+// Bounds on the processor time of planning.
+const (
+	// planRest times the length of a plan passes before the next one, so that orders and reports are not held up.
+	planRest     = 3
+	planRestMost = 150 * time.Millisecond
+)
+
 // planLoop binds waiting tasks whenever something changed.
 func (s *Shard) planLoop() {
 	for {
@@ -26,7 +33,9 @@
 		s.mu.Lock()
 		s.plan(begun)
 		s.mu.Unlock()
-		s.env.Counters.Plan.Record(s.env.Now() - begun)
+		took := s.env.Now() - begun
+		s.env.Counters.Plan.Record(took)
+		ledger.Sleep(s.ctx, min(planRest*took, planRestMost))
 	}
 }
 
@@ -42,7 +51,8 @@
 			waiting = append(waiting, e)
 		}
 	}
-	s.fleet.ReleaseHolds()
+	s.fleet.BeginPass()
+	defer s.fleet.EndPass()
 	wall := s.env.Wall().UnixMilli()
 	for _, e := range waiting {
 		e.prospect = prospectOf(e, wall)
