--- /dev/null
+++ b/core/packing/packing_test.go
@@ -0,0 +1,134 @@
+package packing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/pressure"
+	"waxwingslip.example/core/resource"
+)
+
+func fleet(workers int, cores int64) *Fleet {
+	f := NewFleet(pressure.NewModel(2 * time.Second))
+	for i := range workers {
+		f.Add(&Worker{ID: fmt.Sprintf("w%03d", i), Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/8), Open: true,
+			Size: resource.Vector{MilliCPU: cores * 1000, MemoryMB: 100_000}})
+	}
+	return f
+}
+
+func step(milliCPU int64) *jobs.Step {
+	return &jobs.Step{Count: 1, Size: resource.Vector{MilliCPU: milliCPU, MemoryMB: 100}}
+}
+
+func request(s *jobs.Step, name string) *Request {
+	return &Request{Step: s, StepName: name, Service: "s"}
+}
+
+// Guards against a worker over its capacity, a limit a worker, a label, a service or a closed worker passed over.
+func TestPlaceKeepsToLimits(t *testing.T) {
+	is := is.New(t)
+	f := fleet(2, 2)
+	s := step(1500)
+	is.Equal(f.Place(request(s, "a")).ID, "w000")
+	f.Reserve("w000", s, "a")
+	is.Equal(f.Place(request(s, "a")).ID, "w001")
+	f.Reserve("w001", s, "a")
+	is.True(f.Place(request(s, "a")) == nil)
+	small := step(100)
+	small.MaxPerWorker = 1
+	f.Reserve("w000", small, "b")
+	f.Reserve("w001", small, "b")
+	is.True(f.Place(request(small, "b")) == nil)
+	is.True(f.Place(request(step(100), "c")) != nil)
+	labelled := step(100)
+	labelled.RequiredLabel = "x"
+	is.True(f.Place(request(labelled, "d")) == nil)
+	is.True(f.Place(&Request{Step: step(100), StepName: "e", Service: "other"}) == nil)
+	f.Worker("w000").Open, f.Worker("w001").Open = false, false
+	is.True(f.Place(request(step(100), "c")) == nil)
+}
+
+// Guards against room that stays taken.
+func TestReleaseGivesRoomBack(t *testing.T) {
+	is := is.New(t)
+	f := fleet(1, 2)
+	for _, s := range []*jobs.Step{step(2000), {Fills: true, Image: "f", Size: resource.Vector{MilliCPU: 2000, MemoryMB: 50}},
+		{LongRunning: true, Image: "i", TailTargetMs: 10, Size: resource.Vector{MilliCPU: 2000, MemoryMB: 50}}} {
+		f.Reserve("w000", s, "a")
+		f.Release("w000", s, "a")
+		w := f.Worker("w000")
+		is.True(w.Reserved.IsZero())
+		is.Equal(w.batchCPU+w.servingCPU+w.fillingCPU, int64(0))
+		is.Equal(len(w.serving)+len(w.filling)+len(w.steps), 0)
+	}
+}
+
+// Guards against filling tasks on the wrong rack, and short tasks that break up the large rooms.
+func TestRank(t *testing.T) {
+	is := is.New(t)
+	f := fleet(16, 10)
+	near := step(100)
+	near.DataRack = "r1"
+	is.Equal(f.Place(request(near, "a")).Rack, "r1")
+	f.Reserve("w005", step(8000), "b")
+	is.Equal(f.Place(request(step(1000), "c")).ID, "w005") // the tightest fit
+	serving := &jobs.Step{LongRunning: true, Image: "i", TailTargetMs: 10, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 10}}
+	first := f.Place(request(serving, "d"))
+	f.Reserve(first.ID, serving, "d")
+	is.Equal(f.Place(request(serving, "d")).ID, first.ID) // beside its own image
+}
+
+// Guards against large lasting tasks that never find room because short tasks take each room that comes free
+// (ambon-mist-grown quiet-1, LOST).
+func TestRoomIsHeldForLargeTasks(t *testing.T) {
+	is := is.New(t)
+	f := fleet(1, 10)
+	short := step(2000)
+	for range 5 {
+		f.Reserve("w000", short, "short")
+	}
+	large := step(6000)
+	large.LongRunning = true
+	for range 3 { // one short task ends in each round, and another one wants its place
+		f.BeginPass()
+		is.True(f.Place(request(large, "large")) == nil)
+		f.Hold(request(large, "large"))
+		f.EndPass()
+		f.Release("w000", short, "short")
+		is.True(f.Place(request(short, "other")) == nil)
+	}
+	f.BeginPass()
+	is.True(f.Place(request(large, "large")) != nil)
+}
+
+// Guards against plans that search all workers for every waiting task although nothing became free (incident b0f5).
+func TestPassEndsSearches(t *testing.T) {
+	is := is.New(t)
+	f := fleet(4, 2)
+	f.BeginPass()
+	is.True(f.Place(request(step(3000), "a")) == nil)
+	f.Worker("w000").Size.MilliCPU = 10_000 // would be seen by a search
+	is.True(f.Place(request(step(3000), "b")) == nil)
+	is.True(f.Place(request(step(4000), "b")) == nil)
+	is.True(f.Place(request(step(1000), "c")) != nil) // a smaller one is searched
+	f.EndPass()
+	is.True(f.Place(request(step(3000), "b")) != nil)
+}
+
+// The load of a full shard: 175 workers, filling tasks of nine images beside serving tasks.
+func BenchmarkPlace(b *testing.B) {
+	f := fleet(175, 64)
+	for i := range 175 * 4 {
+		f.Reserve(fmt.Sprintf("w%03d", i%175), &jobs.Step{LongRunning: true, Image: fmt.Sprint("s", i%175%5), TailTargetMs: 18,
+			Size: resource.Vector{MilliCPU: 13_000, MemoryMB: 1000}}, "x")
+	}
+	s := &jobs.Step{Fills: true, Image: "f1", Size: resource.Vector{MilliCPU: 5000, MemoryMB: 1000}}
+	for b.Loop() {
+		f.Place(request(s, "y"))
+	}
+}
