Move tasks that stand still, and close their worker for a while

Tasks on a hanging worker keep their processor time but not their progress; health and failures do not show it.

--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -83,7 +83,7 @@
 // setPace tells a worker the pace of a run. The caller holds mu.
 func (s *Shard) setPace(w *worker, r *run, pace int) {
 	previous := r.pace
-	r.pace = pace
+	r.pace, r.progressAt = pace, s.env.Now()
 	info := w.info
 	s.env.Counters.Paces.Inc()
 	s.log.Debug().Str("job", r.id.Job).Str("task", r.name).Str("worker", info.ID).Int("pace", pace).Int("previous", previous).Msg("pace set")
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -87,6 +87,7 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, s.env.Now()
 	}
+	s.considerStall(w, r)
 	r.figure = row.Figure
 	switch {
 	case r.step.TailTargetMs == 0 || r.figure <= r.step.TailTargetMs:
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -336,3 +336,18 @@
 		is.True(w.running("a", 4))
 	})
 }
+
+// Guards against tasks that stand still on a worker whose health is good, for as long as it says so.
+func TestTaskStandsStill(t *testing.T) {
+	hangs := func(id jobs.TaskID, run int64) workerfake.Outcome {
+		if run == 1 && id.Index == 0 {
+			return workerfake.Outcome{Duration: time.Hour, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}
+		}
+		return brief(id, run)
+	}
+	run(t, 2, 1, hangs, func(w *world, is *is.I) {
+		w.owner()
+		w.submit("a", jobs.Step{EstimateMs: 1000}, 3)
+		w.await("a", jobs.StateCompleted, 7*time.Second)
+	})
+}
