--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -391,6 +391,21 @@
 	return w.Size.MilliCPU - w.batchCPU - w.servingCPU*servingLoadPercent/100
 }
 
+// Room is the processor time of a service's workers.
+type Room struct{ Free, Batch int64 }
+
+// Room sums the free processor time and that of tasks that end by themselves over the open workers of a service.
+func (f *Fleet) Room(service string) Room {
+	var r Room
+	for _, w := range f.order {
+		if w.Service == service && w.Open {
+			r.Free += w.Free()
+			r.Batch += w.batchCPU
+		}
+	}
+	return r
+}
+
 // Free returns the processor time that is not reserved.
 func (w *Worker) Free() int64 { return w.Size.MilliCPU - w.Reserved.MilliCPU }
 
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -63,7 +63,8 @@
 		w := &world{
 			t: t, store: storefake.New(), fleet: workerfake.NewFleet(outcome), begun: time.Now().Add(-time.Hour),
 			infos: map[string]jobworker.Info{}, out: map[string]bool{},
-			config: &jobqueue.Config{Version: 1, Queues: []jobqueue.Queue{{Name: "q", Service: service}}},
+			config: &jobqueue.Config{Version: 1, Queues: []jobqueue.Queue{{Name: "q", Service: service}},
+				Services: map[string]jobqueue.Service{service: {Name: service}}},
 		}
 		w.admin = w.store.As("operator")
 		for i := range workers {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -158,6 +158,8 @@
 	// runsOn holds the same runs by worker.
 	runsOn   map[string]map[string]*run
 	pressure *pressure.Model
+	// demand is what short tasks of each service needed lately.
+	demand map[string]demand
 	// dirty holds the ids of jobs whose progress is not stored, and stored what follows when it is.
 	dirty  map[string]struct{}
 	stored []func()
@@ -180,7 +182,7 @@
 		number: number, epoch: epoch, env: env, auth: auth, orphanLapse: orphanLapse,
 		log:  env.Log.With().Int("shard", number).Int64("epoch", epoch).Logger(),
 		jobs: map[string]*entry{}, workers: map[string]*worker{}, pressure: pressure.NewModel(env.Bounds.HarmAfter - harmReserve),
-		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, dirty: map[string]struct{}{},
+		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, demand: map[string]demand{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
 	s.fleet = packing.NewFleet(s.pressure)
