Acknowledge ends once, and never to a worker that may have restarted

A worker that restarts under its id numbers its ends anew; each hold repeated the last acknowledgement, so the first one after the restart made the worker forget ends that nobody had seen, and the runs were taken for lost. An acknowledgement is now sent only while it is not answered and the worker has answered the hold before.

--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -351,3 +351,26 @@
 		w.await("a", jobs.StateCompleted, 7*time.Second)
 	})
 }
+
+// Guards against ends of a restarted worker that are acknowledged unseen, with a number of its former life (soak, seeds
+// 101, 107, 134 and 138): the tasks ran twice.
+func TestWorkerRestartsBetweenHolds(t *testing.T) {
+	quick := func(id jobs.TaskID, _ int64) workerfake.Outcome {
+		return workerfake.Outcome{Duration: 10 * time.Millisecond, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}
+	}
+	run(t, 1, 1, quick, func(w *world, is *is.I) {
+		w.owner()
+		for i := range 5 {
+			w.submit("before"+string(rune('0'+i)), jobs.Step{}, 4)
+			w.await("before"+string(rune('0'+i)), jobs.StateCompleted, 5*time.Second)
+		}
+		w.fleet.SetFault(func(_, method string) workerfake.Fault { return workerfake.Fault{LoseAnswer: method == "hold"} })
+		time.Sleep(3 * time.Second) // a hold is under way
+		w.fleet.Crash("w0")
+		w.fleet.Restart("w0")
+		w.submit("after", jobs.Step{}, 4)
+		time.Sleep(300 * time.Millisecond)
+		w.fleet.SetFault(nil)
+		w.await("after", jobs.StateCompleted, 20*time.Second)
+	})
+}
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -40,8 +40,9 @@
 	grant   lease.Grant
 	// incarnation is the one of the newest report.
 	incarnation int64
-	// processed is the number of the newest end that was recorded, and acked the newest that is stored.
-	processed, acked int64
+	// processed is the number of the newest end that was recorded, acked the newest that is stored, and confirmed the
+	// newest of which the worker has answered an acknowledgement.
+	processed, acked, confirmed int64
 	// filledAt is when filling tasks were seen at work on it last, and sickUntil how long its figures are left out.
 	filledAt, sickUntil time.Duration
 	// strained tells that a serving task on it is over its objective.
@@ -149,7 +150,12 @@
 		}
 		s.mu.Lock()
 		info := w.info
-		h := jobworker.Hold{Fence: s.epoch, Ack: w.acked}
+		h := jobworker.Hold{Fence: s.epoch}
+		if w.acked > w.confirmed && !w.failing {
+			// An acknowledgement is sent once and never to a worker that may have restarted, whose ends are numbered
+			// anew: it would forget ends that nobody has seen.
+			h.Ack = w.acked
+		}
 		sent := s.env.Now()
 		if w.clock.Known() && !w.failing {
 			// A worker that does not answer is asked without a renewal, so that its lease lapses at a known time
@@ -173,6 +179,9 @@
 		s.env.Counters.Holds.Inc()
 		s.mu.Lock()
 		pause := s.heard(w, report, err, sent)
+		if err == nil && h.Ack > 0 && w.acked >= h.Ack {
+			w.confirmed = h.Ack
+		}
 		s.mu.Unlock()
 		if err != nil {
 			backoff.Sleep(ctx)
@@ -224,7 +233,7 @@
 		// Its runs are found missing below. A start or stop under way may yet arrive at the new incarnation,
 		// so those runs stay until the order is settled.
 		s.log.Info().Str("worker", w.info.ID).Int64("incarnation", report.Incarnation).Msg("worker restarted")
-		w.processed, w.acked, w.grant = 0, 0, lease.Grant{}
+		w.processed, w.acked, w.confirmed, w.grant = 0, 0, 0, lease.Grant{}
 	}
 	w.incarnation = report.Incarnation
 	w.clock.Observe(sent, s.env.Now(), report.ClockMs)
