--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -338,9 +338,14 @@
 func (f *Fleet) Hold(ctx context.Context, info jobworker.Info, h jobworker.Hold) (jobworker.Report, error) {
 	var report jobworker.Report
 	deadline := time.Now().Add(h.Wait)
+	incarnation := int64(0)
 	for {
 		var changed chan struct{}
 		err := f.order(ctx, info.ID, "hold", func(w *Worker) error {
+			if incarnation != 0 && w.incarnation != incarnation {
+				return errLost // the connection ended with the former life
+			}
+			incarnation = w.incarnation
 			if err := w.checkFence(h.Fence); err != nil {
 				return err
 			}
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -364,13 +364,10 @@
 			w.submit("before"+string(rune('0'+i)), jobs.Step{}, 4)
 			w.await("before"+string(rune('0'+i)), jobs.StateCompleted, 5*time.Second)
 		}
-		w.fleet.SetFault(func(_, method string) workerfake.Fault { return workerfake.Fault{LoseAnswer: method == "hold"} })
-		time.Sleep(3 * time.Second) // a hold is under way
+		time.Sleep(1300 * time.Millisecond) // a hold waits for an end, and breaks off later than the tasks below end
 		w.fleet.Crash("w0")
 		w.fleet.Restart("w0")
 		w.submit("after", jobs.Step{}, 4)
-		time.Sleep(300 * time.Millisecond)
-		w.fleet.SetFault(nil)
 		w.await("after", jobs.StateCompleted, 20*time.Second)
 	})
 }
