Refuse commands until the number of shards is known

A daemon that had just started took a cancelling for shard 0 although there are several, so the job's owner never read it. One shard, as on the smaller deployments, hides this.

--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -38,11 +38,16 @@
 // shardOf returns the shard of a job. It never changes for an environment.
 func shardOf(id string, shards int) int { return int(xxhash.Sum64String(id) % uint64(shards)) }
 
+// errStarting refuses requests until the number of shards is known, without which a job's shard is not.
+func errStarting() error {
+	return &jobqueue.RefusedError{Reason: "the daemon is starting", RetryAfter: outageRetryAfter}
+}
+
 // Submit implements jobqueue.Intake.
 func (i *intake) Submit(ctx context.Context, spec *jobs.Spec) error {
 	shards := i.d.shardCount()
 	if shards == 0 {
-		return &jobqueue.RefusedError{Reason: "the daemon is starting", RetryAfter: outageRetryAfter}
+		return errStarting()
 	}
 	begun := i.d.now()
 	spec.AcceptedMs = time.Now().UnixMilli()
@@ -82,6 +87,10 @@
 
 // Cancel implements jobqueue.Intake.
 func (i *intake) Cancel(ctx context.Context, id string) error {
+	shards := i.d.shardCount()
+	if shards == 0 {
+		return errStarting()
+	}
 	state, err := i.State(ctx, id)
 	var refused *jobqueue.RefusedError
 	switch {
@@ -92,7 +101,7 @@
 	case state == jobs.StateCancelled || state == jobs.StateCompleted || state == jobs.StateFailed:
 		return nil
 	}
-	n := shardOf(id, max(1, i.d.shardCount()))
+	n := shardOf(id, shards)
 	err = i.command(ctx, n, shard.CancelRecord(id))
 	log := i.d.log.Info().Str("job", id).Stringer("state", state)
 	if err != nil {
@@ -108,7 +117,7 @@
 func (i *intake) State(ctx context.Context, id string) (jobs.State, error) {
 	shards := i.d.shardCount()
 	if shards == 0 {
-		return 0, &jobqueue.RefusedError{Reason: "the daemon is starting", RetryAfter: outageRetryAfter}
+		return 0, errStarting()
 	}
 	n := shardOf(id, shards)
 	var state jobs.State
@@ -125,8 +134,11 @@
 
 // Waiting implements jobqueue.Intake.
 func (i *intake) Waiting(ctx context.Context, queue string) (int, error) {
-	total := 0
-	for n := range i.d.shardCount() {
+	total, shards := 0, i.d.shardCount()
+	if shards == 0 {
+		return 0, errStarting()
+	}
+	for n := range shards {
 		count := 0
 		err := i.query(ctx, n,
 			func(_ context.Context, s *shard.Shard) (err error) { count, err = s.Waiting(queue); return },
