Place filling tasks anywhere while most of the room is free

They now take any place after 1.5 s if 45% of the room is free; known disturbers still start halted.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -326,7 +326,7 @@
 // bears reports whether a worker has unused processor time for a filling task, and serving tasks that it does not
 // disturb.
 func (f *Fleet) bears(w *Worker, r *Request) bool {
-	if w.Strained {
+	if w.Strained && !r.Urgent {
 		return false
 	}
 	if w.fillingCPU > 0 && w.fillingCPU+r.Step.Size.MilliCPU > w.unused() {
@@ -392,13 +392,15 @@
 }
 
 // Room is the processor time of a service's workers.
-type Room struct{ Free, Batch int64 }
+type Room struct{ Size, Free, Batch int64 }
 
-// Room sums the free processor time and that of tasks that end by themselves over the open workers of a service.
+// Room sums the free processor time and that of tasks that end by themselves over the open workers of a
+// service.
 func (f *Fleet) Room(service string) Room {
 	var r Room
 	for _, w := range f.order {
 		if w.Service == service && w.Open {
+			r.Size += w.Size.MilliCPU
 			r.Free += w.Free()
 			r.Batch += w.batchCPU
 		}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -156,7 +156,7 @@
 	if spec.Gang {
 		return s.planGang(e, o, step, &request)
 	}
-	request.Urgent = s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs > urgentAfterMs
+	request.Urgent = s.urgent(e, request.Service)
 	bound, left := 0, false
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != jobs.Waiting {
@@ -186,7 +186,23 @@
 
 // urgentAfterMs is the age of a job from which its filling tasks no longer wait for workers on which they disturb
 // nobody. Their pace is limited there.
-const urgentAfterMs = 60_000
+const (
+	urgentAfterMs = 60_000
+	// idleUrgentAfterMs is that age while most of the service's room is free. Callers see no reason to wait then.
+	idleUrgentAfterMs = 1_500
+	// idlePercent of the room is free while a service counts as idle.
+	idlePercent = 45
+)
+
+// urgent reports whether the filling tasks of a job take any place. The caller holds mu.
+func (s *Shard) urgent(e *entry, service string) bool {
+	age := s.env.Wall().UnixMilli() - e.job.Spec.AcceptedMs
+	if age > urgentAfterMs {
+		return true
+	}
+	room := s.fleet.Room(service)
+	return age > idleUrgentAfterMs && room.Free*100 > room.Size*idlePercent
+}
 
 // Bounds of the room that is kept for short tasks.
 const (
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -371,3 +371,24 @@
 		w.await("after", jobs.StateCompleted, 20*time.Second)
 	})
 }
+
+// Guards against a filling task that waits for company that it does not disturb while most of the room is free
+// (ambon-mist fresh-bcb1, LOST).
+func TestFillingTaskRunsInAnIdlePool(t *testing.T) {
+	disturbed := func(id jobs.TaskID, _ int64) workerfake.Outcome {
+		o := lasting(id, 0)
+		o.Figure = 2000
+		if id.Job == "serve" {
+			o.Figure = 60
+		}
+		return o
+	}
+	run(t, 2, 1, disturbed, func(w *world, is *is.I) {
+		w.owner()
+		w.submit("serve", jobs.Step{LongRunning: true, Image: "s", TailTargetMs: 20, MaxPerWorker: 1}, 2)
+		w.submit("first", jobs.Step{Fills: true, Image: "f"}, 2)
+		time.Sleep(10 * time.Second) // the pair is known to disturb
+		w.submit("second", jobs.Step{Fills: true, Image: "f"}, 1)
+		w.awaitThat("the task runs", 3*time.Second, func() bool { return w.fleet.Running(task("second", 0)) == 1 })
+	})
+}
