--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"waxwingslip.example/core/jobs"
@@ -115,6 +116,7 @@
 // planJob binds the waiting tasks of a job. The caller holds mu.
 func (s *Shard) planJob(e *entry, config *jobqueue.Config, now time.Duration) {
 	left, bound := false, 0
+	s.bound = s.bound[:0]
 	for _, o := range e.job.Occurrences {
 		for step := range o.Steps {
 			if !e.job.Ready(o, step) {
@@ -127,7 +129,7 @@
 	}
 	e.open = left
 	if bound > 0 {
-		s.log.Info().Str("job", e.job.Spec.ID).Int("tasks", bound).Bool("more", left).
+		s.log.Info().Str("job", e.job.Spec.ID).Int("tasks", bound).Strs("on", s.bound).Bool("more", left).
 			Int64("age_ms", s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs).Int64("config", config.Version).Msg("tasks bound")
 		s.touch(e)
 	}
@@ -301,6 +303,7 @@
 		stage: committing, boundAt: s.env.Now(), progressAt: s.env.Now(), percent: -1, pace: 100,
 		checkpoint: e.job.Task(id).Checkpoint}
 	s.addRun(r)
+	s.bound = append(s.bound, strconv.Itoa(id.Step)+"."+strconv.Itoa(id.Index)+"@"+w.ID)
 	s.touch(e)
 	s.whenStored(func() { s.start(r) })
 }
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -158,6 +158,8 @@
 	// runsOn holds the same runs by worker.
 	runsOn   map[string]map[string]*run
 	pressure *pressure.Model
+	// bound lists the places given to the job that is planned, for its log line.
+	bound []string
 	// demand is what short tasks of each service needed lately.
 	demand map[string]demand
 	// dirty holds the ids of jobs whose progress is not stored, and stored what follows when it is.
