--- a/cmd/waxwingslipd/hosted.go
+++ b/cmd/waxwingslipd/hosted.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog/diode"
 
+	"waxwingslip.example/external/advisor"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/keyedlog"
 	"waxwingslip.example/node/boottime"
@@ -55,8 +56,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	var advice advisor.Advisor
+	if set.Advice != "" {
+		advice = platform.NewAdvice(set.Advice)
+	}
 	d := hosted.New(set, hosted.Outside{
-		Store: platform.NewStore(set.Store.Address), Workers: platform.NewWorkers(),
+		Store: platform.NewStore(set.Store.Address), Workers: platform.NewWorkers(), Advisor: advice,
 		Layout: hosted.Layout{
 			Control:   keyedlog.Partition{Topic: platform.ControlTopic},
 			Registry:  keyedlog.Partition{Topic: platform.RegistryTopic},
--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -6,6 +6,7 @@
 package packing
 
 import (
+	"cmp"
 	"slices"
 
 	"waxwingslip.example/core/jobs"
@@ -239,6 +240,19 @@
 	return best
 }
 
+// Candidates returns the workers that could take a task of the step now, those with the most free processor time first.
+func (f *Fleet) Candidates(r *Request) []*Worker {
+	need := r.Step.Reserved()
+	var list []*Worker
+	for _, w := range f.order {
+		if feasible(w, r, need) {
+			list = append(list, w)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Worker) int { return cmp.Compare(b.Free(), a.Free()) })
+	return list
+}
+
 func feasible(w *Worker, r *Request, need resource.Vector) bool {
 	if !w.Open || w.Service != r.Service || w.heldFor != "" && w.heldFor != r.StepName && !r.Step.Fills {
 		return false
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -48,6 +48,7 @@
 	workers map[string]*Worker
 	outcome func(task jobs.TaskID, run int64) Outcome
 	fault   func(worker, method string) Fault
+	ticket  func(worker, task, ticket string) bool
 	// active counts the runs of each task on workers that are up.
 	active     map[string]int
 	done       map[string]bool
@@ -67,6 +68,13 @@
 	f.fault = fault
 }
 
+// SetTickets sets whether a worker accepts a ticket for a task; nil accepts any.
+func (f *Fleet) SetTickets(accepts func(worker, task, ticket string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ticket = accepts
+}
+
 // Violations returns the promises that were broken.
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
@@ -273,6 +281,9 @@
 		if err != nil {
 			return jobworker.ErrInvalid
 		}
+		if f.ticket != nil && !f.ticket(w.info.ID, s.Task, s.Ticket) {
+			return jobworker.ErrTicket
+		}
 		o := f.outcome(id, s.Run)
 		if !w.reserved().Add(o.Size).Fits(w.info.Size) {
 			return jobworker.ErrNoRoom
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"waxwingslip.example/external/advisor"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/external/keyedlog"
@@ -30,6 +31,7 @@
 type Outside struct {
 	Store        keyedlog.Store
 	Workers      jobworker.Client
+	Advisor      advisor.Advisor // nil if there is none
 	Layout       Layout
 	DecodeWorker func(id string, value []byte) (jobworker.Info, error)
 	// Callers builds the handler of callers' requests, and ReadinessPath is where the balancer asks.
@@ -70,7 +72,7 @@
 		control: newControl(out.Layout, log), once: ledger.NewOnce(out.Store), shards: map[int]*shard.Shard{},
 	}
 	d.env = &shard.Environment{
-		Store: out.Store, Workers: out.Workers, Config: d.control.Config, Evacuated: d.control.Evacuated,
+		Store: out.Store, Workers: out.Workers, Advisor: out.Advisor, Config: d.control.Config, Evacuated: d.control.Evacuated,
 		Region:       func(zone string) string { return set.Regions[zone] },
 		DecodeWorker: out.DecodeWorker, Registry: out.Layout.Registry, Assigned: d.assigned,
 		Bounds: shard.Bounds{HoldMax: set.Bounds.holdMax(), KeepEnded: set.Bounds.keepEnded(),
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -14,6 +14,7 @@
 
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/resource"
+	"waxwingslip.example/external/advisor"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/jobworker"
 	workerfake "waxwingslip.example/external/jobworker/fake"
@@ -43,6 +44,7 @@
 	out     map[string]bool // zones out of service
 	members []*member
 	config  *jobqueue.Config
+	advisor advisor.Advisor
 }
 
 // member is a daemon.
@@ -123,7 +125,7 @@
 		return w.now() + m.skew
 	}
 	env := &shard.Environment{
-		Store: w.store.As(name), Workers: w.fleet, Config: func() *jobqueue.Config { return w.config },
+		Store: w.store.As(name), Workers: w.fleet, Advisor: advice{w}, Config: func() *jobqueue.Config { return w.config },
 		Evacuated: func(zone string) bool { w.mu.Lock(); defer w.mu.Unlock(); return w.out[zone] },
 		Region:    func(string) string { return "r" },
 		DecodeWorker: func(id string, value []byte) (jobworker.Info, error) {
@@ -249,3 +251,10 @@
 }
 
 func task(job string, index int) string { return jobs.TaskID{Job: job, Index: index}.String() }
+
+// advice passes calls on to the advisor that a test sets.
+type advice struct{ w *world }
+
+func (a advice) Advise(ctx context.Context, step string, workers []string) (advisor.Answer, error) {
+	return a.w.advisor.Advise(ctx, step, workers)
+}
--- a/node/shard/orders.go
+++ b/node/shard/orders.go
@@ -66,7 +66,8 @@
 		deadline := w.clock.Deadline(now, s.env.Bounds.HoldMax)
 		w.grant.Sent(deadline)
 		order := jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
-			Fence: s.epoch, DeadlineMs: deadline}
+			Fence: s.epoch, DeadlineMs: deadline,
+			Ticket: s.ticketFor(r)}
 		s.mu.Unlock()
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		_, err := s.env.Workers.Start(ctx, info, order)
@@ -116,6 +117,8 @@
 	switch {
 	case errors.Is(err, jobworker.ErrFenced):
 		s.cancel()
+	case errors.Is(err, jobworker.ErrTicket):
+		s.dropTicket(r)
 	case errors.Is(err, jobworker.ErrLate), errors.Is(err, jobworker.ErrOldRun):
 	default:
 		w.closedUntil = s.env.Now() + refusedPause
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -153,10 +153,33 @@
 
 // planStep binds the waiting tasks of a step and reports how many and whether some still wait.
 func (s *Shard) planStep(e *entry, o *jobs.Occurrence, step int, now time.Duration) (int, bool) {
-	spec := &e.job.Spec.Steps[step]
 	request := s.request(e, jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step})
+	queue := s.queueOf(e)
+	if queue == nil || queue.Advice == nil {
+		return s.placeStep(e, o, step, &request, now)
+	}
+	open := request // any worker, to ask about
+	s.advised(&request, now)
+	bound, left := s.placeStep(e, o, step, &request, now)
+	if left {
+		s.seekAdvice(queue, &open, now)
+	}
+	return bound, left
+}
+
+// queueOf returns the job's queue in the newest configuration, or nil.
+func (s *Shard) queueOf(e *entry) *jobqueue.Queue {
+	if config := s.env.Config(); config != nil {
+		return config.Queue(e.job.Spec.Queue)
+	}
+	return nil
+}
+
+// placeStep binds the waiting tasks of a step to workers that the request allows.
+func (s *Shard) placeStep(e *entry, o *jobs.Occurrence, step int, request *packing.Request, now time.Duration) (int, bool) {
+	spec := &e.job.Spec.Steps[step]
 	if spec.Gang {
-		return s.planGang(e, o, step, &request)
+		return s.planGang(e, o, step, request)
 	}
 	request.Urgent = s.urgent(e, request.Service)
 	bound, left := 0, false
@@ -173,10 +196,10 @@
 			return bound, true
 		}
 		request.Avoid = e.avoid[id]
-		w := s.fleet.Place(&request)
+		w := s.fleet.Place(request)
 		if w == nil {
 			if spec.LongRunning && o.Steps[step][i].Run > 0 {
-				s.fleet.Hold(&request)
+				s.fleet.Hold(request)
 			}
 			return bound, true
 		}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -16,6 +16,7 @@
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/packing"
 	"waxwingslip.example/core/pressure"
+	"waxwingslip.example/external/advisor"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/external/keyedlog"
@@ -56,6 +57,8 @@
 type Environment struct {
 	Store   keyedlog.Store
 	Workers jobworker.Client
+	// Advisor knows which workers may run the steps of some queues; nil if there is none.
+	Advisor advisor.Advisor
 	// Config returns the newest configuration, or nil.
 	Config func() *jobqueue.Config
 	// Evacuated reports whether an availability zone is out of service.
@@ -158,6 +161,9 @@
 	// runsOn holds the same runs by worker.
 	runsOn   map[string]map[string]*run
 	pressure *pressure.Model
+	// advice holds what is known of the workers for steps that need tickets, by the step's name.
+	advice         map[string]*advice
+	adviceUnderWay int
 	// bound lists the places given to the job that is planned, for its log line.
 	bound []string
 	// demand is what short tasks of each service needed lately.
@@ -184,7 +190,7 @@
 		number: number, epoch: epoch, env: env, auth: auth, orphanLapse: orphanLapse,
 		log:  env.Log.With().Int("shard", number).Int64("epoch", epoch).Logger(),
 		jobs: map[string]*entry{}, workers: map[string]*worker{}, pressure: pressure.NewModel(env.Bounds.HarmAfter - harmReserve),
-		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, demand: map[string]demand{}, dirty: map[string]struct{}{},
+		runs: map[string]*run{}, runsOn: map[string]map[string]*run{}, demand: map[string]demand{}, advice: map[string]*advice{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
 	s.fleet = packing.NewFleet(s.pressure)
@@ -277,6 +283,7 @@
 		s.leaveDraining(now)
 		s.createDue()
 		s.dropEnded()
+		s.dropAdvice()
 		s.mu.Unlock()
 		signal(s.planSignal)
 	}
