--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/google/uuid"
 
+	"waxwingslip.example/external/directory"
 	"waxwingslip.example/node/daemon"
 	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/node/peer/devcert"
-	"waxwingslip.example/external/directory"
 	"waxwingslip.example/standin/platformd"
 )
 
--- a/cmd/e2e/double_test.go
+++ b/cmd/e2e/double_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/external/worker/fake"
+	"waxwingslip.example/node/operator/api"
 )
 
 // Invariants 2 and 3 under the death of a worker together with the daemon that owned it: the new owner cannot know which
--- a/cmd/e2e/faults_test.go
+++ b/cmd/e2e/faults_test.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"waxwingslip.example/core/lease"
-	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/external/directory"
 	"waxwingslip.example/external/fault"
 	"waxwingslip.example/external/worker/fake"
+	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/standin/platformd"
 )
 
--- a/node/contention/contention_test.go
+++ b/node/contention/contention_test.go
@@ -14,9 +14,9 @@
 	"waxwingslip.example/core/resource"
 	"waxwingslip.example/core/verdict"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/worker"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/external/worker"
 )
 
 var owner = record.Owner{Member: "m", Epoch: 1}
--- a/node/contention/observe.go
+++ b/node/contention/observe.go
@@ -11,9 +11,9 @@
 	"waxwingslip.example/core/resource"
 	"waxwingslip.example/core/verdict"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/worker"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/external/worker"
 )
 
 // Usual times of a request that does not wait, used until a daemon has measured its own.
--- a/node/daemon/adapters.go
+++ b/node/daemon/adapters.go
@@ -7,10 +7,10 @@
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/environment"
-	"waxwingslip.example/node/gateway"
-	"waxwingslip.example/node/replica"
 	"waxwingslip.example/external/directory"
 	"waxwingslip.example/external/worker"
+	"waxwingslip.example/node/gateway"
+	"waxwingslip.example/node/replica"
 )
 
 // listPoll is the time between looks at the VM list. With it, a leaving endpoint gets no new work after 3 s.
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -14,6 +14,9 @@
 
 	"waxwingslip.example/core/environment"
 	"waxwingslip.example/core/routing"
+	"waxwingslip.example/external/directory"
+	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/external/worker"
 	"waxwingslip.example/node/authority"
 	"waxwingslip.example/node/claimview"
 	"waxwingslip.example/node/contention"
@@ -29,9 +32,6 @@
 	"waxwingslip.example/node/scheduler"
 	"waxwingslip.example/node/settings"
 	"waxwingslip.example/node/telemetry"
-	"waxwingslip.example/external/directory"
-	"waxwingslip.example/external/logstore"
-	"waxwingslip.example/external/worker"
 )
 
 // Build is the version of the program, set by the linker for releases.
--- a/node/daemon/observability.go
+++ b/node/daemon/observability.go
@@ -8,13 +8,13 @@
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/traffic"
 	"waxwingslip.example/node/contention"
 	"waxwingslip.example/node/gateway"
 	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/stream"
 	"waxwingslip.example/node/telemetry"
-	"waxwingslip.example/external/traffic"
 )
 
 // gaugeInterval is the time between readings of the state for gauges.
--- a/node/daemon/peering.go
+++ b/node/daemon/peering.go
@@ -9,9 +9,9 @@
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/directory"
 	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/peers"
-	"waxwingslip.example/external/directory"
 )
 
 // pressureEvery is the number of hellos of which one carries the pressure of workers. Two hellos sent
--- a/node/daemon/queries.go
+++ b/node/daemon/queries.go
@@ -9,10 +9,10 @@
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/worker"
 	"waxwingslip.example/node/operator"
 	"waxwingslip.example/node/operator/api"
 	"waxwingslip.example/node/peers"
-	"waxwingslip.example/external/worker"
 )
 
 // queries implements operator.Queries from the daemon's copies of the state.
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -11,9 +11,9 @@
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/external/directory"
 	"waxwingslip.example/external/worker"
+	"waxwingslip.example/node/stream"
 )
 
 // leaveTimeout limits how long a shutdown waits for the log to show that shards were released.
--- a/node/peers/message.go
+++ b/node/peers/message.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"waxwingslip.example/core/resource"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/node/stream"
 )
 
 // Methods of the calls between daemons that this package handles.
--- a/node/replica/control.go
+++ b/node/replica/control.go
@@ -5,8 +5,8 @@
 
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/node/stream"
 )
 
 // Control is a daemon's copy of the state of the control stream.
--- a/node/replica/zone.go
+++ b/node/replica/zone.go
@@ -8,8 +8,8 @@
 
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/zone"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/node/stream"
 )
 
 // ZoneStream returns the name of a zone's stream.
--- a/node/stream/race_test.go
+++ b/node/stream/race_test.go
@@ -14,10 +14,10 @@
 	"waxwingslip.example/core/control"
 	"waxwingslip.example/core/environment"
 	"waxwingslip.example/core/record"
-	"waxwingslip.example/node/replica"
-	"waxwingslip.example/node/stream"
 	"waxwingslip.example/external/fault"
 	"waxwingslip.example/external/logstore/fake"
+	"waxwingslip.example/node/replica"
+	"waxwingslip.example/node/stream"
 )
 
 // parseName accepts any text and takes it as the document's name.
--- a/node/stream/startup_bench_test.go
+++ b/node/stream/startup_bench_test.go
@@ -10,9 +10,9 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/core/resource"
 	"waxwingslip.example/core/zone"
+	"waxwingslip.example/external/logstore/fake"
 	"waxwingslip.example/node/replica"
 	"waxwingslip.example/node/stream"
-	"waxwingslip.example/external/logstore/fake"
 )
 
 // targetZone is one of nine zones at the target size: 156 workers and 2,520 running tasks.
