Answer requests of a draining daemon before it closes their connection

A daemon that drains gives open requests 0.9 s, but a query for a shard whose owner is out of reach was tried for 2 s and a command for 1.5 s.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -53,7 +53,10 @@
 	peers   *peer.Transport
 	env     *shard.Environment
 
-	draining  atomic.Bool
+	draining atomic.Bool
+	// closesAt is the boot time at which a draining daemon closes the connections of callers, ns; 0 while it does not
+	// drain.
+	closesAt  atomic.Int64
 	storeSeen atomic.Int64 // boot time at which the control topic was read last, ns
 	// storeWay is the shortest time that the store took to answer, ns.
 	storeWay atomic.Int64
@@ -91,8 +94,21 @@
 	readyAge = 3500 * time.Millisecond
 	// endReserve is the part of the grace period in which open requests are finished.
 	endReserve = 1800 * time.Millisecond
+	// finishTime is the part of endReserve that open requests get; the rest is for the end of the process.
+	finishTime = endReserve / 2
+	// answerTime is what remains of finishTime to write an answer.
+	answerTime = 200 * time.Millisecond
 )
 
+// withinDrain shortens a time limit so that the request is answered before a draining daemon closes its connection.
+func (d *Daemon) withinDrain(limit time.Duration) time.Duration {
+	at := time.Duration(d.closesAt.Load())
+	if at == 0 {
+		return limit
+	}
+	return min(limit, max(at-d.now()-answerTime, 0))
+}
+
 // Run serves until the context ends, then hands the daemon's shards over and finishes what is open.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.log.Info().Msg("daemon starts")
@@ -119,8 +135,9 @@
 		k.Drain()
 	}
 	d.mu.Unlock()
+	d.closesAt.Store(int64(d.now() + d.set.Bounds.grace() - endReserve + finishTime))
 	time.Sleep(d.set.Bounds.grace() - endReserve)
-	ctx, cancel := context.WithTimeout(context.Background(), endReserve/2)
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -71,7 +71,7 @@
 
 // command stores a caller's command.
 func (i *intake) command(ctx context.Context, n int, r keyedlog.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeLimit)
+	ctx, cancel := context.WithTimeout(ctx, i.d.withinDrain(storeTimeLimit))
 	defer cancel()
 	err := i.d.once.Append(ctx, keyedlog.Partition{Topic: shard.JobsTopic, Number: n}, []keyedlog.Record{r})
 	switch {
@@ -157,7 +157,7 @@
 func (i *intake) query(ctx context.Context, n int, local func(context.Context, *shard.Shard) error, remote func(context.Context, string) error) error {
 	begun := i.d.now()
 	i.d.metrics.Counter("jobs_queries").Inc()
-	ctx, cancel := context.WithTimeout(ctx, queryTimeLimit)
+	ctx, cancel := context.WithTimeout(ctx, i.d.withinDrain(queryTimeLimit))
 	defer cancel()
 	var err error
 	for ctx.Err() == nil {
--- a/node/hosted/intake_test.go
+++ b/node/hosted/intake_test.go
@@ -105,3 +105,22 @@
 	set(true, "config", "6") // listed anew, without the zone
 	is.True(!c.Evacuated("z2"))
 }
+
+// Guards against a request that a draining daemon took and cuts off without an answer, since its owner or the store was
+// tried for longer than the daemon had left (sacudi-lima-grown hunt-db29-7, LOST).
+func TestDrainingDaemonAnswersInTime(t *testing.T) {
+	is := is.New(t)
+	store := storefake.New()
+	store.SetFault(func(string, string, keyedlog.Partition) storefake.Fault { return storefake.Fault{Refuse: true} })
+	d := started(store.As("d"))
+	begun := time.Now()
+	d.now = func() time.Duration { return time.Hour + time.Since(begun) }
+	d.shardTotal.Store(1)
+	const left = 600 * time.Millisecond
+	d.closesAt.Store(int64(time.Hour + left))
+	var refused *jobqueue.RefusedError
+	is.True(errors.As((&intake{d}).Submit(t.Context(), &jobs.Spec{ID: "5c0e7a21d94b36f8"}), &refused))
+	_, err := (&intake{d}).State(t.Context(), "5c0e7a21d94b36f8")
+	is.True(errors.As(err, &refused))
+	is.True(time.Since(begun) < left) // queryTimeLimit alone is longer
+}
