Split large files, and keep one copy of what stood twice

Followers of topics had two loops and two forms of lines for a lost dependency, holds and placements two copies of what makes a worker eligible, peers two copies of one refusal, tests two copies of one outcome. Settings without an effect (rates of the store, machines, notice, region) are gone from the file, the template and the checks.

--- /dev/null
+++ b/core/packing/score.go
@@ -0,0 +1,124 @@
+package packing
+
+import (
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/pressure"
+	"waxwingslip.example/core/resource"
+)
+
+// Weights of a rank, in millicores of free processor time.
+const (
+	// rackWeight exceeds every difference of free processor time: the wrong rack multiplies the run time.
+	rackWeight = 10_000_000
+	// pressureWeight is for each whole utilization beyond what a serving image bears.
+	pressureWeight = 400_000
+	// imageWeight is for each serving task of another image on the worker. Serving tasks of one image together
+	// leave more workers on which a filling image disturbs nobody.
+	imageWeight = 30_000
+	// vacantWeight keeps workers without serving tasks free as long as others of the image have room.
+	vacantWeight = 20_000
+)
+
+func (f *Fleet) score(w *Worker, r *Request, need resource.Vector) int64 {
+	s := -w.Penalty
+	if r.Step.DataRack != "" && w.Rack == r.Step.DataRack {
+		s += rackWeight
+	}
+	switch {
+	case r.Step.Fills:
+		return s + w.unused() - w.fillingCPU - int64(pressureWeight*f.press(w, r.Step))
+	case r.Step.TailTargetMs > 0:
+		return s + w.affinity(r.Step.Image) - (w.Free() - need.MilliCPU)
+	case r.Step.LongRunning:
+		// Spreading keeps the loss by one worker small.
+		return s + w.Free()
+	}
+	// A tight fit keeps large rooms whole for large tasks.
+	return s - (w.Free() - need.MilliCPU)
+}
+
+// affinity ranks a worker for a serving task by the images that serve there.
+func (w *Worker) affinity(image string) int64 {
+	if len(w.serving) == 0 {
+		return -vacantWeight
+	}
+	others := 0
+	for name, im := range w.serving {
+		if name != image {
+			others += im.tasks
+		}
+	}
+	return -imageWeight * int64(others)
+}
+
+// bears reports whether a worker has unused processor time for a filling task, and serving tasks that it does not
+// disturb.
+func (f *Fleet) bears(w *Worker, r *Request) bool {
+	if w.Strained && !r.Urgent {
+		return false
+	}
+	if w.fillingCPU > 0 && w.fillingCPU+r.Step.Size.MilliCPU > w.unused() {
+		return false
+	}
+	return r.Urgent || f.press(w, r.Step) == 0
+}
+
+// Disturbs reports whether filling tasks of a step are known to disturb a serving task of a worker.
+func (f *Fleet) Disturbs(id string, step *jobs.Step) bool {
+	w := f.workers[id]
+	if w == nil || !step.Fills {
+		return false
+	}
+	for image := range w.serving {
+		if f.pressure.Disturbs(pressure.Pair{Serving: image, Filling: step.Image}) {
+			return true
+		}
+	}
+	return false
+}
+
+// maxTrials is the number of workers on which a pair of images is tried at a time.
+const maxTrials = 3
+
+// countTrials notes where a filling image runs.
+func (f *Fleet) countTrials(filling string) {
+	f.trialsImage, f.trials = filling, map[string]int{}
+	for _, w := range f.order {
+		if w.filling[filling] == 0 {
+			continue
+		}
+		for image := range w.serving {
+			f.trials[image]++
+		}
+	}
+}
+
+// press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker
+// beyond what these bear.
+func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
+	if len(w.serving) == 0 {
+		return 0
+	}
+	size := float64(max(1, w.Size.MilliCPU))
+	shares := make(map[string]float64, len(w.filling)+1)
+	for image, cpu := range w.filling {
+		shares[image] = float64(cpu) / size
+	}
+	shares[step.Image] += float64(step.Size.MilliCPU) / size
+	total := 0.0
+	for image, im := range w.serving {
+		total += float64(im.tasks) * f.pressure.Press(image, shares, func(filling string) bool {
+			return filling == f.trialsImage && w.filling[filling] == 0 && f.trials[image] >= maxTrials
+		})
+	}
+	return total
+}
+
+// servingLoadPercent is the assumed use of a serving task's reserved processor time before it is measured.
+// Serving tasks leave more than half of what they reserve on average.
+const servingLoadPercent = 50
+
+// unused estimates the processor time that tasks other than filling ones leave.
+func (w *Worker) unused() int64 {
+	return w.Size.MilliCPU - w.batchCPU - w.servingCPU*servingLoadPercent/100
+}
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -17,7 +17,8 @@
 const (
 	// priorLoad is the utilization assumed of serving tasks alone.
 	priorLoad = 0.45
-	// baseShare of a latency objective is the tail assumed at no utilization.
+	// baseShare of a latency objective is the tail assumed at no utilization. With it, lone serving tasks at their usual
+	// load come out between the utilizations of 0.2 and 0.75.
 	baseShare = 0.22
 	// saturated is the utilization above which the tail no longer tells differences.
 	saturated = 0.95
@@ -117,6 +118,10 @@
 	leastPace = 10
 	// raiseStep is the largest rise of the pace of a disturbing task in one report, in percent.
 	raiseStep = 35
+	// leastRise is the rise in percent that is worth an order.
+	leastRise = 2
+	// leastFullShare keeps a task that asks for hardly anything from being divided by zero.
+	leastFullShare = 0.001
 	// LightFactor is the factor up to which a filling image counts as harmless to a serving one.
 	LightFactor = 0.8
 	// beyondMeasure is added to the utilization of a serving task that is over its objective, since near saturation
@@ -161,8 +166,8 @@
 			excess -= factor * f.Share
 			continue
 		}
-		rise := min(float64(raiseStep), max(0, -excess)/(factor*max(f.FullShare, 0.001))*100)
-		if rise < 2 {
+		rise := min(float64(raiseStep), max(0, -excess)/(factor*max(f.FullShare, leastFullShare))*100)
+		if rise < leastRise {
 			rise = 0
 		}
 		pace[i] = min(pace[i], f.Pace+int(rise))
--- /dev/null
+++ b/external/jobworker/fake/orders.go
@@ -0,0 +1,155 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/external/jobworker"
+)
+
+// Start implements jobworker.Client.
+func (f *Fleet) Start(ctx context.Context, info jobworker.Info, s jobworker.Start) (int64, error) {
+	clock := int64(0)
+	err := f.order(ctx, info.ID, "start", func(w *Worker) error {
+		clock = w.clockMs()
+		if err := w.checkFence(s.Fence); err != nil {
+			return err
+		}
+		if a := w.runs[s.Task]; a != nil && a.number == s.Run {
+			return nil
+		}
+		if s.DeadlineMs < clock {
+			return jobworker.ErrLate
+		}
+		w.extend(s.DeadlineMs)
+		if s.Run <= w.settled[s.Task] || w.runs[s.Task] != nil {
+			return jobworker.ErrOldRun
+		}
+		id, err := jobs.ParseTaskID(s.Task)
+		if err != nil {
+			return jobworker.ErrInvalid
+		}
+		if f.ticket != nil && !f.ticket(w.info.ID, s.Task, s.Ticket) {
+			return jobworker.ErrTicket
+		}
+		o := f.outcome(id, s.Run)
+		if !w.reserved().Add(o.Size).Fits(w.info.Size) {
+			return jobworker.ErrNoRoom
+		}
+		w.begin(s, o)
+		return nil
+	})
+	return clock, err
+}
+
+func (w *Worker) begin(s jobworker.Start, o Outcome) {
+	f := w.fleet
+	a := &active{number: s.Run, outcome: o, begun: time.Now()}
+	w.runs[s.Task] = a
+	f.active[s.Task]++
+	f.starts[s.Task]++
+	if f.active[s.Task] > 1 {
+		f.violations = append(f.violations, fmt.Sprintf("two runs of %s at once, run %d on %s", s.Task, s.Run, w.info.ID))
+	}
+	if f.done[s.Task] {
+		f.violations = append(f.violations, fmt.Sprintf("run %d of %s starts after its end was acknowledged", s.Run, s.Task))
+	}
+	a.timer = time.AfterFunc(o.Duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.runs[s.Task] != a || o.Forever {
+			return
+		}
+		kind := jobs.EndDone
+		if o.Fails {
+			kind = jobs.EndFailed
+		}
+		w.end(s.Task, kind)
+	})
+}
+
+// Stop implements jobworker.Client.
+func (f *Fleet) Stop(ctx context.Context, info jobworker.Info, task string, run, fence int64) error {
+	return f.order(ctx, info.ID, "stop", func(w *Worker) error {
+		if err := w.checkFence(fence); err != nil {
+			return err
+		}
+		if a := w.runs[task]; a != nil && a.number <= run {
+			w.end(task, jobs.EndStopped)
+		}
+		w.settled[task] = max(w.settled[task], run)
+		return nil
+	})
+}
+
+// Pace implements jobworker.Client.
+func (f *Fleet) Pace(ctx context.Context, info jobworker.Info, task string, _ int64, percent int, fence int64) error {
+	return f.order(ctx, info.ID, "pace", func(w *Worker) error {
+		if err := w.checkFence(fence); err != nil {
+			return err
+		}
+		w.paces[task] = percent
+		return nil
+	})
+}
+
+// Hold implements jobworker.Client.
+func (f *Fleet) Hold(ctx context.Context, info jobworker.Info, h jobworker.Hold) (jobworker.Report, error) {
+	var report jobworker.Report
+	deadline := time.Now().Add(h.Wait)
+	incarnation := int64(0)
+	for {
+		var changed chan struct{}
+		err := f.order(ctx, info.ID, "hold", func(w *Worker) error {
+			if incarnation != 0 && w.incarnation != incarnation {
+				return errLost // the connection ended with the former life
+			}
+			incarnation = w.incarnation
+			if err := w.checkFence(h.Fence); err != nil {
+				return err
+			}
+			w.acknowledge(h.Ack)
+			if h.DeadlineMs > 0 {
+				w.extend(h.DeadlineMs)
+			}
+			report, changed = w.report(), w.changed
+			return nil
+		})
+		if err != nil || len(report.Ended) > 0 || !time.Now().Before(deadline) {
+			return report, err
+		}
+		t := time.NewTimer(time.Until(deadline))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return jobworker.Report{}, ctx.Err()
+		}
+		t.Stop()
+	}
+}
+
+// acknowledge forgets ends. The caller holds mu.
+func (w *Worker) acknowledge(upTo int64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= upTo {
+		if e := w.ended[0]; e.Kind == jobs.EndDone {
+			w.fleet.done[e.Task] = true
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+func (w *Worker) report() jobworker.Report {
+	r := jobworker.Report{Incarnation: w.incarnation, ClockMs: w.clockMs(), Ended: append([]jobworker.End(nil), w.ended...)}
+	for task, a := range w.runs {
+		percent := 100
+		if !a.outcome.Forever && a.outcome.Duration > 0 {
+			percent = int(100 * time.Since(a.begun) / a.outcome.Duration)
+		}
+		r.Running = append(r.Running, jobworker.Run{Task: task, Run: a.number, Percent: min(percent, 100), Figure: a.outcome.Figure})
+	}
+	return r
+}
--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -200,18 +200,26 @@
 // codeNotOwner is answered by a daemon that does not own the shard asked about.
 const codeNotOwner = peer.CodeApplication
 
+// mustOwn returns a shard that this daemon owns, or the error for peers.
+func (d *Daemon) mustOwn(n int) (*shard.Shard, error) {
+	if s := d.owned(n); s != nil {
+		return s, nil
+	}
+	return nil, &peer.RemoteError{Code: codeNotOwner, Message: "not the owner of the shard"}
+}
+
 func (d *Daemon) handlePeers(s *peer.Server) {
 	peer.HandleCall(s, methodState, func(ctx context.Context, _ string, q stateQuery) (jobs.State, error) {
-		owned := d.owned(q.Shard)
-		if owned == nil {
-			return 0, &peer.RemoteError{Code: codeNotOwner, Message: "not the owner of the shard"}
+		owned, err := d.mustOwn(q.Shard)
+		if err != nil {
+			return 0, err
 		}
 		return owned.State(ctx, q.Job)
 	})
 	peer.HandleCall(s, methodWaiting, func(_ context.Context, _ string, q waitingQuery) (int, error) {
-		owned := d.owned(q.Shard)
-		if owned == nil {
-			return 0, &peer.RemoteError{Code: codeNotOwner, Message: "not the owner of the shard"}
+		owned, err := d.mustOwn(q.Shard)
+		if err != nil {
+			return 0, err
 		}
 		return owned.Waiting(q.Queue)
 	})
--- a/node/hosted/intake_test.go
+++ b/node/hosted/intake_test.go
@@ -116,6 +116,7 @@
 	begun := time.Now()
 	d.now = func() time.Duration { return time.Hour + time.Since(begun) }
 	d.shardTotal.Store(1)
+	d.storeSeen.Store(int64(time.Hour))
 	const left = 600 * time.Millisecond
 	d.closesAt.Store(int64(time.Hour + left))
 	var refused *jobqueue.RefusedError
--- a/node/hosted/settings.go
+++ b/node/hosted/settings.go
@@ -18,9 +18,8 @@
 // Settings configure a hosted daemon. Times are milliseconds.
 type Settings struct {
 	// Name identifies the VM in logs, certificates and records.
-	Name   string `yaml:"name"`
-	Zone   string `yaml:"zone"`
-	Region string `yaml:"region"`
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
 	// Regions maps each availability zone to its region.
 	Regions map[string]string `yaml:"regions"`
 
@@ -28,11 +27,9 @@
 	Store  StoreLimits `yaml:"store"`
 	// Advice is the address of the service that names the workers which may run a step; empty if there is none.
 	Advice string `yaml:"advice"`
-	// Machines is the address of the service that lists and moves VMs; empty if there is none.
-	Machines string `yaml:"machines"`
-	VM       VM     `yaml:"vm"`
-	Bounds   Bounds `yaml:"bounds"`
-	Log      Log    `yaml:"log"`
+	VM     VM     `yaml:"vm"`
+	Bounds Bounds `yaml:"bounds"`
+	Log    Log    `yaml:"log"`
 }
 
 // Listen holds listener addresses as IP:port.
@@ -43,13 +40,10 @@
 	Metrics   string `yaml:"metrics"`
 }
 
-// StoreLimits locate the store and state its rates.
+// StoreLimits locate the store and state the partitions of a topic.
 type StoreLimits struct {
 	Address    string `yaml:"address"`
 	Partitions int    `yaml:"partitions"`
-	// WritesPerSecond and ReadsPerSecond are shared by all daemons.
-	WritesPerSecond float64 `yaml:"writesPerSecond"`
-	ReadsPerSecond  float64 `yaml:"readsPerSecond"`
 }
 
 // VM is what the daemon may use of its VM.
@@ -67,8 +61,6 @@
 	GraceSeconds float64 `yaml:"graceSeconds"`
 	// HarmMs is how long a serving task may miss its objective because of filling tasks.
 	HarmMs float64 `yaml:"harmMs"`
-	// NoticeMs is how long a serving task may be away before it counts as unavailable.
-	NoticeMs float64 `yaml:"noticeMs"`
 }
 
 // Log configures the log.
@@ -89,7 +81,7 @@
 }
 
 func (s *Settings) validate(f *strictyaml.File) {
-	for _, t := range []struct{ field, value string }{{"name", s.Name}, {"zone", s.Zone}, {"region", s.Region}} {
+	for _, t := range []struct{ field, value string }{{"name", s.Name}, {"zone", s.Zone}} {
 		if t.value == "" {
 			f.Add(t.field, "is missing")
 		}
--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"waxwingslip.example/external/keyedlog"
 )
@@ -88,19 +89,15 @@
 	return nil
 }
 
-// Run polls until the context ends and reports each change between working and failing.
-func (f *Follower) Run(ctx context.Context, wait, pause time.Duration, changed func(error)) {
+// Run polls until the context ends and passes on what came of each poll.
+func (f *Follower) Run(ctx context.Context, wait, pause time.Duration, polled func(error)) {
 	var retry Backoff
-	failing := false
 	for ctx.Err() == nil {
 		err := f.Poll(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != failing {
-			failing = err != nil
-			changed(err)
-		}
+		polled(err)
 		if err != nil {
 			retry.Sleep(ctx)
 			continue
@@ -109,3 +106,19 @@
 		Sleep(ctx, pause)
 	}
 }
+
+// LogDependency returns a function that takes what came of each use of a dependency and writes a line when it is lost
+// or regained.
+func LogDependency(log zerolog.Logger, name string) func(error) {
+	lost := false
+	return func(err error) {
+		if (err != nil) == lost {
+			return
+		}
+		if lost = err != nil; lost {
+			log.Warn().Err(err).Str("dependency", name).Msg("dependency lost")
+			return
+		}
+		log.Info().Str("dependency", name).Msg("dependency regained")
+	}
+}
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -245,6 +245,16 @@
 	return workerfake.Outcome{Forever: true, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}
 }
 
+// disturbed is the outcome of lasting tasks: those of the job "serve" have a tail of 60 ms, all others use a core.
+func disturbed(id jobs.TaskID, _ int64) workerfake.Outcome {
+	o := lasting(id, 0)
+	o.Figure = 1000
+	if id.Job == "serve" {
+		o.Figure = 60
+	}
+	return o
+}
+
 // brief is the outcome of tasks that take a second.
 func brief(jobs.TaskID, int64) workerfake.Outcome {
 	return workerfake.Outcome{Duration: time.Second, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -138,11 +137,7 @@
 // request asks for a place of a task by the newest configuration of its queue. The caller holds mu.
 func (s *Shard) request(e *entry, id jobs.TaskID) packing.Request {
 	r := packing.Request{Step: &e.job.Spec.Steps[id.Step], StepName: id.StepName(), Service: e.job.Spec.Service}
-	config := s.env.Config()
-	if config == nil {
-		return r
-	}
-	if q := config.Queue(e.job.Spec.Queue); q != nil {
+	if q := s.queueOf(e); q != nil {
 		r.Service = q.Service
 		if len(q.Regions) > 0 {
 			r.Allowed = func(w *packing.Worker) bool { return slices.Contains(q.Regions, s.env.Region(w.Zone)) }
@@ -209,9 +204,10 @@
 	return bound, left
 }
 
-// urgentAfterMs is the age of a job from which its filling tasks no longer wait for workers on which they disturb
-// nobody. Their pace is limited there.
+// Bounds of the wait of filling tasks.
 const (
+	// urgentAfterMs is the age of a job from which its filling tasks no longer wait for workers on which they disturb
+	// nobody. Their pace is limited there.
 	urgentAfterMs = 60_000
 	// idleUrgentAfterMs is that age while most of the service's room is free. Callers see no reason to wait then.
 	idleUrgentAfterMs = 1_500
@@ -229,58 +225,6 @@
 	return age > idleUrgentAfterMs && room.Free*100 > room.Size*idlePercent
 }
 
-// Bounds of the room that is kept for short tasks.
-const (
-	// demandReserve percent of the highest recent demand of short tasks stay free when a new lasting task is placed. A
-	// lasting task holds its room for minutes; short ones that arrive then would all be late.
-	demandReserve = 125
-	// demandFade is the time in which a past demand counts half.
-	demandFade = 8 * time.Second
-	// patientMs is how old a job of new lasting tasks gets before it takes that room as well.
-	patientMs = 20_000
-)
-
-// demand is the processor time that short tasks of a service need.
-type demand struct {
-	milliCPU float64
-	at       time.Duration
-}
-
-// noteDemand updates what short tasks run and wait for. The caller holds mu.
-func (s *Shard) noteDemand(waiting []*entry, now time.Duration) {
-	current := map[string]int64{}
-	for _, e := range waiting {
-		for _, o := range e.job.Occurrences {
-			for step := range o.Steps {
-				if spec := &e.job.Spec.Steps[step]; !spec.LongRunning && !spec.Fills && e.job.Ready(o, step) {
-					for i := range o.Steps[step] {
-						if o.Steps[step][i].Phase == jobs.Waiting {
-							current[e.job.Spec.Service] += spec.Size.MilliCPU
-						}
-					}
-				}
-			}
-		}
-	}
-	for service := range s.env.Config().Services {
-		d := s.demand[service]
-		d.milliCPU *= math.Exp2(-float64(now-d.at) / float64(demandFade))
-		d.milliCPU = max(d.milliCPU, float64(current[service]+s.fleet.Room(service).Batch))
-		d.at = now
-		s.demand[service] = d
-	}
-}
-
-// sparesRoom reports whether a new lasting task leaves enough room for short ones. The caller holds mu.
-func (s *Shard) sparesRoom(e *entry, service string, step *jobs.Step) bool {
-	if s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs > patientMs {
-		return true
-	}
-	room := s.fleet.Room(service)
-	reserve := int64(s.demand[service].milliCPU*demandReserve/100) - room.Batch
-	return room.Free-step.Size.MilliCPU >= reserve
-}
-
 // planGang binds all members of a gang or none.
 func (s *Shard) planGang(e *entry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
 	tasks := o.Steps[step]
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -220,10 +220,10 @@
 	}
 	var loops sync.WaitGroup
 	loops.Go(func() {
-		s.jobsFollower.Run(s.ctx, jobsWait, 0, s.dependency("jobs topic"))
+		s.jobsFollower.Run(s.ctx, jobsWait, 0, ledger.LogDependency(s.log, "jobs topic"))
 	})
 	registry := ledger.NewFollower(s.env.Store, s.env.Registry, s.applyRegistry)
-	loops.Go(func() { registry.Run(s.ctx, 0, registryPause, s.dependency("worker registry")) })
+	loops.Go(func() { registry.Run(s.ctx, 0, registryPause, ledger.LogDependency(s.log, "worker registry")) })
 	loops.Go(s.commitLoop)
 	loops.Go(s.planLoop)
 	loops.Go(s.sweepLoop)
@@ -231,16 +231,6 @@
 	s.orders.Wait()
 }
 
-func (s *Shard) dependency(name string) func(error) {
-	return func(err error) {
-		if err != nil {
-			s.log.Warn().Err(err).Str("dependency", name).Msg("dependency lost")
-			return
-		}
-		s.log.Info().Str("dependency", name).Msg("dependency regained")
-	}
-}
-
 // addRun notes a run and reserves its room. The caller holds mu.
 func (s *Shard) addRun(r *run) {
 	s.runs[r.name] = r
