--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -87,6 +87,8 @@
 	controlWait = time.Second
 	// readyAge is how old the newest read of the control topic may be while callers are sent here.
 	readyAge = 3500 * time.Millisecond
+	// blindAge is how old that read is at least while the store is out of reach; it waits for controlWait.
+	blindAge = controlWait + 500*time.Millisecond
 	// endReserve is the part of the grace period in which open requests are finished.
 	endReserve = 1800 * time.Millisecond
 	// finishTime is the part of endReserve that open requests get; the rest is for the end of the process.
@@ -194,12 +196,18 @@
 		return errors.New("no configuration")
 	case d.shardCount() == 0:
 		return errors.New("number of shards is not known")
-	case d.now()-time.Duration(d.storeSeen.Load()) > readyAge:
+	case d.storeAge() > readyAge:
 		return errors.New("the store cannot be reached")
 	}
 	return nil
 }
 
+// storeAge returns how long ago the control topic was read.
+func (d *Daemon) storeAge() time.Duration { return d.now() - time.Duration(d.storeSeen.Load()) }
+
+// blind reports whether the store, and with it the records of owners, cannot be read.
+func (d *Daemon) blind() bool { return d.storeAge() > blindAge }
+
 // start joins the other daemons and takes part in the ownership of shards.
 func (d *Daemon) start(ctx context.Context) {
 	go d.followControl(ctx)
--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -174,6 +174,9 @@
 			i.d.metrics.Histogram("jobs_query_time").Record(i.d.now() - begun)
 			return nil
 		}
+		if i.d.blind() {
+			break // no new owner can be learned of now
+		}
 		ledger.Sleep(ctx, queryPause)
 	}
 	i.d.metrics.Counter("jobs_queries_failed").Inc()
--- a/node/hosted/intake_test.go
+++ b/node/hosted/intake_test.go
@@ -125,3 +125,18 @@
 	is.True(errors.As(err, &refused))
 	is.True(time.Since(begun) < left) // queryTimeLimit alone is longer
 }
+
+// Guards against queries that a daemon without the store holds for the whole of their time, though it cannot learn of an
+// owner (sacudi-lima inc-c754).
+func TestBlindDaemonRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := started(storefake.New().As("d"))
+	begun := time.Now()
+	d.now = func() time.Duration { return time.Hour + time.Since(begun) }
+	d.shardTotal.Store(1)
+	d.storeSeen.Store(int64(time.Hour - 2*blindAge))
+	_, err := (&intake{d}).State(t.Context(), "5c0e7a21d94b36f8")
+	var refused *jobqueue.RefusedError
+	is.True(errors.As(err, &refused))
+	is.True(time.Since(begun) < queryTimeLimit/2)
+}
