--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -92,14 +92,6 @@
 	return created
 }
 
-// NextDueMs returns when the next occurrence is due, and false if there is none.
-func (j *Job) NextDueMs() (int64, bool) {
-	if j.Outcome != Unfinished || j.Next >= j.Spec.Occurrences() {
-		return 0, false
-	}
-	return j.Spec.DueMs(j.Next), true
-}
-
 // Occurrence returns an occurrence that has begun and not ended, or nil.
 func (j *Job) Occurrence(number int) *Occurrence {
 	for _, o := range j.Occurrences {
