Let the test of forwarded requests wait for the zone's own endpoints

Cause: startCluster waits until a daemon serves requests, and until the replicas of its zone run it serves them with endpoints of another zone. Ruled out: a full queue and late shedding (20 requests in flight an endpoint, 4 s of 5 s).

--- a/cmd/e2e/cluster_test.go
+++ b/cmd/e2e/cluster_test.go
@@ -310,3 +310,12 @@
 		return err == nil && status.MayStart && getOnce(d, "/ready").status == http.StatusOK
 	})
 }
+
+// waitServingLocally waits until a daemon sends requests to endpoints of its own zone. Until its zone's replicas run, it
+// serves with those of other zones.
+func (c *cluster) waitServingLocally(d *entry) {
+	c.t.Helper()
+	eventually(c.t, readyTimeout, d.name+" uses endpoints of its zone", func() bool {
+		return strings.Contains(getOnce(d, "/local").echo.Replica, "@"+d.zone)
+	})
+}
--- a/cmd/e2e/daemon_test.go
+++ b/cmd/e2e/daemon_test.go
@@ -106,6 +106,7 @@
 	const slow = 16
 	c := startCluster(t, "east-a", "west-a")
 	entry, victim := c.first("east-a"), c.first("west-a")
+	c.waitServingLocally(victim)
 	replies, keys := make([]reply, slow), make([]string, slow)
 	var callers sync.WaitGroup
 	for i := range slow {
