Set the pace of filling tasks anew after a change of the owner

Cause: the pace of a run is known to its owner only, and the next one assumed 100%. Ruled out: room held for other steps, limits a worker, a worker that leaves.

TestPaceIsSetAfterHandOver fails without the change.

--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -26,7 +26,7 @@
 			serving = append(serving, t)
 		case r.step.Fills:
 			filling = append(filling, pressure.Filling{Image: r.step.Image, Share: float64(r.figure) / size,
-				FullShare: float64(r.step.Size.MilliCPU) / size, Pace: r.pace})
+				FullShare: float64(r.step.Size.MilliCPU) / size, Pace: max(r.pace, 0)})
 			fillers = append(fillers, r)
 		}
 	}
@@ -115,7 +115,7 @@
 // considerMove stops a filling task that is held up here if another worker bears it. The caller holds mu.
 func (s *Shard) considerMove(w *worker, r *run) {
 	now := s.env.Now()
-	if r.pace >= slowPace {
+	if r.pace >= slowPace || r.pace == unknownPace {
 		r.slowSince = 0
 		return
 	}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -84,11 +84,19 @@
 	e.job.Bound(func(id jobs.TaskID, t *jobs.Task) {
 		step := &e.job.Spec.Steps[id.Step]
 		r := &run{id: id, name: id.String(), number: t.Run, workerID: t.Worker, step: step, stepName: id.StepName(),
-			stage: running, percent: -1, pace: 100, checkpoint: t.Checkpoint, boundAt: s.env.Now(), progressAt: s.env.Now()}
+			stage: running, percent: -1, pace: adoptedPace(step), checkpoint: t.Checkpoint, boundAt: s.env.Now(), progressAt: s.env.Now()}
 		s.addRun(r)
 	})
 }
 
+// adoptedPace returns the pace of a run that the previous owner may have started. It paced filling tasks only.
+func adoptedPace(step *jobs.Step) int {
+	if step.Fills {
+		return unknownPace
+	}
+	return 100
+}
+
 // applyCommands reads what callers commanded.
 func (s *Shard) applyCommands(records []keyedlog.Record, _ bool) {
 	s.mu.Lock()
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -123,7 +123,7 @@
 	percent    int
 	progressAt time.Duration
 	figure     int64
-	// pace is the percentage that the worker was told last.
+	// pace is the percentage that the worker was told last, or unknownPace.
 	pace int
 	// overSince is when the tail of a serving task rose over its objective; zero if it is not over it.
 	overSince time.Duration
@@ -133,6 +133,9 @@
 	checkpoint string
 }
 
+// unknownPace is the pace of a run that the previous owner may have paced.
+const unknownPace = -1
+
 // Shard is the state of an owned shard.
 type Shard struct {
 	number int
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -284,6 +284,21 @@
 	})
 }
 
+// Guards against a filling task that stays halted because the next owner of the shard takes it to be unpaced (ambon-mist
+// mix 173306017531: taken for standing still, it also closed its worker to lasting tasks, LOST).
+func TestPaceIsSetAfterHandOver(t *testing.T) {
+	run(t, 1, 2, disturbed, func(w *world, is *is.I) {
+		first := w.owner()
+		w.submit("serve", jobs.Step{LongRunning: true, Image: "s", TailTargetMs: 20}, 1)
+		w.submit("fill", jobs.Step{Fills: true, Image: "f"}, 1)
+		w.awaitThat("the filling task is halted", 4*time.Second, func() bool { return w.fleet.PaceOf("w0", task("fill", 0)) == 0 })
+		first.cancel()
+		w.cancel("serve")
+		w.awaitThat("the other member owns the shard", 5*time.Second, func() bool { return w.owner() != first })
+		w.awaitThat("the filling task is at full pace", 4*time.Second, func() bool { return w.fleet.PaceOf("w0", task("fill", 0)) == 100 })
+	})
+}
+
 // Guards against room that is given twice or never given back.
 func TestRoomIsKept(t *testing.T) {
 	run(t, 2, 1, func(id jobs.TaskID, _ int64) workerfake.Outcome {
