Judge pairs of images by enough evidence, and try doubtful ones again on one worker

Cause: a pair that was seen for a few reports while the serving task's own load was at its peak was taken to disturb, and never tried again.

A pair is taken to disturb only if its factor certainly exceeds the bound; until then it is tried on one worker at a time. TestPairIsNotWrittenOffEarly fails without the change.

--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -120,6 +120,41 @@
 	is.True(f.Place(request(step(3000), "b")) != nil)
 }
 
+// Guards against the harm of trying a pair of images that seems to disturb on many workers at once, and against never
+// trying it again.
+func TestSecondTrialsAreFew(t *testing.T) {
+	is := is.New(t)
+	m := pressure.NewModel(2 * time.Second)
+	f := NewFleet(m)
+	serving := &jobs.Step{LongRunning: true, Image: "s", TailTargetMs: 18, Size: resource.Vector{MilliCPU: 20_000, MemoryMB: 10}}
+	filling := &jobs.Step{Fills: true, Image: "f", Size: resource.Vector{MilliCPU: 7000, MemoryMB: 10}}
+	for i := range 6 {
+		id := fmt.Sprint("w", i)
+		f.Add(&Worker{ID: id, Service: "s", Open: true, Size: resource.Vector{MilliCPU: 64_000, MemoryMB: 1000}})
+		f.Reserve(id, serving, "serve")
+	}
+	place := func() (n int) {
+		for {
+			w := f.Place(request(filling, "fill"))
+			if w == nil {
+				return n
+			}
+			f.Reserve(w.ID, filling, "fill")
+			n++
+		}
+	}
+	is.Equal(place(), maxFirstTrials)
+	for i := range 6 {
+		if id := fmt.Sprint("w", i); f.Worker(id).fillingCPU > 0 {
+			f.Release(id, filling, "fill")
+		}
+	}
+	for range 20 { // the serving task's load is at its peak
+		m.Observe([]pressure.Serving{{Image: "s", TargetMs: 18, TailMs: 12}}, []pressure.Filling{{Image: "f", Share: 0.11}})
+	}
+	is.Equal(place(), maxSecondTrials)
+}
+
 // The load of a full shard: 175 workers, filling tasks of nine images beside serving tasks.
 func BenchmarkPlace(b *testing.B) {
 	f := fleet(175, 64)
--- a/core/packing/score.go
+++ b/core/packing/score.go
@@ -77,8 +77,18 @@
 	return false
 }
 
-// maxTrials is the number of workers on which a pair of images is tried at a time.
-const maxTrials = 3
+// Numbers of workers on which a pair of images is tried at a time: one that was not seen, and one that seems to disturb.
+const (
+	maxFirstTrials  = 3
+	maxSecondTrials = 1
+)
+
+func (f *Fleet) maxTrials(serving, filling string) int {
+	if f.pressure.Seen(pressure.Pair{Serving: serving, Filling: filling}) {
+		return maxSecondTrials
+	}
+	return maxFirstTrials
+}
 
 // countTrials notes where a filling image runs.
 func (f *Fleet) countTrials(filling string) {
@@ -108,7 +118,7 @@
 	total := 0.0
 	for image, im := range w.serving {
 		total += float64(im.tasks) * f.pressure.Press(image, shares, func(filling string) bool {
-			return filling == f.trialsImage && w.filling[filling] == 0 && f.trials[image] >= maxTrials
+			return filling == f.trialsImage && w.filling[filling] == 0 && f.trials[image] >= f.maxTrials(image, filling)
 		})
 	}
 	return total
--- a/core/pressure/estimator.go
+++ b/core/pressure/estimator.go
@@ -144,3 +144,20 @@
 	}
 	return priorFactor
 }
+
+// loadDeviation is how much the load of serving tasks by itself moves the utilization from one observation to others.
+// Observations of one task within seconds move together, so it stands for several of them.
+const loadDeviation = 0.45
+
+// lowerBound returns what the factor of a filling image certainly exceeds, or 0 if it was not seen.
+func (e *estimator) lowerBound(filling string) float64 {
+	i, ok := e.index[filling]
+	if !ok {
+		return 0
+	}
+	weight := e.squares[i][i] - priorWeight
+	if weight <= 0 {
+		return 0
+	}
+	return e.factors[i] - loadDeviation/math.Sqrt(weight)
+}
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -207,8 +207,16 @@
 // Bears reports whether a serving image bears a filling image beside it, whatever else its load does.
 func (m *Model) Bears(p Pair) bool { return m.Factor(p) <= LightFactor }
 
-// Disturbs reports whether a filling image was seen to disturb a serving one.
-func (m *Model) Disturbs(p Pair) bool { return m.Seen(p) && !m.Bears(p) }
+// Disturbs reports whether a filling image was certainly seen to disturb a serving one.
+func (m *Model) Disturbs(p Pair) bool {
+	im := m.images[p.Serving]
+	return im != nil && im.estimator.lowerBound(p.Filling) > LightFactor
+}
+
+// known reports whether a pair was judged: whether the filling image was seen to be light or certainly seen to disturb.
+func (m *Model) known(p Pair) bool {
+	return m.Seen(p) && m.Bears(p) || m.Disturbs(p)
+}
 
 // unknownShare is the share of a worker that filling images which were not seen beside an image may use together
 // while they are tried.
@@ -221,7 +229,7 @@
 	for filling, share := range shares {
 		p := Pair{serving, filling}
 		switch {
-		case !m.Seen(p):
+		case !m.known(p):
 			unknown += share
 			if untried(filling) {
 				total += priorFactor * share
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// Guards against a harmless image that is written off because it was tried while the serving task's own load was at its
+// peak (ambon-mist quiet-1: one of nine images waited all day).
+func TestPairIsNotWrittenOffEarly(t *testing.T) {
+	is := is.New(t)
+	m := NewModel(2 * time.Second)
+	observe := func(n int, tail float64, filling []Filling) {
+		for range n {
+			m.Observe([]Serving{{Image: "s", TargetMs: targetMs, TailMs: tail}}, filling)
+		}
+	}
+	task := []Filling{{Image: "f", Share: 0.11, FullShare: 0.11, Pace: 100}}
+	observe(200, 7.4, nil) // usual load
+	observe(20, 11, task)  // peak load, nothing added
+	is.True(m.Seen(Pair{"s", "f"}))
+	is.True(!m.Disturbs(Pair{"s", "f"}))
+	observe(100, 7.6, task)
+	is.True(m.Bears(Pair{"s", "f"}))
+	heavy := []Filling{{Image: "heavy", Share: 0.11, FullShare: 0.11, Pace: 100}}
+	observe(40, 60, heavy)
+	is.True(m.Disturbs(Pair{"s", "heavy"}))
+}
+
 // Guards against factors of pairs that changed and are believed for ever.
 func TestOldObservationsFade(t *testing.T) {
 	is := is.New(t)
