Keep room for short tasks in pieces that they can use, also before the first one comes

5% of the room stays free until short tasks are known, counted in pieces of a sixth of a worker or of their mean size; jobs of lasting tasks that are 20 s old take all but 70% of the demand, no longer everything. TestLastingTasksLeaveRoomForShortOnes fails without the change.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -149,5 +149,20 @@
 	return r
 }
 
+// pieceShare of a worker is the least piece in which room is of use to large short tasks.
+const pieceShare = 6
+
+// Usable sums the free processor time of a service's open workers in whole pieces of a size, and no smaller ones than a
+// part of a worker.
+func (f *Fleet) Usable(service string, piece int64) int64 {
+	total := int64(0)
+	for _, w := range f.order {
+		if w.Service == service && w.Open {
+			total += w.Free() - w.Free()%max(piece, w.Size.MilliCPU/pieceShare, 1)
+		}
+	}
+	return total
+}
+
 // Free returns the processor time that is not reserved.
 func (w *Worker) Free() int64 { return w.Size.MilliCPU - w.Reserved.MilliCPU }
--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -155,6 +155,17 @@
 	is.Equal(place(), maxSecondTrials)
 }
 
+// Guards against room for short tasks that is kept in pieces too small for them.
+func TestUsableRoom(t *testing.T) {
+	is := is.New(t)
+	f := fleet(2, 12)
+	f.Reserve("w000", step(9000), "a")  // 3 cores are left, a piece of two
+	f.Reserve("w001", step(10500), "a") // 1.5 cores are left, no piece
+	is.Equal(f.Usable("s", 0), int64(2000))
+	is.Equal(f.Usable("s", 3000), int64(3000))
+	is.Equal(f.Usable("s", 4000), int64(0))
+}
+
 // The load of a full shard: 175 workers, filling tasks of nine images beside serving tasks.
 func BenchmarkPlace(b *testing.B) {
 	f := fleet(175, 64)
--- a/node/shard/demand.go
+++ b/node/shard/demand.go
@@ -14,16 +14,25 @@
 	demandReserve = 125
 	// demandFade is the time in which a past demand counts half.
 	demandFade = 8 * time.Second
-	// patientMs is how old a job of new lasting tasks gets before it takes that room as well.
-	patientMs = 20_000
+	// unknownDemandPercent of the service's room stays free for them until the first ones come.
+	unknownDemandPercent = 5
+	// patientMs is how old a job of new lasting tasks gets before it takes a part of that room as well: all but
+	// patientReserve percent of the demand.
+	patientMs      = 20_000
+	patientReserve = 70
 )
 
 // demand is the processor time that short tasks of a service need.
 type demand struct {
 	milliCPU float64
 	at       time.Duration
+	// size is the mean of theirs, which tells how much of the room in pieces they can use; 0 before the first.
+	size float64
 }
 
+// sizeWeight is the weight of a job's newest mean size in that of its service.
+const sizeWeight = 0.05
+
 // noteDemand updates what short tasks run and wait for. The caller holds mu.
 func (s *Shard) noteDemand(waiting []*entry, now time.Duration) {
 	current := map[string]int64{}
@@ -49,12 +58,33 @@
 	}
 }
 
+// noteSizes learns how large short tasks are from an accepted job. The caller holds mu.
+func (s *Shard) noteSizes(spec *jobs.Spec) {
+	d := s.demand[spec.Service]
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		if step.LongRunning || step.Fills {
+			continue
+		}
+		size := float64(step.Size.MilliCPU)
+		if d.size == 0 {
+			d.size = size
+		}
+		d.size += sizeWeight * (size - d.size)
+	}
+	s.demand[spec.Service] = d
+}
+
 // sparesRoom reports whether a new lasting task leaves enough room for short ones. The caller holds mu.
 func (s *Shard) sparesRoom(e *entry, service string, step *jobs.Step) bool {
+	room, d := s.fleet.Room(service), s.demand[service]
+	percent := demandReserve
 	if s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs > patientMs {
-		return true
+		percent = patientReserve
+	}
+	need := d.milliCPU * float64(percent) / 100
+	if d.size == 0 && percent == demandReserve {
+		need = float64(room.Size * unknownDemandPercent / 100)
 	}
-	room := s.fleet.Room(service)
-	reserve := int64(s.demand[service].milliCPU*demandReserve/100) - room.Batch
-	return room.Free-step.Size.MilliCPU >= reserve
+	return s.fleet.Usable(service, int64(d.size))-step.Size.MilliCPU >= int64(need)-room.Batch
 }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -150,6 +150,7 @@
 	e.chainMs, e.lasting = spec.ChainMs(), spec.LongRunning()
 	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(e.chainMs)) + spec.TargetMs
 	s.jobs[id] = e
+	s.noteSizes(spec)
 	if s.loaded {
 		e.job.CreateDue(s.env.Wall().UnixMilli())
 		s.log.Info().Str("job", id).Str("queue", spec.Queue).Int64("offset", r.Offset).
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -391,3 +391,23 @@
 		w.awaitThat("the task runs", 3*time.Second, func() bool { return w.fleet.Running(task("second", 0)) == 1 })
 	})
 }
+
+// shortOrLasting is the outcome of tasks of which those of jobs named "short" take a second.
+func shortOrLasting(id jobs.TaskID, run int64) workerfake.Outcome {
+	if id.Job == "short" {
+		return brief(id, run)
+	}
+	return lasting(id, run)
+}
+
+// Guards against lasting tasks that take all room before the first short task comes, which then waits for minutes
+// (ambon-mist quiet-1).
+func TestLastingTasksLeaveRoomForShortOnes(t *testing.T) {
+	run(t, 2, 1, shortOrLasting, func(w *world, is *is.I) {
+		w.owner()
+		w.submit("lasting", jobs.Step{LongRunning: true}, 20)
+		time.Sleep(3 * time.Second)
+		w.submit("short", jobs.Step{EstimateMs: 1000}, 1)
+		w.await("short", jobs.StateCompleted, 3*time.Second)
+	})
+}
