Place new lasting tasks in rounds over their jobs

Each job gets one new task a round, so that every caller has some at work. TestLastingJobsShareScarceRoom fails without the change.

--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -63,6 +63,20 @@
 	for _, e := range waiting {
 		s.planJob(e, config, now)
 	}
+	s.planRounds(waiting, config, now)
+}
+
+// planRounds goes on with jobs of new lasting tasks, which get one task each a round: where room is scarce, each of them
+// has some at work before others have all.
+func (s *Shard) planRounds(waiting []*entry, config *jobqueue.Config, now time.Duration) {
+	for bound := 1; bound > 0; {
+		bound = 0
+		for _, e := range waiting {
+			if e.lasting && e.open {
+				bound += s.planJob(e, config, now)
+			}
+		}
+	}
 }
 
 // prospect tells what a job can still reach.
@@ -112,8 +126,8 @@
 	return 1
 }
 
-// planJob binds the waiting tasks of a job. The caller holds mu.
-func (s *Shard) planJob(e *entry, config *jobqueue.Config, now time.Duration) {
+// planJob binds the waiting tasks of a job, of new lasting ones the first, and returns how many. The caller holds mu.
+func (s *Shard) planJob(e *entry, config *jobqueue.Config, now time.Duration) int {
 	left, bound := false, 0
 	s.bound = s.bound[:0]
 	for _, o := range e.job.Occurrences {
@@ -132,6 +146,7 @@
 			Int64("age_ms", s.env.Wall().UnixMilli()-e.job.Spec.AcceptedMs).Int64("config", config.Version).Msg("tasks bound")
 		s.touch(e)
 	}
+	return bound
 }
 
 // request asks for a place of a task by the newest configuration of its queue. The caller holds mu.
@@ -198,8 +213,12 @@
 			}
 			return bound, true
 		}
+		isNew := o.Steps[step][i].Run == 0
 		s.bind(e, id, w, o.Steps[step][i].Run+1, request.StepName)
 		bound++
+		if spec.LongRunning && isNew {
+			return bound, true
+		}
 	}
 	return bound, left
 }
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -411,3 +412,21 @@
 		w.await("short", jobs.StateCompleted, 3*time.Second)
 	})
 }
+
+// Guards against jobs of lasting tasks that have none at work while others have all.
+func TestLastingJobsShareScarceRoom(t *testing.T) {
+	run(t, 2, 1, lasting, func(w *world, is *is.I) {
+		w.owner()
+		w.store.SetFault(func(_, method string, p keyedlog.Partition) storefake.Fault {
+			return storefake.Fault{Refuse: method == "read" && p.Topic == shard.JobsTopic}
+		})
+		for i := range 4 {
+			w.submit(fmt.Sprint("job", i), jobs.Step{LongRunning: true}, 12)
+		}
+		w.store.SetFault(nil) // all four are read together
+		time.Sleep(2 * time.Second)
+		for i := range 4 {
+			is.True(w.fleet.Running(task(fmt.Sprint("job", i), 0)) == 1)
+		}
+	})
+}
