Keep what was learned about images in the store for the next owner

Cause: what an owner learned of pairs of images was in its memory only. Each change of the owner began with trying every pair again, on three workers each, at full pace, most of them harmful. Ruled out: a slow take-over alone (2 to 3 s of 45); images differ from shard to shard (they are named by the callers).

The owner stores factors and their weights every 3 s beside the jobs' progress, some 2 KB; the next one takes them over with a bounded weight, so that pairs that changed are learned anew within seconds. TestLearnedOutlastsTheOwner fails without it.

--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -182,6 +182,23 @@
 	return m
 }
 
+// Guards against pairs of images that the next owner of a shard tries anew, to the harm of serving tasks.
+func TestLearnedIsRestored(t *testing.T) {
+	is := is.New(t)
+	m := NewModel(2 * time.Second)
+	m.Restore(learned().Learned())
+	is.True(m.Disturbs(Pair{"s", "heavy"}))
+	is.True(m.Seen(Pair{"s", "light"}) && m.Bears(Pair{"s", "light"}))
+	is.True(!m.Seen(Pair{"s", "new"}))
+	filling := []Filling{{Image: "heavy", Share: 0.1, FullShare: 0.1, Pace: 100}}
+	is.True(m.Plan([]Serving{{Image: "s", TargetMs: targetMs, TailMs: 40}}, filling)[0] < 50)
+	for range 4000 { // the pair has changed
+		m.Observe([]Serving{{Image: "s", TargetMs: targetMs, TailMs: 7.4}}, filling)
+		m.Observe([]Serving{{Image: "s", TargetMs: targetMs, TailMs: 7}}, nil)
+	}
+	is.True(m.Bears(Pair{"s", "heavy"}))
+}
+
 func BenchmarkObserve(b *testing.B) {
 	m := learned()
 	serving := []Serving{{Image: "s", TargetMs: targetMs, TailMs: 12}}
--- a/external/jobworker/fake/orders.go
+++ b/external/jobworker/fake/orders.go
@@ -149,7 +149,38 @@
 		if !a.outcome.Forever && a.outcome.Duration > 0 {
 			percent = int(100 * time.Since(a.begun) / a.outcome.Duration)
 		}
-		r.Running = append(r.Running, jobworker.Run{Task: task, Run: a.number, Percent: min(percent, 100), Figure: a.outcome.Figure})
+		r.Running = append(r.Running, jobworker.Run{Task: task, Run: a.number, Percent: min(percent, 100), Figure: w.figure(task)})
 	}
 	return r
 }
+
+// figure returns what the worker reports of a run. The caller holds mu.
+func (w *Worker) figure(task string) int64 {
+	outcome := w.runs[task].outcome
+	switch {
+	case outcome.Tail != nil:
+		return outcome.Tail(w.inUse())
+	case outcome.Paced:
+		return outcome.Figure * int64(w.pace(task)) / 100
+	}
+	return outcome.Figure
+}
+
+// inUse sums the processor time that paced runs use. The caller holds mu.
+func (w *Worker) inUse() int64 {
+	sum := int64(0)
+	for task, a := range w.runs {
+		if a.outcome.Paced {
+			sum += w.figure(task)
+		}
+	}
+	return sum
+}
+
+// pace returns the pace of a run, 100 unless it was set. The caller holds mu.
+func (w *Worker) pace(task string) int {
+	if p, ok := w.paces[task]; ok {
+		return p
+	}
+	return 100
+}
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -25,6 +25,10 @@
 	Forever bool
 	// Figure is what the worker reports of the run.
 	Figure int64
+	// Paced lets the figure, the processor time in use, follow the pace.
+	Paced bool
+	// Tail, if set, is the figure beside so much processor time in use by paced runs.
+	Tail func(millicores int64) int64
 }
 
 // Fault is what befalls an order.
@@ -162,10 +166,7 @@
 func (f *Fleet) PaceOf(id, task string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p, ok := f.workers[id].paces[task]; ok {
-		return p
-	}
-	return 100
+	return f.workers[id].pace(task)
 }
 
 func (w *Worker) clockMs() int64 { return time.Since(w.born).Milliseconds() + 1 }
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -41,6 +41,7 @@
 func (s *Shard) commit() bool {
 	s.mu.Lock()
 	records, shown := s.takeDirty()
+	records = append(records, s.learnedRecord()...)
 	for _, id := range s.tombstones {
 		records = append(records, keyedlog.Record{Key: id})
 	}
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -255,6 +255,22 @@
 	return o
 }
 
+// pressed is the outcome of lasting tasks: those of the job "serve" have a tail of 8 ms, of 60 ms beside others that use a
+// third of a core or more; all others use a core.
+func pressed(id jobs.TaskID, _ int64) workerfake.Outcome {
+	o := lasting(id, 0)
+	o.Figure, o.Paced = 1000, id.Job != "serve"
+	if id.Job == "serve" {
+		o.Tail = func(millicores int64) int64 {
+			if millicores > 300 {
+				return 60
+			}
+			return 8
+		}
+	}
+	return o
+}
+
 // brief is the outcome of tasks that take a second.
 func brief(jobs.TaskID, int64) workerfake.Outcome {
 	return workerfake.Outcome{Duration: time.Second, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -70,6 +70,10 @@
 			delete(into, r.Key)
 			continue
 		}
+		if r.Key == learnedKey {
+			s.restoreLearned(r)
+			continue
+		}
 		p := &jobs.Progress{}
 		if err := cbor.Unmarshal(r.Value, p); err != nil {
 			s.log.Error().Err(err).Str("job", r.Key).Int64("offset", r.Offset).Msg("progress cannot be read")
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -164,6 +164,8 @@
 	// runsOn holds the same runs by worker.
 	runsOn   map[string]map[string]*run
 	pressure *pressure.Model
+	// learnedAt is when what the model knows was stored last.
+	learnedAt time.Duration
 	// advice holds what is known of the workers for steps that need tickets, by the step's name.
 	advice         map[string]*advice
 	adviceUnderWay int
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -430,3 +430,20 @@
 		}
 	})
 }
+
+// Guards against a new owner that tries pairs of images again which its predecessor found to disturb.
+func TestLearnedOutlastsTheOwner(t *testing.T) {
+	run(t, 1, 2, pressed, func(w *world, is *is.I) {
+		first := w.owner()
+		w.submit("serve", jobs.Step{LongRunning: true, Image: "s", TailTargetMs: 20}, 6)
+		w.submit("first", jobs.Step{Fills: true, Image: "f"}, 1)
+		time.Sleep(15 * time.Second) // it is slowed and raised again and again
+		w.cancel("first")
+		w.awaitThat("the filling task is gone", 4*time.Second, func() bool { return w.fleet.Running(task("first", 0)) == 0 })
+		first.cancel()
+		w.awaitThat("the other member owns the shard", 5*time.Second, func() bool { return w.owner() != first })
+		w.submit("second", jobs.Step{Fills: true, Image: "f"}, 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(w.fleet.Starts(task("second", 0)), 0)
+	})
+}
