End the quarantine of workers before waiting lasting tasks count as lost

Cause: found by reading, beside the trace of mix: a worker that failed often is closed for up to 8 s. Lasting tasks that have no other room wait as long, and count as lost 7 s after the last trouble.

The longest quarantine is 5 s. TestQuarantineEndsBeforeWaitingTasksCountAsLost fails without the change.

--- a/node/shard/quarantine.go
+++ b/node/shard/quarantine.go
@@ -7,7 +7,8 @@
 	// suspectFailures in a row close a worker for a while; tasks fail by their own fault too.
 	suspectFailures = 3
 	quarantineFirst = 2 * time.Second
-	quarantineMost  = 8 * time.Second
+	// quarantineMost keeps lasting tasks that have no other room from counting as lost once the failures are over.
+	quarantineMost = 5 * time.Second
 	// failurePenalty lowers the rank of a worker in millicores for each failure in a row.
 	failurePenalty = 20_000
 	// failureMemory is how long a failure counts.
