--- a/node/shard/drain.go
+++ b/node/shard/drain.go
@@ -11,6 +11,12 @@
 
 // leaveDraining moves tasks away from workers that leave before the tasks end. The caller holds mu.
 func (s *Shard) leaveDraining(now time.Duration) {
+	var taken []func() // places of tasks that leave are not given twice
+	defer func() {
+		for _, release := range taken {
+			release()
+		}
+	}()
 	for id, w := range s.workers {
 		if !w.info.Draining || w.failing || !w.adopted {
 			continue
@@ -22,9 +28,14 @@
 			}
 			request := s.request(e, r.id)
 			request.Urgent = true
-			if s.fleet.Place(&request) == nil && now < w.leavesAt {
+			place := s.fleet.Place(&request)
+			if place == nil && now < w.leavesAt {
 				continue // it may as well work on here until there is room
 			}
+			if place != nil {
+				s.fleet.Reserve(place.ID, r.step, r.stepName)
+				taken = append(taken, func() { s.fleet.Release(place.ID, r.step, r.stepName) })
+			}
 			s.log.Info().Str("job", r.id.Job).Str("task", r.name).Str("worker", id).Int("percent", r.percent).
 				Dur("leaves_in", w.leavesAt-now).Msg("task leaves a draining worker")
 			s.stopRun(w, r)
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -132,7 +132,10 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			info := w.infos[id]
-			info.Draining = string(value) == "draining"
+			info.Draining = string(value) != "up"
+			if string(value) == "draining slowly" {
+				info.LeavesIn = 10 * time.Second
+			}
 			return info, nil
 		},
 		Registry: registry, Assigned: func(int, jobworker.Info) bool { return true },
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -275,6 +275,24 @@
 	})
 }
 
+// Guards against lasting tasks that are stopped on a draining worker for a place that another one of them takes.
+func TestTasksLeaveADrainingWorkerOneAPlace(t *testing.T) {
+	run(t, 2, 1, lasting, func(w *world, is *is.I) {
+		w.owner()
+		w.submit("a", jobs.Step{LongRunning: true}, 10)
+		w.awaitThat("all tasks run", 2*time.Second, func() bool { return w.running("a", 10) })
+		w.submit("b", jobs.Step{LongRunning: true}, 7)
+		w.awaitThat("all tasks run", 25*time.Second, func() bool { return w.running("b", 7) })
+		w.register("w0", []byte("draining slowly"))
+		time.Sleep(5 * time.Second)
+		away := 0
+		for i := range 10 {
+			away += 1 - w.fleet.Running(task("a", i))
+		}
+		is.Equal(away, 0) // three have moved, and the others work on
+	})
+}
+
 // Guards against a filling task that goes on at full speed beside a serving task that it holds over its objective.
 func TestFillingTaskIsPaced(t *testing.T) {
 	run(t, 1, 1, disturbed, func(w *world, is *is.I) {
