Let a restarted daemon claim its former process's shard at once

A record of this daemon's name and address with another lifetime is that of a process that is gone, since this one listens at its address; it counts as released. TestRestartedOwnerClaimsAtOnce fails without the change.

--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -465,3 +465,20 @@
 		is.Equal(w.fleet.Starts(task("second", 0)), 0)
 	})
 }
+
+// Guards against a daemon that waits for the lease of its own former process to lapse after a restart (ambon-mist
+// inc-35fb: 2.8 s without an owner after all daemons lost power).
+func TestRestartedOwnerClaimsAtOnce(t *testing.T) {
+	run(t, 1, 1, lasting, func(w *world, is *is.I) {
+		first := w.owner()
+		w.submit("a", jobs.Step{LongRunning: true}, 2)
+		w.awaitThat("all tasks run", 2*time.Second, func() bool { return w.running("a", 2) })
+		first.cancel()
+		first.done.Wait()
+		again := w.addMember("d0")
+		w.awaitThat("the restarted daemon owns the shard", time.Second, func() bool { return again.owned() != nil })
+		time.Sleep(5 * time.Second)
+		is.True(w.running("a", 2))
+		is.Equal(w.fleet.Starts(task("a", 0)), 1)
+	})
+}
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -199,12 +199,19 @@
 		return false
 	}
 	wait := time.Duration(k.opts.Preference()) * claimSpread
-	if k.owner != nil && !k.owner.Released {
+	if k.owner != nil && !k.hasEnded(k.owner) {
 		wait += ClaimAfter
 	}
 	return k.opts.Now()-k.seen >= wait
 }
 
+// hasEnded reports whether an owner gives no more orders: it released the shard, or it was a former process at this
+// daemon's address, which is gone since this one listens there.
+func (k *Keeper) hasEnded(o *Owner) bool {
+	self := &k.opts.Self
+	return o.Released || o.Name == self.Name && o.Address == self.Address && o.Lifetime != self.Lifetime
+}
+
 // claim appends the record of this daemon if nothing was added since the newest record seen.
 func (k *Keeper) claim(ctx context.Context, previous time.Duration) *Held {
 	k.mu.Lock()
@@ -220,8 +227,8 @@
 	held := &Held{Epoch: self.Epoch, now: k.opts.Now}
 	switch {
 	case owner == nil:
-	case owner.Released:
-		held.PreviousHeld = previous // it gave its last order before it released the shard
+	case k.hasEnded(owner):
+		held.PreviousHeld = previous // it gave its last order before that
 	default:
 		held.PreviousHeld = previous + HoldOn
 	}
