Ask for a daemon's preference without the keeper's lock

Cause: a deadlock. ownerAddress and drain hold the daemon's lock and take the keeper's (Owner, Drain); Keeper.Run held the keeper's lock and, by mayClaim and Preference, took the daemon's. Ruled out: a paused process (its pauses had ended), a lost port (its process ran), the owner's lock (the other daemons were served).

Preference is asked before the lock is taken. TestPreferenceIsAskedWithoutTheLock fails without the change.

--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -60,7 +60,8 @@
 	Self  Owner
 	Now   func() time.Duration
 	Log   zerolog.Logger
-	// Preference delays this daemon's claims; 0 is the most preferred.
+	// Preference delays this daemon's claims; 0 is the most preferred. It may take locks under which the keeper is called,
+	// so the keeper calls it without its own.
 	Preference func() int
 	// Lead is called in a goroutine while the shard is owned. Its context ends when the shard is lost.
 	Lead func(ctx context.Context, held *Held)
@@ -171,6 +172,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := k.follower.Poll(ctx, readWait)
+		preference := k.opts.Preference()
 		k.mu.Lock()
 		if err != nil {
 			k.readable = false
@@ -178,7 +180,7 @@
 			// An owner needs time to renew after an outage of the store.
 			k.readable, k.seen = true, k.opts.Now()
 		}
-		claim := err == nil && k.mayClaim()
+		claim := err == nil && k.mayClaim(preference)
 		previous := k.seen
 		k.mu.Unlock()
 		if err != nil {
@@ -194,11 +196,11 @@
 }
 
 // mayClaim decides whether the shard has no owner. The caller holds mu.
-func (k *Keeper) mayClaim() bool {
+func (k *Keeper) mayClaim(preference int) bool {
 	if k.draining {
 		return false
 	}
-	wait := time.Duration(k.opts.Preference()) * claimSpread
+	wait := time.Duration(preference) * claimSpread
 	if k.owner != nil && !k.hasEnded(k.owner) {
 		wait += ClaimAfter
 	}
