--- a/cmd/soak/proxy_test.go
+++ b/cmd/soak/proxy_test.go
@@ -17,8 +17,8 @@
 	refuse
 	// silent keeps connections open and passes nothing.
 	silent
-	// deaf passes requests and no answers.
-	deaf
+	// oneWay passes requests and no answers.
+	oneWay
 	// slow passes answers late.
 	slow
 	modes
@@ -101,7 +101,7 @@
 	for {
 		n, err := from.Read(buf)
 		m := p.current()
-		dead = dead || m == silent || m == deaf && answers
+		dead = dead || m == silent || m == oneWay && answers
 		if m == slow && answers {
 			time.Sleep(slowBy)
 		}
