Wait in process-free tests until the asked daemon has read where a task runs

With another owner the run begins before daemon a has read the binding, and the worker was empty. Ruled out: a lost binding; the task was bound and ran. The assertions are unchanged.

--- a/node/zonetest/failure_test.go
+++ b/node/zonetest/failure_test.go
@@ -14,10 +14,11 @@
 	"waxwingslip.example/external/fault"
 )
 
-// running waits until a task runs and returns its worker.
+// running waits until a job of one task runs and the daemon n has read where, which it reads after the start when
+// another daemon owns the worker. It returns the worker.
 func (b *bench) running(n *node, job string) string {
 	b.t.Helper()
-	b.eventually(job+" runs", 30*time.Second, func() bool { return b.runsOf(job) > 0 })
+	b.eventually(job+" runs", 30*time.Second, func() bool { return b.runsOf(job) > 0 && n.task(job, 0).Worker != "" })
 	return n.task(job, 0).Worker
 }
 
