Start no agents after the pool was stopped

Cause: Pool.Sync, called by the reader of the log, could start an agent after Pool.Stop had begun to wait. Ruled out: a wrong order in the test alone. TestNoAgentsAfterStop fails without the change (1 agent). After: node/executor and node/zonetest pass.

--- a/node/executor/agent_test.go
+++ b/node/executor/agent_test.go
@@ -162,3 +162,13 @@
 		r.View(func(s *zone.State) { is.Equal(s.Task(run.Task).Evictions, 1) })
 	})
 }
+
+// Guards against agents that nobody waits for: the reader of the log may still call Sync while the pool is stopped.
+func TestNoAgentsAfterStop(t *testing.T) {
+	runAgent(t, func(is *is.I, _ *rig, p *Pool) {
+		is.Equal(p.Size(), 1)
+		p.Stop()
+		p.Sync(t.Context())
+		is.Equal(p.Size(), 0)
+	})
+}
--- a/node/executor/pool.go
+++ b/node/executor/pool.go
@@ -68,7 +68,9 @@
 	attested map[string]attestation
 	// agents is guarded by mu.
 	agents map[string]*agent
-	wg     sync.WaitGroup
+	// stopped is set by Stop. Guarded by mu.
+	stopped bool
+	wg      sync.WaitGroup
 }
 
 // NewPool returns a pool without agents.
@@ -97,10 +99,13 @@
 }
 
 // Sync starts agents for newly owned workers and stops those of workers that are no longer owned. It is
-// called after changes of shards, workers and the VM list.
+// called after changes of shards, workers and the VM list. After Stop it does nothing.
 func (p *Pool) Sync(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped {
+		return // the log's reader may still call, and Stop must not miss an agent
+	}
 	owned := p.ownedTargets()
 	for id, a := range p.agents {
 		t, ok := owned[id]
@@ -206,6 +211,7 @@
 // Stop ends all agents and waits for them.
 func (p *Pool) Stop() {
 	p.mu.Lock()
+	p.stopped = true
 	for id, a := range p.agents {
 		a.stop()
 		delete(p.agents, id)
