Rank workers for filling tasks by how much they press serving ones

Among workers that tolerate a filling task, the one with the most unused processor time was taken, whatever its serving tasks feel of it. TestFillingTasksSpareServingOnes fails without the change.

--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -155,6 +155,42 @@
 	is.Equal(place(), maxSecondTrials)
 }
 
+// Guards against filling tasks that gather beside serving tasks which they press, though others that they hardly press have
+// room: many tolerated tasks together hold serving tasks over their objectives (ambon-mist-grown scale-2).
+func TestFillingTasksSpareServingOnes(t *testing.T) {
+	is := is.New(t)
+	m := pressure.NewModel(time.Second)
+	for range 400 { // "soft" feels 0.6 of a filling task's share, "hard" 0.1
+		for _, share := range []float64{0, 0.1, 0.2} {
+			for image, factor := range map[string]float64{"soft": 0.6, "hard": 0.1} {
+				tail := 4 / (1 - 0.3 - factor*share)
+				m.Observe([]pressure.Serving{{Image: image, TargetMs: 18, TailMs: tail}}, []pressure.Filling{{Image: "f", Share: share}})
+			}
+		}
+	}
+	for _, image := range []string{"soft", "hard"} {
+		is.True(m.Tolerates(pressure.Pair{Serving: image, Filling: "f"}))
+	}
+	f := NewFleet(m)
+	serving := map[string]string{"w0": "soft", "w1": "hard"}
+	for id, image := range serving {
+		f.Add(&Worker{ID: id, Service: "s", Open: true, Size: resource.Vector{MilliCPU: 64000, MemoryMB: 250000}})
+		lasting := step(8000)
+		lasting.LongRunning, lasting.Image, lasting.TailTargetMs = true, image, 18
+		f.Reserve(id, lasting, image)
+	}
+	filling := step(6000)
+	filling.Fills, filling.Image = true, "f"
+	on := map[string]int{}
+	for range 6 {
+		w := f.Place(request(filling, "f"))
+		is.True(w != nil)
+		f.Reserve(w.ID, filling, "f")
+		on[serving[w.ID]]++
+	}
+	is.True(on["hard"] >= 4) // by unused processor time alone, three on each
+}
+
 // Guards against room for short tasks that is kept in pieces too small for them.
 func TestUsableRoom(t *testing.T) {
 	is := is.New(t)
--- a/core/packing/score.go
+++ b/core/packing/score.go
@@ -12,6 +12,8 @@
 	rackWeight = 10_000_000
 	// excessWeight is for each whole utilization beyond what a serving image tolerates.
 	excessWeight = 400_000
+	// pressWeight is for each whole utilization that filling tasks add to a serving task within what it tolerates.
+	pressWeight = 400_000
 	// imageWeight is for each serving task of another image on the worker. Serving tasks of one image together
 	// leave more workers on which a filling image disturbs nobody.
 	imageWeight = 30_000
@@ -26,7 +28,11 @@
 	}
 	switch {
 	case r.Step.Fills:
-		return s + w.unused() - w.fillingCPU - int64(excessWeight*f.excess(w, r.Step))
+		s += w.unused() - w.fillingCPU - int64(pressWeight*f.press(w, r.Step))
+		if r.Urgent { // others go only where there is no excess
+			s -= int64(excessWeight * f.excess(w, r.Step))
+		}
+		return s
 	case r.Step.TailTargetMs > 0:
 		return s + w.affinity(r.Step.Image) - (w.Free() - need.MilliCPU)
 	case r.Step.LongRunning:
@@ -109,12 +115,7 @@
 	if len(w.serving) == 0 {
 		return 0
 	}
-	size := float64(max(1, w.Size.MilliCPU))
-	shares := make(map[string]float64, len(w.filling)+1)
-	for image, cpu := range w.filling {
-		shares[image] = float64(cpu) / size
-	}
-	shares[step.Image] += float64(step.Size.MilliCPU) / size
+	shares := w.sharesWith(step)
 	total := 0.0
 	for image, im := range w.serving {
 		total += float64(im.tasks) * f.pressure.Excess(image, shares, func(filling string) bool {
@@ -124,6 +125,31 @@
 	return total
 }
 
+// press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker. Many tasks
+// that a serving task tolerates one by one disturb it together at the peak of its load.
+func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
+	if len(w.serving) == 0 {
+		return 0
+	}
+	shares := w.sharesWith(step)
+	total := 0.0
+	for image, im := range w.serving {
+		total += float64(im.tasks) * f.pressure.Press(image, shares)
+	}
+	return total
+}
+
+// sharesWith returns the shares of the worker that filling images use, with one task of the step more.
+func (w *Worker) sharesWith(step *jobs.Step) map[string]float64 {
+	size := float64(max(1, w.Size.MilliCPU))
+	shares := make(map[string]float64, len(w.filling)+1)
+	for image, cpu := range w.filling {
+		shares[image] = float64(cpu) / size
+	}
+	shares[step.Image] += float64(step.Size.MilliCPU) / size
+	return shares
+}
+
 // servingLoadPercent is the assumed use of a serving task's reserved processor time before it is measured.
 // Serving tasks leave more than half of what they reserve on average.
 const servingLoadPercent = 50
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -246,6 +246,21 @@
 	return total
 }
 
+// Press is what filling tasks on a worker add to the utilization of a serving image. A pair that was not seen counts as
+// harmless, so that it is tried.
+func (m *Model) Press(serving string, shares map[string]float64) float64 {
+	total := 0.0
+	for filling, share := range shares {
+		p := Pair{serving, filling}
+		if m.Seen(p) {
+			total += m.Factor(p) * share
+		} else {
+			total += LightFactor * share
+		}
+	}
+	return total
+}
+
 // seenWeight is the weight of observations after which a pair counts as seen.
 const seenWeight = 0.06
 
