Ask the owner to store a command only while its answer can come in time

Cause, found by reading: in the last 100 ms of a command the owner was asked without time for its answer, without a pause and each time with one more append of the same command. TestOwnerIsAskedInTimeOnly fails without the change. Records mean the same when they are appended twice, so nothing else was wrong.

--- a/node/hosted/commands.go
+++ b/node/hosted/commands.go
@@ -125,9 +125,11 @@
 		return errors.Wrapf(keyedlog.ErrRefused, "shard %d has no known owner", n)
 	}
 	deadline, _ := ctx.Deadline()
-	a, err := store(ctx, commandQuery{
-		Shard: n, Key: r.Key, Value: r.Value, WithinMs: (time.Until(deadline) - ownerReserve).Milliseconds(),
-	})
+	within := time.Until(deadline) - ownerReserve
+	if within <= 0 {
+		return errors.Wrap(keyedlog.ErrRefused, "too little time is left for the owner")
+	}
+	a, err := store(ctx, commandQuery{Shard: n, Key: r.Key, Value: r.Value, WithinMs: within.Milliseconds()})
 	switch {
 	case err != nil:
 		c.slow.Store(false)
--- a/node/hosted/commands_test.go
+++ b/node/hosted/commands_test.go
@@ -217,3 +217,27 @@
 		})
 	}
 }
+
+// Guards against calls to the owner that can no longer be answered, each of which may append the command once more.
+func TestOwnerIsAskedInTimeOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := storefake.New()
+		store.SetFault(func(string, string, keyedlog.Partition) storefake.Fault { return storefake.Fault{Silent: true} })
+		var asked []time.Duration // time left
+		here := newCommandStore(ledger.Measure(store.As("own")), 1, clock(), func(int) storeCommand {
+			return func(callCtx context.Context, q commandQuery) (commandAnswer, error) {
+				deadline, _ := callCtx.Deadline()
+				asked = append(asked, time.Until(deadline))
+				time.Sleep(time.Duration(q.WithinMs) * time.Millisecond)
+				return commandAnswer{Open: true}, nil
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), storeTimeLimit)
+		defer cancel()
+		_, err := here.add(ctx, 0, command(1))
+		is.True(errors.Is(err, ledger.ErrUncertain))
+		is.Equal(len(asked), 1)
+		is.True(asked[0] > ownerReserve)
+	})
+}
