--- a/node/hosted/commands_test.go
+++ b/node/hosted/commands_test.go
@@ -229,7 +229,7 @@
 			return func(callCtx context.Context, q commandQuery) (commandAnswer, error) {
 				deadline, _ := callCtx.Deadline()
 				asked = append(asked, time.Until(deadline))
-				time.Sleep(time.Duration(q.WithinMs) * time.Millisecond)
+				time.Sleep(max(peerWay, time.Duration(q.WithinMs)*time.Millisecond))
 				return commandAnswer{Open: true}, nil
 			}
 		})
