Bound for how long a silent read hides accepted jobs

The owner reads jobs by reads that wait up to 5 s, and gives one without answer up after 6 s; a connection that has gone silent hides what is accepted meanwhile for as long. Ruled out: the count itself, and a second owner. Reads now wait for 1.5 s, 2.5 s with the margin.

--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -207,7 +207,9 @@
 
 // Waits of the shard's loops.
 const (
-	jobsWait = 5 * time.Second
+	// jobsWait and ledger.ReadMargin together bound for how long a silent connection hides accepted jobs, which have to
+	// show after 3 s.
+	jobsWait = 1500 * time.Millisecond
 	// registryPause is the time between reads of the workers' registry; the bound on work for a draining
 	// worker is 2.5 s.
 	registryPause = 400 * time.Millisecond
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -101,6 +101,22 @@
 	})
 }
 
+// Guards against accepted jobs that wait unseen behind a read whose connection has gone silent, and are missing in the
+// number of waiting jobs after the 3 s in which they have to show (sacudi-lima-grown hunt-52f6-3, MIXED).
+func TestSilentReadHidesNoJobs(t *testing.T) {
+	run(t, 2, 1, brief, func(w *world, is *is.I) {
+		w.owner()
+		var silenced atomic.Bool
+		w.store.SetFault(func(_, method string, p keyedlog.Partition) storefake.Fault {
+			return storefake.Fault{Silent: method == "read" && p.Topic == shard.JobsTopic && silenced.CompareAndSwap(false, true)}
+		})
+		w.submit("first", jobs.Step{}, 1) // answers the open read; the next one is silent
+		w.awaitThat("a read is silent", time.Second, silenced.Load)
+		w.submit("a", jobs.Step{}, 1)
+		w.awaitThat("the job is seen", 3*time.Second, func() bool { return w.fleet.Starts(task("a", 0)) == 1 })
+	})
+}
+
 // Guards against a job that was cancelled while no daemon led and whose tasks run on: it was ended at loading, before
 // its workers were known.
 func TestCancelledWithoutOwner(t *testing.T) {
