Check the settings on SIGHUP instead of ending the daemon

A settings file changed, the daemons got SIGHUP, and the signal's default ended them with callers' requests open; the daemons were started again. Both daemons now check the file and log the result; changed settings take effect at the next start. TestHangupChecksSettings ends by the signal without the change.

--- a/cmd/waxwingslipd/hosted.go
+++ b/cmd/waxwingslipd/hosted.go
@@ -56,6 +56,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	checkOnHangup(ctx, log, func() error {
+		_, err := hosted.LoadSettings(path)
+		return err
+	})
 	var advice advisor.Advisor
 	if set.Advice != "" {
 		advice = platform.NewAdvice(set.Advice)
--- a/cmd/waxwingslipd/main.go
+++ b/cmd/waxwingslipd/main.go
@@ -47,10 +47,10 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(set)
+	return serve(set, *path)
 }
 
-func serve(set *settings.Settings) int {
+func serve(set *settings.Settings, path string) int {
 	level, err := zerolog.ParseLevel(set.Log.Level)
 	if err != nil {
 		level = zerolog.InfoLevel
@@ -58,6 +58,10 @@
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	checkOnHangup(ctx, log, func() error {
+		_, err := settings.Load(path)
+		return err
+	})
 	d, err := daemon.New(set, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
