--- a/core/packing/place.go
+++ b/core/packing/place.go
@@ -70,7 +70,7 @@
 	need := r.Step.Reserved()
 	searched := need
 	if r.Step.Fills {
-		searched.MilliCPU = r.Step.Size.MilliCPU // not reserved, but it decides where the task is borne
+		searched.MilliCPU = r.Step.Size.MilliCPU // not reserved, but it decides which workers tolerate the task
 	}
 	if f.knownFull(r, searched) {
 		return nil
--- a/core/packing/score.go
+++ b/core/packing/score.go
@@ -112,29 +112,29 @@
 // excess is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker
 // beyond what these tolerate.
 func (f *Fleet) excess(w *Worker, step *jobs.Step) float64 {
-	if len(w.serving) == 0 {
-		return 0
-	}
-	shares := w.sharesWith(step)
-	total := 0.0
-	for image, im := range w.serving {
-		total += float64(im.tasks) * f.pressure.Excess(image, shares, func(filling string) bool {
+	return w.sumOverServing(step, func(image string, shares map[string]float64) float64 {
+		return f.pressure.Excess(image, shares, func(filling string) bool {
 			return filling == f.trialsImage && w.filling[filling] == 0 && f.trials[image] >= f.maxTrials(image, filling)
 		})
-	}
-	return total
+	})
 }
 
 // press is what filling tasks, with one of the step more, add to the utilization of the serving tasks of a worker. Many tasks
 // that a serving task tolerates one by one disturb it together at the peak of its load.
 func (f *Fleet) press(w *Worker, step *jobs.Step) float64 {
+	return w.sumOverServing(step, f.pressure.Press)
+}
+
+// sumOverServing sums, over the serving tasks of the worker, what filling images with their shares do to an image. The shares
+// include one task of the step more.
+func (w *Worker) sumOverServing(step *jobs.Step, effect func(image string, shares map[string]float64) float64) float64 {
 	if len(w.serving) == 0 {
 		return 0
 	}
 	shares := w.sharesWith(step)
 	total := 0.0
 	for image, im := range w.serving {
-		total += float64(im.tasks) * f.pressure.Press(image, shares)
+		total += float64(im.tasks) * effect(image, shares)
 	}
 	return total
 }
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -132,7 +132,7 @@
 	is.Equal(pace[1], 100)
 }
 
-// Guards against a disturbing task that is never let on again although the serving task bears it.
+// Guards against a disturbing task that is never let on again although the serving task tolerates it.
 func TestPaceRises(t *testing.T) {
 	is := is.New(t)
 	m := learned()
--- a/node/hosted/commands.go
+++ b/node/hosted/commands.go
@@ -17,7 +17,7 @@
 const (
 	// storeTimeLimit is how long a command is tried. A caller that gets no answer repeats it at another daemon.
 	storeTimeLimit = 1500 * time.Millisecond
-	// ownerReserve is the part of a command's time that remains for the owner's answer on its way.
+	// ownerReserve is the part of a command's time that remains for the owner's answer to arrive.
 	ownerReserve = 100 * time.Millisecond
 	// promptAppend bounds an append by a store that is not slow: it takes 4 ms there, and a call between regions takes
 	// up to 60 ms.
@@ -68,44 +68,44 @@
 	return keyedlog.Partition{Topic: shard.JobsTopic, Number: n}
 }
 
-// storeWay is how a command reached the store.
-type storeWay int
+// commandRoute is how a command reached the store.
+type commandRoute int
 
 const (
-	bySelf storeWay = iota
+	bySelf commandRoute = iota
 	byOwner
 )
 
 // add stores a command until the context ends. ledger.ErrUncertain stands for an open effect; after any other error the
 // command never has one.
-func (c *commandStore) add(ctx context.Context, n int, r keyedlog.Record) (storeWay, error) {
+func (c *commandStore) add(ctx context.Context, n int, r keyedlog.Record) (commandRoute, error) {
 	var retry ledger.Backoff
 	var err error
-	way, open, calls := bySelf, false, 0
+	route, open, calls := bySelf, false, 0
 	if c.slow.Load() {
-		way = byOwner
+		route = byOwner
 	}
 	for ctx.Err() == nil {
-		if way == byOwner {
+		if route == byOwner {
 			err = c.addByOwner(ctx, n, r)
 		} else {
 			err = c.once.Try(ctx, jobsPartition(n), []keyedlog.Record{r}, calls)
 			calls++
 		}
 		if err == nil {
-			return way, nil
+			return route, nil
 		}
 		open = open || errors.Is(err, ledger.ErrUncertain)
 		if errors.Is(err, ledger.ErrNoAnswer) {
 			c.slow.Store(true)
-			way = byOwner
+			route = byOwner
 			continue // without a pause, since the call was one
 		}
 		retry.Sleep(ctx)
-		if way == bySelf || c.slow.Load() {
-			way = byOwner
+		if route == bySelf || c.slow.Load() {
+			route = byOwner
 		} else {
-			way = bySelf
+			route = bySelf
 		}
 	}
 	if err == nil {
@@ -114,7 +114,7 @@
 	if open && !errors.Is(err, ledger.ErrUncertain) {
 		err = errors.Wrap(ledger.ErrUncertain, err.Error())
 	}
-	return way, err
+	return route, err
 }
 
 // addByOwner stores a command by the owner of its shard, which may be this daemon.
@@ -146,8 +146,8 @@
 	return errors.Wrap(keyedlog.ErrRefused, a.Reason)
 }
 
-// addForAll appends a command of any daemon together with those of all others.
-func (c *commandStore) addForAll(ctx context.Context, q commandQuery) commandAnswer {
+// addInGroup appends a command of any daemon together with those of all others.
+func (c *commandStore) addInGroup(ctx context.Context, q commandQuery) commandAnswer {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WithinMs)*time.Millisecond)
 	defer cancel()
 	begun := c.now()
--- a/node/hosted/commands_test.go
+++ b/node/hosted/commands_test.go
@@ -99,7 +99,7 @@
 		all[i] = newCommandStore(measured, 1, clock(), func(int) storeCommand {
 			return func(ctx context.Context, q commandQuery) (commandAnswer, error) {
 				time.Sleep(peerWay)
-				return all[0].addForAll(ctx, q), nil
+				return all[0].addInGroup(ctx, q), nil
 			}
 		})
 	}
@@ -148,12 +148,12 @@
 		t.Logf("accepted %d of %d", total, jobs)
 		time.Sleep(2 * slow.most) // the queue is empty
 		slow.setEach(4 * time.Millisecond)
-		for _, want := range []storeWay{byOwner, bySelf} { // the first one finds the store prompt again
+		for _, want := range []commandRoute{byOwner, bySelf} { // the first one finds the store prompt again
 			ctx, cancel := context.WithTimeout(t.Context(), storeTimeLimit)
-			way, err := all[3].add(ctx, 0, command(jobs))
+			route, err := all[3].add(ctx, 0, command(jobs))
 			cancel()
 			is.NoErr(err)
-			is.Equal(way, want)
+			is.Equal(route, want)
 		}
 		time.Sleep(2 * testTime) // the renewals end
 	})
@@ -201,7 +201,7 @@
 						if c.call != nil {
 							return commandAnswer{}, c.call
 						}
-						return there.addForAll(ctx, q), nil
+						return there.addInGroup(ctx, q), nil
 					}
 				})
 				ctx, cancel := context.WithTimeout(t.Context(), storeTimeLimit)
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -38,23 +38,23 @@
 
 // Daemon is a hosted daemon.
 type Daemon struct {
-	set     *Settings
-	out     Outside
-	log     zerolog.Logger
-	now     func() time.Duration
-	metrics *telemetry.Registry
-	control *control
-	store   *commandStore
-	peers   *peer.Transport
-	env     *shard.Environment
+	set      *Settings
+	out      Outside
+	log      zerolog.Logger
+	now      func() time.Duration
+	metrics  *telemetry.Registry
+	control  *control
+	commands *commandStore
+	peers    *peer.Transport
+	env      *shard.Environment
 
 	draining atomic.Bool
 	// closesAt is the boot time at which a draining daemon closes the connections of callers, ns; 0 while it does not
 	// drain.
 	closesAt  atomic.Int64
 	storeSeen atomic.Int64 // boot time at which the control topic was read last, ns
-	// storeWay is the shortest time that the store took to answer, ns.
-	storeWay atomic.Int64
+	// storeDelay is the shortest time that the store took to answer, ns.
+	storeDelay atomic.Int64
 	// shardTotal is the number of shards; 0 until it is known.
 	shardTotal atomic.Int64
 
@@ -71,7 +71,7 @@
 		set: set, out: out, log: log, now: out.Now, metrics: telemetry.New(time.Now),
 		control: newControl(out.Layout, log), shards: map[int]*shard.Shard{},
 	}
-	d.store = newCommandStore(measured, set.Store.Partitions, out.Now, d.ownerOf)
+	d.commands = newCommandStore(measured, set.Store.Partitions, out.Now, d.ownerOf)
 	d.env = &shard.Environment{
 		Store: out.Store, Workers: out.Workers, Advisor: out.Advisor, Config: d.control.Config, Evacuated: d.control.Evacuated,
 		Region:       func(zone string) string { return set.Regions[zone] },
--- a/node/hosted/intake.go
+++ b/node/hosted/intake.go
@@ -72,10 +72,10 @@
 func (i *intake) command(ctx context.Context, n int, r keyedlog.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, i.d.withinDrain(storeTimeLimit))
 	defer cancel()
-	way, err := i.d.store.add(ctx, n, r)
+	route, err := i.d.commands.add(ctx, n, r)
 	switch {
 	case err == nil:
-		if way == byOwner {
+		if route == byOwner {
 			i.d.metrics.Counter("jobs_stored_by_owner").Inc()
 		}
 		return nil
@@ -219,7 +219,7 @@
 		if _, err := d.mustOwn(q.Shard); err != nil {
 			return commandAnswer{}, err
 		}
-		return d.store.addForAll(ctx, q), nil
+		return d.commands.addInGroup(ctx, q), nil
 	})
 	peer.HandleCall(s, methodState, func(ctx context.Context, _ string, q stateQuery) (jobs.State, error) {
 		owned, err := d.mustOwn(q.Shard)
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -24,7 +24,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	weak := int(smallVMCores / d.set.VM.Cores)
-	far := int(time.Duration(d.storeWay.Load()) / regionWay)
+	far := int(time.Duration(d.storeDelay.Load()) / regionWay)
 	return 2*len(d.shards) + min(weak, 3) + min(far, 3) + rand.IntN(2)
 }
 
@@ -39,8 +39,8 @@
 			continue
 		}
 		took := int64(d.now() - begun)
-		if least := d.storeWay.Load(); least == 0 || took < least {
-			d.storeWay.Store(took)
+		if least := d.storeDelay.Load(); least == 0 || took < least {
+			d.storeDelay.Store(took)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 func (d *Daemon) ownerOf(n int) storeCommand {
 	if d.owned(n) != nil {
 		return func(ctx context.Context, q commandQuery) (commandAnswer, error) {
-			return d.store.addForAll(ctx, q), nil
+			return d.commands.addInGroup(ctx, q), nil
 		}
 	}
 	address := d.ownerAddress(n)
