Check figures where they enter and contain unexpected errors

Scheduled jobs created all due occurrences at once. Stored progress that did not belong to its job ended the owner, and progress that could not be decoded started all tasks again. No panic in a shard was contained.

Ruled out: checks at each use, since records written by earlier builds are stored, and every new use would need its own.

A job whose records cannot be used, or lead to a panic, is set aside; other panics give up the shard, a record that panics in a follower is left out, and callers get 500.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 )
 
@@ -52,7 +54,11 @@
 
 // String names the outcome.
 func (o Outcome) String() string {
-	return [...]string{"unfinished", "completed", "failed", "cancelled"}[o]
+	names := [...]string{"unfinished", "completed", "failed", "cancelled"}
+	if int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
 }
 
 // Progress is the stored state of a job that has begun or ended.
@@ -66,8 +72,20 @@
 	Occurrences []*Occurrence `cbor:"4,keyasint,omitempty"`
 	// Begun is whether any task has ever been bound.
 	Begun bool `cbor:"5,keyasint,omitempty"`
+	// Unreported lists runs that were taken to have ended although no worker reported their end, oldest first.
+	Unreported []TaskRun `cbor:"6,keyasint,omitempty"`
+}
+
+// TaskRun identifies a run of a task of a job.
+type TaskRun struct {
+	_                       struct{} `cbor:",toarray"`
+	Occurrence, Step, Index int
+	Run                     int64
 }
 
+// maxUnreported limits Progress.Unreported; the oldest entries are dropped.
+const maxUnreported = MaxTasks
+
 // Job is a job with its progress. It is not safe for concurrent use.
 type Job struct {
 	Spec *Spec
@@ -77,10 +95,12 @@
 // New returns a job that has not begun.
 func New(spec *Spec) *Job { return &Job{Spec: spec} }
 
-// CreateDue creates the occurrences that are due at the wall-clock time nowMs and reports whether there are any.
+// CreateDue creates occurrences that are due at the wall-clock time nowMs and reports whether there are any. While
+// too many others run, a due occurrence is created only by a later call.
 func (j *Job) CreateDue(nowMs int64) bool {
 	created := false
-	for j.Outcome == Unfinished && j.Next < j.Spec.Occurrences() && j.Spec.DueMs(j.Next) <= nowMs {
+	for j.Outcome == Unfinished && j.Next < j.Spec.Occurrences() && j.Spec.DueMs(j.Next) <= nowMs &&
+		j.roomForOccurrence() {
 		o := &Occurrence{Number: j.Next}
 		for i := range j.Spec.Steps {
 			o.Steps = append(o.Steps, make([]Task, j.Spec.Steps[i].Count))
@@ -92,6 +112,12 @@
 	return created
 }
 
+// roomForOccurrence reports whether one more occurrence may run beside those that do.
+func (j *Job) roomForOccurrence() bool {
+	open := len(j.Occurrences)
+	return open == 0 || open < maxOpenOccurrences && (open+1)*j.Spec.Tasks() <= maxOpenTasks
+}
+
 // Occurrence returns an occurrence that has begun and not ended, or nil.
 func (j *Job) Occurrence(number int) *Occurrence {
 	for _, o := range j.Occurrences {
@@ -157,17 +183,19 @@
 	EndGangMemberEnded
 	// EndGangIncomplete means that the run ended because other members of its gang did not join it.
 	EndGangIncomplete
-	// EndLost means that no end was reported, but the run has ended or was never started.
+	// EndLost means that no end was reported, but the run has ended.
 	EndLost
+	// EndNotStarted means that the run was never started.
+	EndNotStarted
 )
 
 // String names the kind.
 func (k EndKind) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}[k]
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "not started"}[k]
 }
 
-// End records that a run ended and reports whether it was the task's current run. Ends of other runs arrive late and
-// change nothing.
+// End records that a run ended and reports whether it was the task's current run. LateEnd records the ends of other
+// runs.
 func (j *Job) End(id TaskID, run int64, kind EndKind, checkpoint string, nowMs int64) bool {
 	t := j.Task(id)
 	if t == nil || t.Phase != Bound || t.Run != run {
@@ -186,22 +214,76 @@
 		}
 		if step.Gang {
 			// The end of one member completes the whole gang.
-			for i := range j.Occurrence(id.Occurrence).Steps[id.Step] {
-				j.Occurrence(id.Occurrence).Steps[id.Step][i] = Task{Phase: Done, Run: run}
-			}
+			j.completeGang(id, run)
 			break
 		}
 		t.Phase, t.Checkpoint = Done, ""
 	case EndFailed:
-		t.Failures++
-		if !step.LongRunning && j.failures(id) >= j.Spec.MaxAttempts {
-			j.finish(Failed, nowMs)
+		j.countFailure(id, nowMs)
+	case EndLost:
+		j.Unreported = append(j.Unreported, TaskRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Run: run})
+		j.Unreported = j.Unreported[max(0, len(j.Unreported)-maxUnreported):]
+	}
+	j.removeFinished(nowMs)
+	return true
+}
+
+// LateEnd records the end of a run that was taken to have ended before, and reports whether that changed the job. A task
+// that was done in such a run is done; a newer run that is bound has to be stopped by the caller. A failure counts once.
+func (j *Job) LateEnd(id TaskID, run int64, kind EndKind, nowMs int64) bool {
+	t := j.Task(id)
+	if t == nil || t.Phase == Done || run > t.Run || j.Outcome != Unfinished {
+		return false
+	}
+	step := &j.Spec.Steps[id.Step]
+	unreported := j.removeUnreported(id, run)
+	switch {
+	case step.LongRunning:
+		return false
+	case kind == EndDone && step.Gang:
+		if j.anyBoundInStep(id) {
+			return false
 		}
+		j.completeGang(id, t.Run)
+	case kind == EndDone:
+		t.Phase, t.Worker, t.Checkpoint = Done, "", ""
+	case kind == EndFailed && unreported:
+		j.countFailure(id, nowMs)
+	default:
+		return false
 	}
 	j.removeFinished(nowMs)
 	return true
 }
 
+// removeUnreported removes a run from Unreported and reports whether it was listed.
+func (j *Job) removeUnreported(id TaskID, run int64) bool {
+	listed := TaskRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Run: run}
+	n := len(j.Unreported)
+	j.Unreported = slices.DeleteFunc(j.Unreported, func(r TaskRun) bool { return r == listed })
+	return len(j.Unreported) < n
+}
+
+// completeGang marks all tasks of a gang as done in a run.
+func (j *Job) completeGang(id TaskID, run int64) {
+	tasks := j.Occurrence(id.Occurrence).Steps[id.Step]
+	for i := range tasks {
+		tasks[i] = Task{Phase: Done, Run: run}
+	}
+}
+
+func (j *Job) anyBoundInStep(id TaskID) bool {
+	return slices.ContainsFunc(j.Occurrence(id.Occurrence).Steps[id.Step], func(t Task) bool { return t.Phase == Bound })
+}
+
+// countFailure counts a failed run and ends the job if no attempt is left.
+func (j *Job) countFailure(id TaskID, nowMs int64) {
+	j.Task(id).Failures++
+	if !j.Spec.Steps[id.Step].LongRunning && j.failures(id) >= j.Spec.MaxAttempts {
+		j.finish(Failed, nowMs)
+	}
+}
+
 // failures counts the failed runs of a task or, for a member of a gang, of the gang.
 func (j *Job) failures(id TaskID) int {
 	if !j.Spec.Steps[id.Step].Gang {
@@ -230,6 +312,7 @@
 		}
 	}
 	j.Occurrences = remaining
+	j.Unreported = slices.DeleteFunc(j.Unreported, func(r TaskRun) bool { return j.Occurrence(r.Occurrence) == nil })
 	if len(remaining) == 0 && j.Next >= j.Spec.Occurrences() {
 		j.finish(Completed, nowMs)
 	}
--- a/core/jobs/job_test.go
+++ b/core/jobs/job_test.go
@@ -58,6 +58,13 @@
 			}
 			kind := EndKind(rapid.IntRange(int(EndDone), int(EndLost)).Draw(t, "kind"))
 			outcomeBefore := j.Outcome
+			if rapid.Bool().Draw(t, "late") {
+				if run < newestRun[task] && !done[task] && kind == EndDone && j.LateEnd(task, run, kind, 2000) {
+					done[task] = true
+					checkRoundTrip(t, j)
+				}
+				continue
+			}
 			if !j.End(task, run, kind, "", 2000) {
 				continue
 			}
--- a/core/jobs/spec.go
+++ b/core/jobs/spec.go
@@ -11,13 +11,6 @@
 	"waxwingslip.example/core/resource"
 )
 
-// Limits of an accepted job. They bound the size of a stored record and of a plan.
-const (
-	MaxSteps     = 64
-	MaxTasks     = 4000
-	MaxSpecBytes = 4000
-)
-
 // Step is a group of identical tasks.
 type Step struct {
 	Count int             `cbor:"1,keyasint"`
@@ -82,34 +75,13 @@
 	IntervalMs int64 `cbor:"13,keyasint,omitempty"`
 }
 
-// Validate returns an error if the job cannot be run.
-func (s *Spec) Validate() error {
-	if len(s.Payload) > MaxSpecBytes {
-		return errors.Errorf("spec has %d bytes, more than %d", len(s.Payload), MaxSpecBytes)
-	}
-	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
-		return errors.Errorf("job has %d steps, not 1 to %d", len(s.Steps), MaxSteps)
-	}
+// Tasks returns the number of tasks of one occurrence.
+func (s *Spec) Tasks() int {
 	total := 0
 	for i := range s.Steps {
-		st := &s.Steps[i]
-		if st.Count < 1 {
-			return errors.Errorf("step %d has no tasks", i)
-		}
-		total += st.Count
-		for _, a := range st.After {
-			if a < 0 || a >= i {
-				return errors.Errorf("step %d waits for step %d, which is not an earlier one", i, a)
-			}
-		}
-		if st.Size.MilliCPU < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
-			return errors.Errorf("step %d has a negative size", i)
-		}
-	}
-	if total > MaxTasks {
-		return errors.Errorf("job has %d tasks, more than %d", total, MaxTasks)
+		total += s.Steps[i].Count
 	}
-	return nil
+	return total
 }
 
 // LongRunning reports whether the job runs until it is cancelled.
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -57,6 +57,8 @@
 	done       map[string]bool
 	starts     map[string]int
 	violations []string
+	// incarnations counts the starts of all workers.
+	incarnations int64
 }
 
 // NewFleet returns a fleet without workers. The outcome function determines the course of each run.
@@ -100,6 +102,13 @@
 	return f.active[task]
 }
 
+// Runs returns the number of active runs on a worker.
+func (f *Fleet) Runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.workers[id].runs)
+}
+
 // Worker is one worker. Its fields are guarded by the fleet's mu.
 type Worker struct {
 	fleet        *Fleet
@@ -137,7 +146,9 @@
 
 // reset starts a new incarnation. The caller holds mu.
 func (w *Worker) reset() {
-	w.incarnation++
+	// Incarnations rise in the order of the starts, like the times by which real workers tell theirs apart.
+	w.fleet.incarnations++
+	w.incarnation = w.fleet.incarnations
 	w.startedAt, w.up, w.fence, w.deadlineMs, w.nextEnd = time.Now(), true, 0, 0, 1
 	w.runs, w.lastEndedRun, w.ended, w.paces = map[string]*activeRun{}, map[string]int64{}, nil, map[string]int{}
 	w.changed = make(chan struct{})
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -15,6 +15,7 @@
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/boundary"
 	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/shard"
@@ -157,7 +158,7 @@
 		address string
 		handler http.Handler
 	}{
-		{d.settings.Listen.Callers, d.deps.Callers(&jobAPI{d})},
+		{d.settings.Listen.Callers, boundary.Handler(d.deps.Callers(&jobAPI{d}), d.log, d.metrics.Counter("callers_panics"))},
 		{d.settings.Listen.Readiness, readiness},
 		{d.settings.Listen.Metrics, telemetry.Handler(d.metrics, telemetry.Check{Name: "ready", Err: d.notReady})},
 	} {
--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/boundary"
 	"waxwingslip.example/node/ctxtime"
 )
 
@@ -56,9 +57,28 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(records, true)
+	err := f.applyContained(records, true)
 	f.next, f.loaded = end, true
-	return nil
+	return errors.Wrapf(err, "load %s/%d", f.partition.Topic, f.partition.Number)
+}
+
+// applyContained applies records. If that ends with a panic, it applies them one by one and leaves out those that lead
+// to one, so that a record which cannot be handled does not hide those after it. It returns the newest such panic. The
+// caller holds mu.
+func (f *Follower) applyContained(records []keyedlog.Record, reset bool) error {
+	if boundary.Run(func() { f.apply(records, reset) }) == nil {
+		return nil
+	}
+	var newest error
+	if reset {
+		newest = boundary.Run(func() { f.apply(nil, true) })
+	}
+	for _, r := range records {
+		if err := boundary.Run(func() { f.apply([]keyedlog.Record{r}, false) }); err != nil {
+			newest = errors.Wrapf(err, "record of key %q at offset %d is left out", r.Key, r.Offset)
+		}
+	}
+	return newest
 }
 
 // Poll reads new records once. It calls Load instead before the first read and after records were trimmed. It may be
@@ -86,8 +106,9 @@
 		records = records[1:] // applied by a Poll that ended earlier
 	}
 	if len(records) > 0 {
-		f.apply(records, false)
+		err := f.applyContained(records, false)
 		f.next = records[len(records)-1].Offset + 1
+		return errors.Wrapf(err, "follow %s/%d", f.partition.Topic, f.partition.Number)
 	}
 	return nil
 }
--- a/node/shard/advice.go
+++ b/node/shard/advice.go
@@ -88,7 +88,7 @@
 	a.inFlight = true
 	s.adviceCallsInFlight++
 	timeout := q.Advice.PerCall + time.Duration(len(workers))*q.Advice.PerWorker + adviceTimeoutMargin
-	s.background.Go(func() { s.callAdvisor(a, r.StepName, workers, timeout, q.Advice.Validity) })
+	s.runInBackground("call advisor", func() { s.callAdvisor(a, r.StepName, workers, timeout, q.Advice.Validity) })
 }
 
 func (s *Shard) callAdvisor(a *advice, stepName string, workers []string, timeout, validity time.Duration) {
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -39,19 +39,8 @@
 
 // commit stores the progress of all dirty jobs and reports false if the shard is lost.
 func (s *Shard) commit() bool {
-	s.mu.Lock()
-	records, states := s.encodeDirty()
-	records = append(records, s.learnedRecord()...)
-	for _, id := range s.progressTombstones {
-		records = append(records, keyedlog.Record{Key: id})
-	}
-	s.progressTombstones = nil
-	callbacks := s.onStored
-	s.onStored = nil
-	deleted := s.deletedJobs
-	s.deletedJobs = nil
-	s.mu.Unlock()
-	for len(records) > 0 {
+	b := s.takeUnstored()
+	for records := b.records; len(records) > 0; {
 		n := chunkLen(records)
 		startedAt := s.deps.Now()
 		if err := s.writer.Append(s.ctx, records[:n]); err != nil {
@@ -61,23 +50,49 @@
 		s.deps.Counters.Commit.Record(s.deps.Now() - startedAt)
 		records = records[n:]
 	}
+	s.locked("publish stored states", func() { s.handleStored(b) })
+	return true
+}
+
+// unstored is what the next commit stores, with what is to be done once it is stored.
+type unstored struct {
+	records   []keyedlog.Record
+	states    map[string]jobs.State
+	callbacks []func()
+	// deleted are jobs whose command records are deleted after the commit.
+	deleted []string
+}
+
+// takeUnstored returns everything that is not stored yet and marks it as taken.
+func (s *Shard) takeUnstored() unstored {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, state := range states {
+	b := unstored{callbacks: s.onStored, deleted: s.deletedJobs}
+	b.records, b.states = s.encodeDirty()
+	b.records = append(b.records, s.learnedRecord()...)
+	for _, id := range s.progressTombstones {
+		b.records = append(b.records, keyedlog.Record{Key: id})
+	}
+	s.progressTombstones, s.onStored, s.deletedJobs = nil, nil, nil
+	return b
+}
+
+// handleStored publishes states that have been stored and continues what waited for that. The caller holds mu.
+func (s *Shard) handleStored(b unstored) {
+	for id, state := range b.states {
 		if e := s.jobs[id]; e != nil {
 			s.publishState(e, state)
 		}
 	}
-	for _, f := range callbacks {
+	for _, f := range b.callbacks {
 		f()
 	}
-	if len(deleted) > 0 {
-		s.background.Go(func() { s.deleteRecords(deleted) })
+	if len(b.deleted) > 0 {
+		s.runInBackground("delete records", func() { s.deleteRecords(b.deleted) })
 	}
 	if len(s.dirty) > 0 || len(s.onStored) > 0 {
 		signal(s.commitSignal)
 	}
-	return true
 }
 
 // chunkLen returns how many of the records fit into one append.
--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -5,9 +5,10 @@
 // Counters are the metrics of all shards of a daemon.
 type Counters struct {
 	Starts, StartsRefused, StartsUnknown            *telemetry.Counter
-	EndsDone, EndsFailed, EndsOther                 *telemetry.Counter
+	EndsDone, EndsFailed, EndsOther, EndsLate       *telemetry.Counter
 	Lost, Stops, LeaseRenewals, LeaseRenewalsFailed *telemetry.Counter
 	Paces, StoredBytes                              *telemetry.Counter
+	Panics, SetAside                                *telemetry.Counter
 	Commit, StartDelay, Plan                        *telemetry.Histogram
 }
 
@@ -17,9 +18,11 @@
 		Starts: r.Counter("shard_starts"), StartsRefused: r.Counter("shard_starts_refused"),
 		StartsUnknown: r.Counter("shard_starts_unknown"), EndsDone: r.Counter("shard_ends_done"),
 		EndsFailed: r.Counter("shard_ends_failed"), EndsOther: r.Counter("shard_ends_other"),
-		Lost: r.Counter("shard_runs_lost"), Stops: r.Counter("shard_stops"), LeaseRenewals: r.Counter("shard_holds"),
+		EndsLate: r.Counter("shard_ends_late"),
+		Lost:     r.Counter("shard_runs_lost"), Stops: r.Counter("shard_stops"), LeaseRenewals: r.Counter("shard_holds"),
 		LeaseRenewalsFailed: r.Counter("shard_holds_failed"), Paces: r.Counter("shard_paces"),
-		StoredBytes: r.Counter("shard_stored_bytes"), Commit: r.Histogram("shard_commit_time"),
+		StoredBytes: r.Counter("shard_stored_bytes"), Panics: r.Counter("shard_panics"),
+		SetAside: r.Counter("shard_jobs_set_aside"), Commit: r.Histogram("shard_commit_time"),
 		StartDelay: r.Histogram("shard_start_delay_time"), Plan: r.Histogram("shard_plan_time"),
 	}
 }
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -44,7 +44,9 @@
 	zonesOut      map[string]bool // zones out of service
 	daemons       []*daemon
 	config        *jobqueue.Config
-	advisor       advisor.Advisor
+	// configHook replaces the function that returns the configuration.
+	configHook func() *jobqueue.Config
+	advisor    advisor.Advisor
 }
 
 // daemon takes part in the ownership of the shard.
@@ -101,19 +103,39 @@
 }
 
 func (c *cluster) addServiceWorker(id, service string) {
-	info := jobworker.Info{ID: id, Service: service, Address: id, Zone: "z" + id[len(id)-1:],
-		Size: resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000}}
+	c.fleet.Add(c.addEntry(jobworker.Info{ID: id, Service: service}), maxWorkerLease)
+}
+
+// addWorkerOn adds a worker on a VM.
+func (c *cluster) addWorkerOn(id, vm string) {
+	info := jobworker.Info{ID: id, Service: service, VM: vm}
+	c.fleet.Add(c.addEntry(info), maxWorkerLease)
+}
+
+// addEntryOn adds an entry to the registry that names a worker on a VM, although there is no such worker.
+func (c *cluster) addEntryOn(id, vm string) {
+	c.addEntry(jobworker.Info{ID: id, Service: service, VM: vm})
+}
+
+// addEntry completes a worker's entry and adds it to the registry.
+func (c *cluster) addEntry(info jobworker.Info) jobworker.Info {
+	info.Address, info.Zone = info.ID, "z"+info.ID[len(info.ID)-1:]
+	info.Size = resource.Vector{MilliCPU: 10_000, MemoryMB: 10_000}
 	c.mu.Lock()
-	c.infos[id] = info
+	c.infos[info.ID] = info
 	c.mu.Unlock()
-	c.fleet.Add(info, maxWorkerLease)
-	c.register(id, []byte("up"))
+	c.register(info.ID, []byte("up"))
+	return info
 }
 
 func (c *cluster) currentConfig() *jobqueue.Config {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.config
+	hook, config := c.configHook, c.config
+	c.mu.Unlock()
+	if hook != nil {
+		return hook()
+	}
+	return config
 }
 
 // publish puts a configuration into force.
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -9,6 +9,7 @@
 
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/boundary"
 	"waxwingslip.example/node/ledger"
 )
 
@@ -36,9 +37,21 @@
 			s.deletedJobs = append(s.deletedJobs, id) // the job's record is deleted before its progress
 			continue
 		}
+		if e.setAside != "" {
+			continue
+		}
+		// Without its progress, tasks of the job that are running or done would be started again.
+		if p == nil {
+			s.setAside(e, errors.New("stored progress cannot be decoded"))
+			continue
+		}
+		if err := p.Validate(e.job.Spec); err != nil {
+			s.setAside(e, errors.WithMessage(err, "stored progress"))
+			continue
+		}
 		e.job.Progress = *p
 		e.storedState = e.job.State()
-		s.adoptRuns(e)
+		s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
 	}
 	s.applyCancels()
 	s.createDueOccurrences()
@@ -58,12 +71,19 @@
 		if err == nil {
 			return true
 		}
+		var p *boundary.PanicError
+		if errors.As(err, &p) {
+			s.deps.Counters.Panics.Inc()
+			s.log.Error().Err(err).Str("step", step).Str("stack", p.Stack).Msg("unexpected error contained")
+			return true // the records that can be handled are loaded
+		}
 		s.log.Warn().Err(err).Str("step", step).Msg("loading the shard failed, retrying")
 		backoff.Sleep(s.ctx)
 	}
 	return false
 }
 
+// decodeProgress decodes the progress of jobs; nil stands for a record that cannot be decoded.
 func (s *Shard) decodeProgress(records []keyedlog.Record, into map[string]*jobs.Progress) {
 	for _, r := range records {
 		if r.Value == nil {
@@ -77,7 +97,7 @@
 		p := &jobs.Progress{}
 		if err := cbor.Unmarshal(r.Value, p); err != nil {
 			s.log.Error().Err(err).Str("job", r.Key).Int64("offset", r.Offset).Msg("stored progress of job cannot be decoded")
-			continue
+			p = nil
 		}
 		into[r.Key] = p
 	}
@@ -146,11 +166,20 @@
 		return nil // a duplicate, or cancelled before it was accepted
 	}
 	spec := &jobs.Spec{}
-	if err := cbor.Unmarshal(r.Value, spec); err != nil {
-		return err
+	err := cbor.Unmarshal(r.Value, spec)
+	switch {
+	case err != nil:
+	case spec.ID != id:
+		err = errors.Errorf("record of job %s names job %s", id, spec.ID)
+	default:
+		err = errors.WithMessagef(spec.Validate(), "record of job %s", id)
 	}
-	if spec.ID != id {
-		return errors.Errorf("record of job %s names job %s", id, spec.ID)
+	if err != nil {
+		// Callers go on to see the job, which was accepted.
+		e := &jobEntry{job: jobs.New(&jobs.Spec{ID: id}), storedState: jobs.StatePending}
+		s.jobs[id] = e
+		s.setAside(e, err)
+		return err
 	}
 	e := &jobEntry{job: jobs.New(spec), storedState: jobs.StatePending, mayHaveReady: true}
 	e.criticalPathMs, e.longRunning = spec.ChainMs(), spec.LongRunning()
@@ -158,7 +187,7 @@
 	s.jobs[id] = e
 	s.updateMeanSize(spec)
 	if s.loaded {
-		e.job.CreateDue(s.deps.WallTime().UnixMilli())
+		s.forJob("create due occurrences", e, func() { e.job.CreateDue(s.deps.WallTime().UnixMilli()) })
 		s.log.Info().Str("job", id).Str("queue", spec.Queue).Int64("offset", r.Offset).
 			Int64("age_ms", s.deps.WallTime().UnixMilli()-spec.AcceptedMs).Msg("job read")
 	}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -32,9 +32,7 @@
 			continue
 		}
 		startedAt := s.deps.Now()
-		s.mu.Lock()
-		s.plan(startedAt)
-		s.mu.Unlock()
+		s.locked("plan", func() { s.plan(startedAt) })
 		took := s.deps.Now() - startedAt
 		s.deps.Counters.Plan.Record(took)
 		ctxtime.Sleep(s.ctx, min(planPauseFactor*took, maxPlanPause))
@@ -49,7 +47,7 @@
 	}
 	var waiting []*jobEntry
 	for _, e := range s.jobs {
-		if e.mayHaveReady && e.job.Outcome == jobs.Unfinished {
+		if e.mayHaveReady && e.job.Outcome == jobs.Unfinished && e.setAside == "" {
 			waiting = append(waiting, e)
 		}
 	}
@@ -62,7 +60,7 @@
 	slices.SortFunc(waiting, compareUrgency)
 	s.updateDemand(waiting, now)
 	for _, e := range waiting {
-		s.planJob(e, config, now)
+		s.forJob("plan job", e, func() { s.planJob(e, config, now) })
 	}
 	s.planLongRunningRounds(waiting, config, now)
 }
@@ -74,7 +72,7 @@
 		bound = 0
 		for _, e := range waiting {
 			if e.longRunning && e.mayHaveReady {
-				bound += s.planJob(e, config, now)
+				s.forJob("plan job", e, func() { bound += s.planJob(e, config, now) })
 			}
 		}
 	}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -98,6 +98,8 @@
 	lateness       lateness // at the newest plan
 	// cancelRequested is set once a cancellation was read.
 	cancelRequested bool
+	// setAside is why nothing of the job is planned or recorded any more; empty for other jobs.
+	setAside string
 	// retryAt is the earliest time at which a failed task may run again, and avoid the worker that it failed on.
 	retryAt map[jobs.TaskID]time.Duration
 	avoid   map[jobs.TaskID]string
@@ -187,6 +189,10 @@
 	// progressTombstones are jobs of which only the progress record is left to delete.
 	progressTombstones []string
 
+	// sweptAt is when the newest sweep began. stalledAt is the end of the newest period in which this daemon did not
+	// run, or was too slow to read the responses of workers.
+	sweptAt, stalledAt time.Duration
+
 	commitSignal chan struct{}
 	planSignal   chan struct{}
 	background   sync.WaitGroup
@@ -224,6 +230,9 @@
 	registryPollInterval = 400 * time.Millisecond
 	// sweepInterval is the time between checks for expired leases, due occurrences and ended jobs.
 	sweepInterval = 200 * time.Millisecond
+	// stallThreshold is the delay of a sweep above which the daemon counts as stalled. Workers that it could not reach
+	// meanwhile are asked once more before their runs count as lost.
+	stallThreshold = 500 * time.Millisecond
 	// planDebounce lets events that arrive together share one plan.
 	planDebounce = 4 * time.Millisecond
 )
@@ -232,7 +241,8 @@
 func (s *Shard) Run(ctx context.Context) {
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
-	if !s.load() {
+	loaded := false
+	if err := s.contain("load", func() { loaded = s.load() }); err != nil || !loaded {
 		return
 	}
 	var loops sync.WaitGroup
@@ -241,9 +251,13 @@
 	})
 	registry := ledger.NewFollower(s.deps.Store, s.deps.Registry, s.applyRegistry)
 	loops.Go(func() { registry.Run(s.ctx, 0, registryPollInterval, ledger.LogDependency(s.log, "worker registry")) })
-	loops.Go(s.commitLoop)
-	loops.Go(s.planLoop)
-	loops.Go(s.sweepLoop)
+	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop} {
+		loops.Go(func() {
+			if s.contain(step, loop) != nil {
+				s.cancel()
+			}
+		})
+	}
 	loops.Wait()
 	s.background.Wait()
 }
@@ -284,25 +298,34 @@
 		if s.ctx.Err() != nil {
 			return
 		}
-		s.mu.Lock()
-		now := s.deps.Now()
-		s.expireWorkerLeases(now)
-		s.drainWorkers(now)
-		s.createDueOccurrences()
-		s.pruneEndedJobs()
-		s.pruneAdvice()
-		s.mu.Unlock()
+		s.locked("sweep", s.sweep)
 		signal(s.planSignal)
 	}
 }
 
+// sweep does the work that is due. The caller holds mu.
+func (s *Shard) sweep() {
+	now := s.deps.Now()
+	if s.sweptAt > 0 && now-s.sweptAt > sweepInterval+stallThreshold {
+		s.stalledAt = now
+	}
+	s.sweptAt = now
+	s.expireWorkerLeases(now)
+	s.drainWorkers(now)
+	s.createDueOccurrences()
+	s.pruneEndedJobs()
+	s.pruneAdvice()
+}
+
 // createDueOccurrences creates the occurrences of scheduled jobs that are due. The caller holds mu.
 func (s *Shard) createDueOccurrences() {
 	wall := s.deps.WallTime().UnixMilli()
 	for _, e := range s.jobs {
-		if e.job.CreateDue(wall) {
-			e.mayHaveReady = true
-		}
+		s.forJob("create due occurrences", e, func() {
+			if e.job.CreateDue(wall) {
+				e.mayHaveReady = true
+			}
+		})
 	}
 }
 
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -109,6 +109,7 @@
 	{"shard_ends_done", TypeCounter, "runs", "Runs that ended as done."},
 	{"shard_ends_failed", TypeCounter, "runs", "Runs that ended as failed."},
 	{"shard_ends_other", TypeCounter, "runs", "Runs that ended in another way."},
+	{"shard_ends_late", TypeCounter, "runs", "Ends reported for runs that had been settled without a report."},
 	{"shard_runs_lost", TypeCounter, "runs", "Runs that ended without a word of the worker."},
 	{"shard_stops", TypeCounter, "orders", "Runs that were stopped."},
 	{"shard_holds", TypeCounter, "calls", "Renewals of workers' leases."},
@@ -116,6 +117,9 @@
 	{"shard_paces", TypeCounter, "orders", "Orders that set the pace of a filling task."},
 	{"shard_stored_bytes", TypeCounter, "B", "Progress of jobs that was stored."},
 	{"shard_commit_time", TypeHistogram, "us", "Time to store changes of progress."},
+	{"shard_panics", TypeCounter, "errors", "Unexpected errors that were contained in a shard; the log has their stacks."},
+	{"shard_jobs_set_aside", TypeCounter, "jobs", "Jobs whose records cannot be used or led to an unexpected error. Nothing of them runs any more."},
+	{"callers_panics", TypeCounter, "requests", "Callers' requests that ended with an unexpected error."},
 	{"shard_plan_time", TypeHistogram, "us", "Time to bind waiting tasks once."},
 	{"log_lines_dropped", TypeCounter, "lines", "Log lines dropped because standard output did not take them."},
 
