Count results of runs that are reported late

An entry of the registry that named the machine of a live worker ended the runs of that worker. A renewal could be computed after the right to renew had ended, and a start could be repeated then.

Ruled out: lease arithmetic; deadlines are absolute on the worker's clock and were kept.

After a stall of its own, an owner asks a worker once more before it settles its runs. A worker counts as replaced only if it does not respond and a newer worker on its machine has reported. The rights to renew and to start are checked under the lock that computes the request.

--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -48,7 +48,8 @@
 func (s *Shard) applyEnd(w *worker, e *jobworker.End) {
 	r := s.runs[e.Task]
 	if r == nil || r.number != e.Run || r.workerID != w.info.ID {
-		return // settled before, or of a job that has been removed
+		s.applyLateEnd(w, e)
+		return
 	}
 	switch e.Kind {
 	case jobs.EndDone:
@@ -63,6 +64,41 @@
 	s.endRun(r, e.Kind, e.Checkpoint, "")
 }
 
+// applyLateEnd applies the end of a run that was settled before the worker reported it: the worker did not respond until
+// its lease had expired, or a previous owner settled the run. Results count; work that was done is not done again.
+func (s *Shard) applyLateEnd(w *worker, end *jobworker.End) {
+	id, err := jobs.ParseTaskID(end.Task)
+	if err != nil {
+		return
+	}
+	e := s.jobs[id.Job]
+	if e == nil || e.setAside != "" || !e.job.LateEnd(id, end.Run, end.Kind, s.deps.WallTime().UnixMilli()) {
+		return
+	}
+	s.deps.Counters.EndsLate.Inc()
+	s.log.Info().Str("job", id.Job).Str("task", end.Task).Int64("run", end.Run).Str("worker", w.info.ID).
+		Stringer("kind", end.Kind).Msg("end reported late")
+	if newer := s.runs[end.Task]; newer != nil && end.Kind == jobs.EndDone {
+		s.stopDuplicate(newer)
+	}
+	if e.job.Outcome != jobs.Unfinished {
+		s.stopJobRuns(e)
+	}
+	e.mayHaveReady = true
+	s.markDirty(e)
+	signal(s.planSignal)
+}
+
+// stopDuplicate stops a run of a task that is done. The caller holds mu.
+func (s *Shard) stopDuplicate(r *run) {
+	switch w := s.workers[r.workerID]; {
+	case r.stage == committing:
+		s.removeRun(r) // it was not sent
+	case w != nil && r.stage != stopping && r.stage != stopped:
+		s.stopRun(w, r)
+	}
+}
+
 // applyRunning applies a run that the worker lists and returns it, or nil for one that must not run.
 func (s *Shard) applyRunning(w *worker, listedRun *jobworker.Run) *run {
 	r := s.runs[listedRun.Task]
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -50,6 +50,8 @@
 	objectiveMissed bool
 	// unreachable is set if the newest renewal failed.
 	unreachable bool
+	// failedSentAt is when the newest renewal that failed was sent.
+	failedSentAt time.Duration
 	// startsBlockedUntil delays starts after a refusal.
 	startsBlockedUntil time.Duration
 	failures           failureWindow
@@ -113,11 +115,6 @@
 
 // addWorker adds a worker and starts renewing its lease. The caller holds mu.
 func (s *Shard) addWorker(info jobworker.Info) {
-	for _, old := range s.workers {
-		if info.VM != "" && old.info.VM == info.VM {
-			s.endLostRuns(old, "its VM runs a new worker")
-		}
-	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{info: info, registered: true, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
 	s.workers[info.ID] = w
@@ -127,7 +124,7 @@
 		s.fleet.Reserve(r.workerID, r.step, r.stepName)
 	}
 	s.log.Info().Str("worker", info.ID).Str("zone", info.Zone).Stringer("size", info.Size).Msg("worker found")
-	s.background.Go(func() { s.renewLoop(ctx, w) })
+	s.runInBackground("renew lease", func() { s.renewLoop(ctx, w) })
 }
 
 // updateAvailability updates whether the worker takes new tasks. The caller holds mu.
@@ -149,28 +146,10 @@
 			ctxtime.Sleep(ctx, renewalPause)
 			continue
 		}
-		s.mu.Lock()
-		info := w.info
-		renewal := jobworker.LeaseRenewal{Fence: s.epoch}
-		if w.storedEnd > w.ackedEnd && !w.unreachable {
-			// An acknowledgement is not repeated once confirmed, and not sent to a worker that may have restarted: it
-			// numbers its ends from the start again and would drop ends that were never reported.
-			renewal.Ack = w.storedEnd
-		}
-		sentAt := s.deps.Now()
-		if w.clock.Known() && !w.unreachable {
-			// Calls to an unresponsive worker renew nothing, so that its lease expires at a known time even if the
-			// requests arrive and only the responses are lost.
-			renewal.DeadlineMs = w.clock.Deadline(sentAt, s.deps.Limits.MaxWorkerLease)
-			w.grant.Sent(renewal.DeadlineMs)
-		}
-		if w.adopted && w.storedEnd == w.recordedEnd {
-			renewal.Wait = reportWait
-			if w.objectiveMissed {
-				renewal.Wait = objectiveMissedReportWait
-			}
+		info, renewal, sentAt, ok := s.nextRenewal(w)
+		if !ok {
+			continue
 		}
-		s.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, renewal.Wait+responseMargin)
 		report, err := s.deps.Workers.RenewLease(callCtx, info, renewal)
 		cancel()
@@ -178,12 +157,13 @@
 			return
 		}
 		s.deps.Counters.LeaseRenewals.Inc()
-		s.mu.Lock()
-		unstored := s.handleRenewal(w, report, err, sentAt)
-		if err == nil && renewal.Ack > 0 && w.storedEnd >= renewal.Ack {
-			w.ackedEnd = renewal.Ack
-		}
-		s.mu.Unlock()
+		unstored := false
+		s.locked("apply report", func() {
+			unstored = s.handleRenewal(w, report, err, sentAt)
+			if err == nil && renewal.Ack > 0 && w.storedEnd >= renewal.Ack {
+				w.ackedEnd = renewal.Ack
+			}
+		})
 		if err != nil {
 			backoff.Sleep(ctx)
 			continue
@@ -195,6 +175,36 @@
 	}
 }
 
+// nextRenewal returns the next renewal of a worker's lease and the time of sending it. It reports false if renewals are
+// not allowed any more: the daemon may have been suspended, or waited long for mu, since that was checked last.
+func (s *Shard) nextRenewal(w *worker) (info jobworker.Info, r jobworker.LeaseRenewal, sentAt time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.auth.MayRenew() {
+		return jobworker.Info{}, jobworker.LeaseRenewal{}, 0, false
+	}
+	r.Fence = s.epoch
+	if w.storedEnd > w.ackedEnd && !w.unreachable {
+		// An acknowledgement is not repeated once confirmed, and not sent to a worker that may have restarted: it
+		// numbers its ends from the start again and would drop ends that were never reported.
+		r.Ack = w.storedEnd
+	}
+	sentAt = s.deps.Now()
+	if w.clock.Known() && !w.unreachable {
+		// Calls to an unresponsive worker renew nothing, so that its lease expires at a known time even if the
+		// requests arrive and only the responses are lost.
+		r.DeadlineMs = w.clock.Deadline(sentAt, s.deps.Limits.MaxWorkerLease)
+		w.grant.Sent(r.DeadlineMs)
+	}
+	if w.adopted && w.storedEnd == w.recordedEnd {
+		r.Wait = reportWait
+		if w.objectiveMissed {
+			r.Wait = objectiveMissedReportWait
+		}
+	}
+	return w.info, r, sentAt, true
+}
+
 // awaitStored waits until the ends that the worker reported are stored, but at most renewalPause.
 func (s *Shard) awaitStored(ctx context.Context, w *worker) {
 	stored := make(chan struct{})
@@ -222,7 +232,7 @@
 		if !w.unreachable {
 			s.log.Warn().Err(err).Str("worker", w.info.ID).Msg("dependency lost: worker does not answer")
 		}
-		w.unreachable = true
+		w.unreachable, w.failedSentAt = true, sentAt
 		s.updateAvailability(w)
 		return false
 	}
@@ -252,7 +262,10 @@
 		if !w.unreachable {
 			continue
 		}
-		if s.leaseExpired(w, now) {
+		if len(s.runsByWorker[id]) > 0 && s.replaced(w) {
+			s.endLostRuns(w, "its VM runs a new worker")
+		}
+		if w.failedSentAt >= s.stalledAt && s.leaseExpired(w, now) {
 			s.endLostRuns(w, "its lease lapsed")
 			if !w.registered {
 				w.cancel()
@@ -277,6 +290,21 @@
 	}
 }
 
+// replaced reports whether the VM of an unreachable worker runs a newer one, which has itself reported to this owner. An
+// entry in the registry alone proves nothing: other writers may add some. The caller holds mu.
+func (s *Shard) replaced(w *worker) bool {
+	if w.info.VM == "" {
+		return false
+	}
+	for _, other := range s.workers {
+		if other != w && other.info.VM == w.info.VM && other.adopted && !other.unreachable &&
+			other.incarnation > max(w.incarnation, w.info.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Shard) leaseExpired(w *worker, now time.Duration) bool {
 	if !w.adopted {
 		return now >= s.orphanLeaseExpiry
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -23,7 +23,7 @@
 
 // callWorker runs f in a goroutine once one of the worker's call slots is free, unless the shard is lost first.
 func (s *Shard) callWorker(w *worker, f func()) {
-	s.background.Go(func() {
+	s.runInBackground("call worker", func() {
 		select {
 		case w.callSlots <- struct{}{}:
 		case <-s.ctx.Done():
@@ -41,7 +41,7 @@
 		return
 	}
 	if w == nil || e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayStart() {
-		s.endRun(r, jobs.EndLost, "", "the start was not sent")
+		s.endRun(r, jobs.EndNotStarted, "", "the start was not sent")
 		return
 	}
 	r.stage = starting
@@ -50,26 +50,10 @@
 
 func (s *Shard) sendStart(w *worker, r *run, payload string) {
 	for attempt := 1; ; attempt++ {
-		s.mu.Lock()
-		if s.runs[r.name] != r || r.stage != starting {
-			s.mu.Unlock()
+		info, start, ok := s.nextStart(w, r, payload, attempt)
+		if !ok {
 			return
 		}
-		e := s.jobs[r.id.Job]
-		if attempt == 1 && (e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayStart() ||
-			s.deps.ZoneOutOfService(w.info.Zone)) {
-			s.endRun(r, jobs.EndLost, "", "the start was not sent")
-			s.mu.Unlock()
-			return
-		}
-		now := s.deps.Now()
-		info := w.info
-		deadline := w.clock.Deadline(now, s.deps.Limits.MaxWorkerLease)
-		w.grant.Sent(deadline)
-		start := jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
-			Fence: s.epoch, DeadlineMs: deadline,
-			Ticket: s.ticketFor(r)}
-		s.mu.Unlock()
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		_, err := s.deps.Workers.Start(ctx, info, start)
 		cancel()
@@ -80,6 +64,29 @@
 	}
 }
 
+// nextStart returns the request of an attempt to start a run. It reports false if the run is not to be started any more.
+func (s *Shard) nextStart(w *worker, r *run, payload string, attempt int) (jobworker.Info, jobworker.Start, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[r.name] != r || r.stage != starting {
+		return jobworker.Info{}, jobworker.Start{}, false
+	}
+	e := s.jobs[r.id.Job]
+	switch {
+	case attempt > 1 && !s.auth.MayStart():
+		s.stopRun(w, r) // the first attempt may have arrived
+		return jobworker.Info{}, jobworker.Start{}, false
+	case attempt == 1 && (e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayStart() ||
+		s.deps.ZoneOutOfService(w.info.Zone)):
+		s.endRun(r, jobs.EndNotStarted, "", "the start was not sent")
+		return jobworker.Info{}, jobworker.Start{}, false
+	}
+	deadline := w.clock.Deadline(s.deps.Now(), s.deps.Limits.MaxWorkerLease)
+	w.grant.Sent(deadline)
+	return w.info, jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
+		Fence: s.epoch, DeadlineMs: deadline, Ticket: s.ticketFor(r)}, true
+}
+
 // handleStartResponse applies the response to a start and reports whether the start is settled.
 func (s *Shard) handleStartResponse(w *worker, r *run, err error, attempt int) bool {
 	s.mu.Lock()
@@ -125,7 +132,7 @@
 		w.startsBlockedUntil = s.deps.Now() + refusalPause
 		s.updateAvailability(w)
 	}
-	s.endRun(r, jobs.EndLost, "", "the start was refused")
+	s.endRun(r, jobs.EndNotStarted, "", "the start was refused")
 }
 
 // stopJobRuns stops all runs of a job that ended. The caller holds mu.
@@ -148,9 +155,7 @@
 	s.callWorker(w, func() {
 		var backoff ledger.Backoff
 		for s.ctx.Err() == nil {
-			s.mu.Lock()
-			info, current := w.info, s.runs[r.name] == r && s.workers[w.info.ID] == w
-			s.mu.Unlock()
+			info, current := s.currentRun(w, r)
 			if !current {
 				return
 			}
@@ -170,6 +175,13 @@
 	})
 }
 
+// currentRun returns the entry of a run's worker and reports whether the run is still registered there.
+func (s *Shard) currentRun(w *worker, r *run) (jobworker.Info, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.info, s.runs[r.name] == r && s.workers[w.info.ID] == w
+}
+
 // stopUnexpectedRun stops a run that the shard has no record of. If the call fails, the next report lists the run
 // again.
 func (s *Shard) stopUnexpectedRun(w *worker, task string, number int64) {
