Keep keys of certificates in memory on request

Cause: daemons on the platform wrote their private keys to files of a directory that they could not remove (log line "removing key files failed" at each start), and their certificates were valid for five years.

Change: peer.NewCredentials holds a certificate and authority without files, Replace changes them for later handshakes; devcert issues certificates for a given time.

Result: TestWithdrawnAuthorityIsRefused: peers refuse certificates that have expired or are of a replaced authority.

--- a/node/peer/credentials.go
+++ b/node/peer/credentials.go
@@ -26,8 +26,8 @@
 	Key  string
 }
 
-// Credentials is the identity of a daemon and the authority that it trusts. Changed files are reloaded by a later
-// handshake, see reloadInterval. It is safe for concurrent use.
+// Credentials is the identity of a daemon and the authority that it trusts. Changed files, if there are any, are reloaded
+// by a later handshake, see reloadInterval. It is safe for concurrent use.
 type Credentials struct {
 	files Files
 	now   func() time.Time
@@ -49,6 +49,18 @@
 	return c, nil
 }
 
+// NewCredentials returns credentials that are in memory only. Replace changes them.
+func NewCredentials(cert tls.Certificate, roots *x509.CertPool) *Credentials {
+	return &Credentials{now: time.Now, cert: cert, pool: roots}
+}
+
+// Replace puts another identity and authority into force for later handshakes.
+func (c *Credentials) Replace(cert tls.Certificate, roots *x509.CertPool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cert, c.pool = cert, roots
+}
+
 // Reload reads the files immediately. If they are not valid, the previous credentials stay in use.
 func (c *Credentials) Reload() error {
 	c.mu.Lock()
@@ -105,7 +117,7 @@
 func (c *Credentials) current() (tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now := c.now(); now.Sub(c.checkedAt) >= reloadInterval {
+	if now := c.now(); c.files != (Files{}) && now.Sub(c.checkedAt) >= reloadInterval {
 		c.checkedAt = now
 		if modTimes := c.fileModTimes(); modTimes != c.modTimes {
 			c.lastErr = c.load(modTimes)
--- a/node/peer/devcert/devcert.go
+++ b/node/peer/devcert/devcert.go
@@ -20,8 +20,7 @@
 	"waxwingslip.example/node/peer"
 )
 
-// validity is the validity period of certificates. Daemons get a new one at each start, and the authority in the
-// store is replaced by deleting its record.
+// validity is the validity period of an authority and of certificates in files.
 const validity = 5 * 365 * 24 * time.Hour
 
 // clockSkew is how far the clock of a process may be behind for a new certificate to be valid at once.
@@ -83,21 +82,39 @@
 	return &Authority{cert: pair.Leaf, key: key}, nil
 }
 
-// Write issues the certificate of a daemon and writes NAME.crt, NAME.key and ca.crt as PEM files to a directory.
-func (a *Authority) Write(dir, name string) (peer.Files, error) {
+// Issue returns a new certificate of a daemon, valid for a time, with its key.
+func (a *Authority) Issue(name string, validFor time.Duration) (tls.Certificate, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return peer.Files{}, errors.Wrapf(err, "generate key of %s", name)
+		return tls.Certificate{}, errors.Wrapf(err, "generate key of %s", name)
 	}
 	template := certTemplate(name)
+	template.NotAfter = time.Now().Add(validFor)
 	template.DNSNames = []string{name}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
 	if err != nil {
-		return peer.Files{}, errors.Wrapf(err, "sign certificate of %s", name)
+		return tls.Certificate{}, errors.Wrapf(err, "sign certificate of %s", name)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, errors.Wrapf(err, "parse certificate of %s", name)
+}
+
+// Roots returns a pool with the authority's certificate.
+func (a *Authority) Roots() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return pool
+}
+
+// Write issues the certificate of a daemon and writes NAME.crt, NAME.key and ca.crt as PEM files to a directory.
+func (a *Authority) Write(dir, name string) (peer.Files, error) {
+	issued, err := a.Issue(name, validity)
+	if err != nil {
+		return peer.Files{}, err
 	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(issued.PrivateKey)
 	if err != nil {
 		return peer.Files{}, errors.Wrapf(err, "encode key of %s", name)
 	}
@@ -110,7 +127,7 @@
 		path, kind string
 		der        []byte
 	}{
-		{files.CA, "CERTIFICATE", a.cert.Raw}, {files.Cert, "CERTIFICATE", der}, {files.Key, "PRIVATE KEY", keyDER},
+		{files.CA, "CERTIFICATE", a.cert.Raw}, {files.Cert, "CERTIFICATE", issued.Certificate[0]}, {files.Key, "PRIVATE KEY", keyDER},
 	} {
 		text := pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der})
 		if err := os.WriteFile(f.path, text, 0o600); err != nil {
--- a/node/peer/failure_test.go
+++ b/node/peer/failure_test.go
@@ -349,3 +349,39 @@
 		})
 	}
 }
+
+// Guards against a daemon with a certificate of a withdrawn authority that its peers accept again.
+func TestWithdrawnAuthorityIsRefused(t *testing.T) {
+	is := is.New(t)
+	old, err := devcert.NewAuthority()
+	is.NoErr(err)
+	current, err := devcert.NewAuthority()
+	is.NoErr(err)
+	issue := func(a *devcert.Authority, name string, validFor time.Duration) *peer.Credentials {
+		cert, err := a.Issue(name, validFor)
+		is.NoErr(err)
+		return peer.NewCredentials(cert, a.Roots())
+	}
+	serverCredentials := issue(old, "server", time.Hour)
+	call := func(client *peer.Credentials) error {
+		server, err := peer.NewServer(peer.ServerOptions{Address: "127.0.0.1:0", Credentials: serverCredentials})
+		is.NoErr(err)
+		defer server.Close()
+		peer.HandleCall(server, "m", func(context.Context, string, struct{}) (struct{}, error) { return struct{}{}, nil })
+		is.NoErr(server.Serve())
+		transport, err := peer.NewTransport(peer.Options{LocalAddress: "127.0.0.1:0", Credentials: client})
+		is.NoErr(err)
+		defer transport.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return transport.Call(ctx, server.Address(), "m", struct{}{}, &struct{}{})
+	}
+	is.NoErr(call(issue(old, "client", time.Hour)))
+	is.True(call(issue(old, "client", -time.Minute)) != nil) // expired
+
+	cert, err := current.Issue("server", time.Hour)
+	is.NoErr(err)
+	serverCredentials.Replace(cert, current.Roots())
+	is.True(call(issue(old, "client", time.Hour)) != nil)
+	is.NoErr(call(issue(current, "client", time.Hour)))
+}
