Spread shards over able daemons and hand them over in order

Nothing moved a shard from an overloaded owner.

Change: workers are counted once their number no longer grows, by able daemons first. The managers of a daemon decide claims under one lock and see each other's. A daemon asks an owner with a much higher load for a shard; the owner releases it with the name of the successor. A read waits no longer than until a claim is due.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -55,12 +55,16 @@
 	controlReadAt atomic.Int64 // boot time in ns of the last successful read of the control topic
 	// storeLatency is the shortest measured response time of the store in ns.
 	storeLatency atomic.Int64
+	// referenceCapacity holds the bits of the capacity, in cores, of the daemon that proposed the number of shards.
+	referenceCapacity atomic.Uint64
 	// shardTotal is the number of shards; 0 until it is known.
 	shardTotal atomic.Int64
 
 	mu            sync.Mutex
 	leaseManagers []*shardlease.Manager
 	shards        map[int]*shard.Shard // owned
+	// movedAt is when this daemon last handed a shard over to relieve itself.
+	movedAt time.Duration
 }
 
 // New returns a daemon. Run starts it.
@@ -226,14 +230,17 @@
 		d.log.Error().Err(err).Msg("reading the number of shards failed")
 		return
 	}
-	d.measureStoreLatency(ctx)
-	self := shardlease.Owner{Name: d.settings.Name, Address: d.settings.Listen.Peers, Lifetime: time.Now().UnixNano()}
+	d.measureStore(ctx)
+	self := shardlease.Owner{Name: d.settings.Name, Address: d.settings.Listen.Peers, Lifetime: time.Now().UnixNano(),
+		Capacity: d.capacity()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	claimLock := &sync.Mutex{}
 	for n := range count {
 		m := shardlease.New(shardlease.Options{
-			Store: d.deps.Store, Shard: n, Self: self, Now: d.now, Log: d.log, Preference: d.preference,
-			Lead: func(ctx context.Context, ownership *shardlease.Ownership) { d.runShard(ctx, n, ownership) },
+			Store: d.deps.Store, Shard: n, Self: self, Now: d.now, Log: d.log, ClaimLock: claimLock,
+			Preference: func() int { return d.preference(n) },
+			Lead:       func(ctx context.Context, ownership *shardlease.Ownership) { d.runShard(ctx, n, ownership) },
 		})
 		if d.draining.Load() {
 			m.Drain()
@@ -241,6 +248,7 @@
 		d.leaseManagers = append(d.leaseManagers, m)
 		go m.Run(ctx)
 	}
+	go d.rebalance(ctx)
 	d.shardTotal.Store(int64(count))
 }
 
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -193,6 +193,7 @@
 	methodStore   = "command.store"
 	methodState   = "job.state"
 	methodWaiting = "queue.waiting"
+	methodMove    = "shard.move"
 )
 
 type stateQuery struct {
@@ -237,4 +238,7 @@
 		}
 		return ownedShard.Waiting(q.Queue)
 	})
+	peer.HandleCall(s, methodMove, func(_ context.Context, _ string, req moveRequest) (struct{}, error) {
+		return struct{}{}, d.handOver(req)
+	})
 }
--- a/node/hosted/jobapi_test.go
+++ b/node/hosted/jobapi_test.go
@@ -12,6 +12,7 @@
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/shard"
 )
 
@@ -141,3 +142,17 @@
 	is.True(errors.As(err, &refused))
 	is.True(time.Since(start) < queryTimeLimit/2)
 }
+
+// Guards against a call of another daemon that makes this one give up a shard which it does not own, or that does not
+// exist.
+func TestMoveOfShardThatIsNotOwned(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(storefake.New().As("d"))
+	for _, n := range []int{0, -1, 99} {
+		err := d.handOver(moveRequest{Shard: n, To: "other", Load: 0.1})
+		code, _ := peer.CodeOf(err)
+		is.Equal(code, codeNotOwner)
+	}
+	_, _, _, ok := d.chooseMove()
+	is.True(!ok)
+}
--- a/node/hosted/join.go
+++ b/node/hosted/join.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"math/rand/v2"
 	"net"
-	"os"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/sharding"
 	"waxwingslip.example/external/keyedlog"
 	"waxwingslip.example/node/ctxtime"
 	"waxwingslip.example/node/ledger"
@@ -22,6 +25,8 @@
 const (
 	authorityKey = "peer-authority"
 	shardsKey    = "shards"
+	// capacityKey holds the cores of the daemon that proposed the number of shards.
+	capacityKey = "owner-cores"
 )
 
 // peerTiming lets a query find a new owner within its time limit: an unresponsive connection to a daemon that is gone
@@ -31,8 +36,17 @@
 	BreakerOpen: 200 * time.Millisecond,
 }
 
-// startPeers issues this daemon's certificate from the shared authority and opens the listener for other daemons.
-func (d *Daemon) startPeers(ctx context.Context) error {
+// Certificates of daemons. Their keys stay in memory.
+const (
+	// certValidity exceeds every outage of the store that a daemon is to outlast.
+	certValidity = 24 * time.Hour
+	// certRenewInterval is the time between two certificates. An authority that replaces another, after the record of
+	// that was deleted, is in force everywhere after this time.
+	certRenewInterval = 10 * time.Minute
+)
+
+// authority returns the authority of the daemons' certificates.
+func (d *Daemon) authority(ctx context.Context) (*devcert.Authority, error) {
 	secret, err := ledger.GetOrCreate(ctx, d.deps.Store, agreementPartition, authorityKey, func() ([]byte, error) {
 		authority, err := devcert.NewAuthority()
 		if err != nil {
@@ -41,29 +55,39 @@
 		return authority.Encode()
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	authority, err := devcert.ParseAuthority(secret)
-	if err != nil {
-		return err
-	}
-	dir, err := os.MkdirTemp("", "waxwingslip")
-	if err != nil {
-		return errors.Wrap(err, "create directory for key files")
-	}
-	defer func() {
-		if err := os.RemoveAll(dir); err != nil {
-			d.log.Warn().Err(err).Msg("removing key files failed")
+	return devcert.ParseAuthority(secret)
+}
+
+// renewCertificate replaces this daemon's certificate from time to time until the context ends.
+func (d *Daemon) renewCertificate(ctx context.Context, credentials *peer.Credentials) {
+	for ctxtime.Sleep(ctx, certRenewInterval) {
+		authority, err := d.authority(ctx)
+		if err == nil {
+			var cert tls.Certificate
+			if cert, err = authority.Issue(d.settings.Name, certValidity); err == nil {
+				credentials.Replace(cert, authority.Roots())
+			}
 		}
-	}()
-	files, err := authority.Write(dir, d.settings.Name)
+		if err != nil {
+			d.log.Warn().Err(err).Msg("renewing the certificate failed")
+		}
+	}
+}
+
+// startPeers issues this daemon's certificate from the shared authority and opens the listener for other daemons.
+func (d *Daemon) startPeers(ctx context.Context) error {
+	authority, err := d.authority(ctx)
 	if err != nil {
 		return err
 	}
-	credentials, err := peer.LoadCredentials(files)
+	cert, err := authority.Issue(d.settings.Name, certValidity)
 	if err != nil {
 		return err
 	}
+	credentials := peer.NewCredentials(cert, authority.Roots())
+	go d.renewCertificate(ctx, credentials)
 	server, err := peer.NewServer(peer.ServerOptions{Address: d.settings.Listen.Peers, Credentials: credentials, Timing: peerTiming})
 	if err != nil {
 		return err
@@ -88,51 +112,113 @@
 	return nil
 }
 
-// Sizing of shards.
+// Timing of the proposal of the number of shards.
 const (
-	// workersPerCore sizes shards: the shard of that many workers uses a third of a core.
-	workersPerCore = 350
-	// Bounds of the workers in a shard: with fewer, large tasks do not fit beside others; with more, the loss of an
-	// owner stops too many workers at once.
-	minWorkersPerShard, maxWorkersPerShard = 48, 175
-	// smallVMDelay lets VMs with more processor time propose the number of shards first.
-	smallVMDelay = 1500 * time.Millisecond
-	// registrationTime is how long workers have to register before they are counted.
+	// registrationTime is how long workers have to register before they are counted first.
 	registrationTime = 3 * time.Second
+	// maxRegistrationTime is how long the number of workers may grow before it is taken as it is.
+	maxRegistrationTime = 8 * time.Second
+	// recountDelay is the time between two counts, which must be equal.
+	recountDelay = time.Second
+	// weakVMDelay lets VMs with more processor time propose the number of shards first.
+	weakVMDelay = 2 * time.Second
+	// weakVMCores is the number of cores below which a VM waits for others.
+	weakVMCores = 0.4
+	// proposalJitter spreads the counts of equal daemons, of which the first makes the others needless.
+	proposalJitter = 800 * time.Millisecond
 )
 
+// errAgreed means that another daemon has proposed the number of shards meanwhile.
+var errAgreed = errors.New("the number of shards is agreed on")
+
 // agreeOnShardCount returns the number of shards, which the first daemon derives from the number of workers.
 func (d *Daemon) agreeOnShardCount(ctx context.Context) (int, error) {
-	start := d.now()
+	start, proposed := d.now(), false
 	value, err := ledger.GetOrCreate(ctx, d.deps.Store, agreementPartition, shardsKey, func() ([]byte, error) {
-		wait := registrationTime
-		if d.settings.VM.Cores < 2*smallVMCores {
-			wait += smallVMDelay
-		}
-		ctxtime.Sleep(ctx, wait-(d.now()-start))
-		workers := 0
-		after := ""
-		for {
-			page, err := d.deps.Store.Newest(ctx, d.deps.Layout.Registry, after)
-			if err != nil {
-				return nil, err
-			}
-			workers += len(page.Records)
-			if after = page.Next; after == "" {
-				break
-			}
+		workers, err := d.countWorkers(ctx, start)
+		if err != nil {
+			return nil, err
 		}
-		perShard := min(max(int(workersPerCore*d.settings.VM.Cores), minWorkersPerShard), maxWorkersPerShard)
-		shards := max(1, min((workers+perShard/2)/perShard, d.settings.Store.Partitions))
+		shards := sharding.Count(workers, d.settings.VM.Cores, d.settings.Store.Partitions)
 		d.log.Info().Int("workers", workers).Int("shards", shards).Msg("number of shards proposed")
+		proposed = true
 		return cbor.Marshal(shards)
 	})
 	if err != nil {
 		return 0, err
 	}
 	var count int
-	if err := cbor.Unmarshal(value, &count); err != nil || count < 1 {
-		return 0, errors.Errorf("number of shards cannot be read (%v)", err)
+	if err := cbor.Unmarshal(value, &count); err != nil || count < 1 || count > d.settings.Store.Partitions {
+		return 0, errors.Errorf("number of shards cannot be read, or is not between 1 and %d (%v)", d.settings.Store.Partitions, err)
+	}
+	if proposed {
+		d.storeCapacity(ctx)
 	}
 	return count, nil
 }
+
+// storeCapacity stores this daemon's capacity, so that daemons with much less leave shards to those like it. Without the
+// record, the capacities of the owners tell.
+func (d *Daemon) storeCapacity(ctx context.Context) {
+	value, err := cbor.Marshal(d.settings.VM.Cores)
+	if err == nil {
+		_, err = d.deps.Store.Append(ctx, keyedlog.Append{Partition: agreementPartition,
+			Records: []keyedlog.Record{{Key: capacityKey, Value: value}}})
+	}
+	if err != nil {
+		d.log.Warn().Err(err).Msg("storing the capacity of owners failed")
+	}
+}
+
+// countWorkers returns the number of registered workers once it no longer grows. It returns errAgreed if another daemon
+// was faster.
+func (d *Daemon) countWorkers(ctx context.Context, start time.Duration) (int, error) {
+	wait := registrationTime + rand.N(proposalJitter)
+	if d.settings.VM.Cores < weakVMCores {
+		wait += weakVMDelay
+	}
+	previous := -1
+	for {
+		ctxtime.Sleep(ctx, wait-(d.now()-start))
+		agreed, err := d.shardCountStored(ctx)
+		if err != nil || agreed {
+			return 0, firstError(err, errAgreed)
+		}
+		workers, err := d.registeredWorkers(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if workers == previous || d.now()-start >= maxRegistrationTime {
+			return workers, nil
+		}
+		previous, wait = workers, d.now()-start+recountDelay
+	}
+}
+
+func firstError(err, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+// shardCountStored reports whether the number of shards is agreed on.
+func (d *Daemon) shardCountStored(ctx context.Context) (bool, error) {
+	page, err := d.deps.Store.Newest(ctx, agreementPartition, "")
+	return slices.ContainsFunc(page.Records, func(r keyedlog.Record) bool { return r.Key == shardsKey }), err
+}
+
+// registeredWorkers returns the number of entries in the registry.
+func (d *Daemon) registeredWorkers(ctx context.Context) (int, error) {
+	workers, after := 0, ""
+	for {
+		page, err := d.deps.Store.Newest(ctx, d.deps.Layout.Registry, after)
+		if err != nil {
+			return 0, err
+		}
+		workers += len(page.Records)
+		if after = page.Next; after == "" {
+			return workers, nil
+		}
+	}
+}
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 
 	"waxwingslip.example/core/lease"
+	"waxwingslip.example/core/sharding"
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/node/shard"
 	"waxwingslip.example/node/shardlease"
@@ -18,36 +21,55 @@
 	return int(xxhash.Sum64String(w.ID)%uint64(max(1, d.shardCount()))) == n
 }
 
-// preference returns the rank of this daemon for claiming a shard; 0 is the most preferred. Daemons with more processor
-// time, lower store latency and fewer shards rank first.
-func (d *Daemon) preference() int {
+// preference returns the rank of this daemon for claiming a shard; 0 is the most preferred.
+func (d *Daemon) preference(n int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	cpuPenalty := int(smallVMCores / d.settings.VM.Cores)
-	latencyPenalty := int(time.Duration(d.storeLatency.Load()) / maxSameRegionLatency)
-	return 2*len(d.shards) + min(cpuPenalty, 3) + min(latencyPenalty, 3) + rand.IntN(2)
+	owned, reference := 0, math.Float64frombits(d.referenceCapacity.Load())
+	for i, m := range d.leaseManagers {
+		if i != n && m.Active() {
+			owned++
+		}
+		if o := m.Owner(); o != nil {
+			reference = max(reference, o.Capacity)
+		}
+	}
+	return sharding.ClaimRank(owned, d.capacity(), reference, d.storeIsRemote(), rand.IntN(sharding.MaxJitter+1))
+}
+
+// capacity returns the capacity of this daemon to own shards, in cores.
+func (d *Daemon) capacity() float64 { return sharding.Capacity(d.settings.VM.Cores, d.storeIsRemote()) }
+
+// storeIsRemote reports whether the store is in another region.
+func (d *Daemon) storeIsRemote() bool {
+	return time.Duration(d.storeLatency.Load()) > maxSameRegionLatency
 }
 
 // maxSameRegionLatency exceeds the duration of a call to a store in the same region.
 const maxSameRegionLatency = 20 * time.Millisecond
 
-// measureStoreLatency records the latency of the store, for which an owner waits before each start of a task.
-func (d *Daemon) measureStoreLatency(ctx context.Context) {
+// measureStore records the latency of the store, for which an owner waits before each start of a task, and reads the
+// capacity of the daemon that proposed the number of shards.
+func (d *Daemon) measureStore(ctx context.Context) {
 	for range 3 {
 		start := d.now()
-		if _, err := d.deps.Store.Newest(ctx, agreementPartition, ""); err != nil {
+		page, err := d.deps.Store.Newest(ctx, agreementPartition, "")
+		if err != nil {
 			continue
 		}
 		took := int64(d.now() - start)
 		if shortest := d.storeLatency.Load(); shortest == 0 || took < shortest {
 			d.storeLatency.Store(took)
 		}
+		for _, r := range page.Records {
+			var capacity float64
+			if r.Key == capacityKey && cbor.Unmarshal(r.Value, &capacity) == nil {
+				d.referenceCapacity.Store(math.Float64bits(capacity))
+			}
+		}
 	}
 }
 
-// smallVMCores is the number of cores below which a VM is less preferred for a shard.
-const smallVMCores = 0.2
-
 // runShard runs a shard while this daemon owns it.
 func (d *Daemon) runShard(ctx context.Context, n int, ownership *shardlease.Ownership) {
 	leasesExpireAt := time.Duration(0)
--- a/node/shard/shard_test.go
+++ b/node/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -362,3 +363,31 @@
 		is.Equal(c.fleet.Starts(task("a", 0)), 1)
 	})
 }
+
+// Guards against orders that go out twice, or jobs that are lost, around a hand-over of the shard between two daemons.
+func TestShardIsHandedOver(t *testing.T) {
+	runCluster(t, 3, 3, oneSecondTask, func(c *cluster, is *is.I) {
+		for i := range 30 {
+			from := c.owner()
+			c.submit(fmt.Sprintf("a%d", i), jobs.Step{}, 4, 2)
+			if i%5 == 4 {
+				to := c.daemons[(i/5)%len(c.daemons)]
+				if to == from {
+					to = c.daemons[(i/5+1)%len(c.daemons)]
+				}
+				from.leaseManager.HandOver(to.name)
+				c.waitUntil("the shard has moved", 1500*time.Millisecond, func() bool {
+					s := to.ownedShard()
+					return s != nil && s.Loaded()
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		for i := range 30 {
+			c.waitForState(fmt.Sprintf("a%d", i), jobs.StateCompleted, 20*time.Second)
+			for k := range 4 {
+				is.Equal(c.fleet.Starts(task(fmt.Sprintf("a%d", i), k)), 1)
+			}
+		}
+	})
+}
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,6 +39,10 @@
 	pollWait = 700 * time.Millisecond
 	// renewTimeout limits one attempt of a renewal.
 	renewTimeout = 1200 * time.Millisecond
+	// successorHeadStart is how long other daemons leave a released shard to the successor that its owner named.
+	successorHeadStart = time.Second
+	// minClaimPoll is the shortest wait of a read for a change while a claim becomes due.
+	minClaimPoll = 20 * time.Millisecond
 	// claimStagger is the delay between the claims of daemons of successive preference.
 	claimStagger = 150 * time.Millisecond
 )
@@ -52,6 +57,10 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 	// Lifetime distinguishes two processes with the same name.
 	Lifetime int64 `cbor:"5,keyasint"`
+	// Capacity is the owner's capacity for shards in cores; 0 if it is not known.
+	Capacity float64 `cbor:"6,keyasint,omitempty"`
+	// Successor is the daemon to which a released shard is handed over; empty for any.
+	Successor string `cbor:"7,keyasint,omitempty"`
 }
 
 // Options configures a Manager.
@@ -64,6 +73,9 @@
 	// Preference returns this daemon's rank, which delays its claims; 0 is the most preferred. It may take locks that are
 	// held during calls of the manager, so the manager calls it without holding its own.
 	Preference func() int
+	// ClaimLock is held while a claim is decided; nil creates one. The managers of one daemon share it, so that Preference
+	// sees the claims of the others.
+	ClaimLock *sync.Mutex
 	// Lead is called in a goroutine while the shard is owned. Its context ends when the shard is lost.
 	Lead func(ctx context.Context, ownership *Ownership)
 }
@@ -73,12 +85,19 @@
 	opts     Options
 	follower *ledger.Follower
 
+	// active is set while the shard is claimed or owned.
+	active atomic.Bool
+
 	mu        sync.Mutex
 	owner     *Owner
 	endOffset int64         // offset after the newest record read
 	seenAt    time.Duration // when the newest record was read, or the store became readable again
+	ownerAt   time.Duration // when the owner, or its release, was read first
 	readable  bool
 	draining  bool
+	successor string // daemon that takes over the shard
+	// preference is the newest result of Options.Preference.
+	preference int
 }
 
 // Ownership is the ownership of a shard under one epoch.
@@ -116,6 +135,9 @@
 
 // New returns a manager; Run starts it.
 func New(opts Options) *Manager {
+	if opts.ClaimLock == nil {
+		opts.ClaimLock = &sync.Mutex{}
+	}
 	m := &Manager{opts: opts}
 	m.follower = ledger.NewFollower(opts.Store, m.partition(), m.apply)
 	return m
@@ -142,6 +164,7 @@
 			continue
 		}
 		if m.owner == nil || m.owner.Epoch != o.Epoch || m.owner.Released != o.Released {
+			m.ownerAt = m.seenAt
 			m.opts.Log.Info().Int("shard", m.opts.Shard).Str("owner", o.Name).Int64("epoch", o.Epoch).
 				Bool("released", o.Released).Int64("offset", r.Offset).Msg("owner of shard changed")
 		}
@@ -156,6 +179,29 @@
 	return m.owner
 }
 
+// OwnerSince returns the newest known owner, or nil, and since when it has been known.
+func (m *Manager) OwnerSince() (*Owner, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner, m.ownerAt
+}
+
+// Active reports whether this daemon claims or owns the shard. It takes no lock.
+func (m *Manager) Active() bool { return m.active.Load() }
+
+// HandOver gives the shard up for another daemon to take over.
+func (m *Manager) HandOver(successor string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.successor = successor
+}
+
+func (m *Manager) handOverTo() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.successor
+}
+
 // Drain stops this daemon from claiming the shard, and gives the shard up if it is owned.
 func (m *Manager) Drain() {
 	m.mu.Lock()
@@ -172,40 +218,70 @@
 // Run follows the owner's record and claims the shard when it has no owner, until the context ends.
 func (m *Manager) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := m.follower.Poll(ctx, pollWait)
-		preference := m.opts.Preference()
-		m.mu.Lock()
-		if err != nil {
-			m.readable = false
-		} else if !m.readable {
-			// Owners get the full time to renew again after an outage of the store.
-			m.readable, m.seenAt = true, m.opts.Now()
-		}
-		claim := err == nil && m.mayClaim(preference)
-		previousSeenAt := m.seenAt
-		m.mu.Unlock()
+		err := m.follower.Poll(ctx, m.pollWait())
 		if err != nil {
+			m.setUnreadable()
 			ctxtime.Sleep(ctx, RenewInterval/2)
 			continue
 		}
-		if claim {
+		if previousSeenAt, claim := m.decideClaim(); claim {
 			if ownership := m.claim(ctx, previousSeenAt); ownership != nil {
 				m.lead(ctx, ownership)
 			}
+			m.active.Store(false)
 		}
 	}
 }
 
-// mayClaim decides whether the shard has no owner. The caller holds mu.
-func (m *Manager) mayClaim(preference int) bool {
-	if m.draining {
-		return false
+func (m *Manager) setUnreadable() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readable = false
+}
+
+// decideClaim decides, after a read of the owner's record, whether to claim the shard. It sets active if so, and returns
+// when the newest record was read.
+func (m *Manager) decideClaim() (time.Duration, bool) {
+	m.opts.ClaimLock.Lock()
+	defer m.opts.ClaimLock.Unlock()
+	preference := m.opts.Preference()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.readable {
+		// Owners get the full time to renew again after an outage of the store.
+		m.readable, m.seenAt = true, m.opts.Now()
 	}
-	wait := time.Duration(preference) * claimStagger
-	if m.owner != nil && !m.hasEnded(m.owner) {
+	m.preference = preference
+	if m.draining || m.claimIn() > 0 {
+		return 0, false
+	}
+	m.active.Store(true)
+	return m.seenAt, true
+}
+
+// claimIn returns the time until the shard may be claimed if no record is read before. The caller holds mu.
+func (m *Manager) claimIn() time.Duration {
+	wait := time.Duration(m.preference) * claimStagger
+	switch o := m.owner; {
+	case o == nil:
+	case !m.hasEnded(o):
 		wait += ClaimAfter
+	case o.Successor == m.opts.Self.Name:
+		wait = 0
+	case o.Successor != "":
+		wait += successorHeadStart
+	}
+	return m.seenAt + wait - m.opts.Now()
+}
+
+// pollWait returns how long the next read waits for a change: no longer than until the shard may be claimed.
+func (m *Manager) pollWait() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.readable || m.draining {
+		return pollWait
 	}
-	return m.opts.Now()-m.seenAt >= wait
+	return min(max(m.claimIn(), minClaimPoll), pollWait)
 }
 
 // hasEnded reports whether an owner makes no more calls to workers: it released the shard, or it was an earlier process
@@ -219,6 +295,7 @@
 func (m *Manager) claim(ctx context.Context, previousSeenAt time.Duration) *Ownership {
 	m.mu.Lock()
 	at, owner := m.endOffset, m.owner
+	m.successor = ""
 	m.mu.Unlock()
 	self := m.opts.Self
 	self.Epoch = at + 1
@@ -276,7 +353,7 @@
 	cancel()
 	<-done
 	log.Info().Str("reason", reason).Msg("shard given up")
-	if reason == reasonDraining || reason == reasonStopped {
+	if reason == reasonDraining || reason == reasonStopped || reason == reasonHandOver {
 		m.release(ownership)
 	}
 	m.mu.Lock()
@@ -296,6 +373,7 @@
 const (
 	reasonDraining = "draining"
 	reasonStopped  = "its work stopped"
+	reasonHandOver = "handed over to a daemon with less load"
 )
 
 // renewUntilLost renews the ownership and returns why it ended.
@@ -317,6 +395,9 @@
 		if m.isDraining() {
 			return reasonDraining
 		}
+		if m.handOverTo() != "" {
+			return reasonHandOver
+		}
 		if o := m.Owner(); o != nil && o.Epoch > ownership.Epoch {
 			return "shard is owned by " + o.Name
 		}
@@ -354,6 +435,9 @@
 func (m *Manager) encodeOwner(ownership *Ownership, released bool) ([]byte, error) {
 	self := m.opts.Self
 	self.Epoch, self.Released = ownership.Epoch, released
+	if released {
+		self.Successor = m.handOverTo()
+	}
 	return cbor.Marshal(self)
 }
 
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -102,6 +102,7 @@
 	{"jobs_accept_time", TypeHistogram, "us", "Time to store a job."},
 	{"jobs_query_time", TypeHistogram, "us", "Time to answer a question."},
 	{"shard_owned", TypeGauge, "shards", "Shards of jobs that this daemon owns."},
+	{"shards_handed_over", TypeCounter, "shards", "Shards handed over to a daemon with less load."},
 	{"shard_starts", TypeCounter, "orders", "Starts sent to workers, repeats included."},
 	{"shard_starts_refused", TypeCounter, "orders", "Starts that workers refused."},
 	{"shard_starts_unknown", TypeCounter, "orders", "Starts without an answer, which were taken back."},
