Share what shards learn about images, and learn more images

Each shard tried every pair again.

Change: 64 images.

Result: TestManyFillingImagesAreSeen and TestOtherShardsResultsAreUsed fail without the change.

--- a/core/pressure/estimator.go
+++ b/core/pressure/estimator.go
@@ -1,6 +1,9 @@
 package pressure
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Parameters of the estimator.
 const (
@@ -13,8 +16,9 @@
 	// observationDecay multiplies the weight of older observations of the image at each newer one. At about 50 reports
 	// a second the newest minutes count; with a faster decay, disturbing pairs would be tried again and again.
 	observationDecay = 0.9999
-	// maxFillingImages bounds the memory and the time of one solution.
-	maxFillingImages = 24
+	// maxFillingImages bounds the memory and the time of one solution. Images beyond it count as not seen, so that they
+	// run on a few workers only.
+	maxFillingImages = 64
 	// observationsPerSolve is the number of observations between solutions.
 	observationsPerSolve = 20
 )
@@ -70,7 +74,8 @@
 	for i := range filling {
 		e.column(filling[i].Image)
 	}
-	e.row = append(e.row[:0], make([]float64, len(e.rhs))...)
+	e.row = slices.Grow(e.row[:0], len(e.rhs))[:len(e.rhs)]
+	clear(e.row)
 	e.row[0] = 1
 	for i := range filling {
 		if c := e.column(filling[i].Image); c > 0 {
@@ -166,15 +171,10 @@
 // alone. Observations of one task within seconds are correlated, so it allows for several of them.
 const loadStdDev = 0.45
 
-// lowerBound returns the factor of a filling image less its standard error, or 0 without observations.
-func (e *estimator) lowerBound(filling string) float64 {
-	i, ok := e.index[filling]
-	if !ok {
-		return 0
-	}
-	weight := e.normal[i][i] - priorWeight
-	if weight <= 0 {
-		return 0
+// weight returns the weight of the observations of a filling image, in squared shares.
+func (e *estimator) weight(filling string) float64 {
+	if i, ok := e.index[filling]; ok {
+		return max(0, e.normal[i][i]-priorWeight)
 	}
-	return e.factors[i] - loadStdDev/math.Sqrt(weight)
+	return 0
 }
--- a/core/pressure/learned.go
+++ b/core/pressure/learned.go
@@ -67,6 +67,28 @@
 	}
 }
 
+// evidence sums the factors of one pair that several models have learned, by the weights of their observations.
+type evidence struct{ weightedSum, weight float64 }
+
+// SetOthers replaces what models of other shards have learned. These see the same images on other workers, so together
+// they classify a pair as many times faster as there are shards.
+func (m *Model) SetOthers(models []Learned) {
+	m.others = map[Pair]evidence{}
+	for _, learned := range models {
+		for _, entry := range learned.Images {
+			for _, p := range entry.Pairs {
+				weight := min(p.Weight, maxRestoredWeight)
+				if !(weight > 0) || !(p.Factor >= 0 && p.Factor <= maxFactor) {
+					continue
+				}
+				pair := Pair{entry.Name, p.Filling}
+				sum := m.others[pair]
+				m.others[pair] = evidence{sum.weightedSum + p.Factor*weight, sum.weight + weight}
+			}
+		}
+	}
+}
+
 // setPrior sets a column to an assumed value with a weight.
 func (e *estimator) setPrior(column int, value, weight float64) {
 	e.normal[column][column] = weight
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -38,6 +39,8 @@
 // Model predicts the interference between images from past reports. It is not safe for concurrent use.
 type Model struct {
 	images map[string]*servingImage
+	// others sums what models of other shards have learned, by pair.
+	others map[Pair]evidence
 	// haltAllAfter is how long a serving task may be over its objective before filling tasks that disturb little are
 	// halted too. At the peak of its load it often is for a moment; halting all of them then costs more than half of
 	// their work.
@@ -72,10 +75,21 @@
 
 // Factor returns the utilization that the filling image adds to the serving image per share of the worker that it uses.
 func (m *Model) Factor(p Pair) float64 {
+	factor, weight := priorFactor, 0.0
 	if im := m.images[p.Serving]; im != nil {
-		return im.estimator.factor(p.Filling)
+		factor, weight = im.estimator.factor(p.Filling), im.estimator.weight(p.Filling)
 	}
-	return priorFactor
+	other := m.others[p]
+	return (factor*(weight+priorWeight) + other.weightedSum) / (weight + priorWeight + other.weight)
+}
+
+// weight returns the weight of all observations of a pair, in squared shares.
+func (m *Model) weight(p Pair) float64 {
+	weight := m.others[p].weight
+	if im := m.images[p.Serving]; im != nil {
+		weight += im.estimator.weight(p.Filling)
+	}
+	return weight
 }
 
 func (m *Model) imageFor(name string, targetMs float64) *servingImage {
@@ -156,14 +170,14 @@
 	}
 	order := m.orderByFactor(s.Image, filling)
 	disturbing := 0
-	for disturbing < len(order) && im.estimator.factor(filling[order[disturbing]].Image) > MaxToleratedFactor {
+	for disturbing < len(order) && m.Factor(Pair{s.Image, filling[order[disturbing]].Image}) > MaxToleratedFactor {
 		disturbing++
 	}
 	excess := utilization - im.utilizationLimit(s.TargetMs, targetTailShare)
 	throttle := s.TailMs > throttleTailShare*s.TargetMs
 	for _, i := range order[:disturbing] {
 		f := &filling[i]
-		factor := im.estimator.factor(f.Image)
+		factor := m.Factor(Pair{s.Image, f.Image})
 		if throttle {
 			pace[i] = min(pace[i], reducedPace(f.PacePercent, excess, factor*f.Share))
 			excess -= factor * f.Share
@@ -213,8 +227,8 @@
 
 // Disturbs reports whether observations show with certainty that a filling image disturbs a serving one.
 func (m *Model) Disturbs(p Pair) bool {
-	im := m.images[p.Serving]
-	return im != nil && im.estimator.lowerBound(p.Filling) > MaxToleratedFactor
+	weight := m.weight(p)
+	return weight > 0 && m.Factor(p)-loadStdDev/math.Sqrt(weight) > MaxToleratedFactor
 }
 
 // classified reports whether observations show that the filling image is harmless or, with certainty, that it disturbs.
@@ -267,11 +281,4 @@
 const minSeenWeight = 0.06
 
 // Seen reports whether there are enough observations of a pair to classify it.
-func (m *Model) Seen(p Pair) bool {
-	im := m.images[p.Serving]
-	if im == nil {
-		return false
-	}
-	c, ok := im.estimator.index[p.Filling]
-	return ok && im.estimator.normal[c][c] > priorWeight+minSeenWeight
-}
+func (m *Model) Seen(p Pair) bool { return m.weight(p) > minSeenWeight }
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -212,3 +212,55 @@
 		m.Observe(serving, filling)
 	}
 }
+
+// Guards against images beyond a fixed number that are never classified and hardly run (ambon-mist-large has 30 filling
+// images, the limit was 24).
+func TestManyFillingImagesAreSeen(t *testing.T) {
+	sim, m := newSimulation(), NewModel(2*time.Second)
+	const images = 40
+	name := func(i int) string { return "f" + string(rune('a'+i)) }
+	for i := range images {
+		sim.trueFactors[Pair{"s0", name(i)}] = 0.3
+	}
+	for i := range 16000 {
+		sim.nowSeconds += 0.05
+		var filling []Filling
+		if i%2 == 0 {
+			filling = []Filling{{Image: name(i / 2 % images), Share: 0.1, FullShare: 0.1, PacePercent: 100}}
+		}
+		m.Observe([]Serving{{Image: "s0", TargetMs: targetMs, TailMs: sim.tail("s0", sim.rng.Float64()*6, filling)}}, filling)
+	}
+	for i := range images {
+		p := Pair{"s0", name(i)}
+		if !m.Seen(p) || m.Disturbs(p) {
+			t.Errorf("%v has the factor %.2f, seen %v, disturbs %v", p, m.Factor(p), m.Seen(p), m.Disturbs(p))
+		}
+	}
+}
+
+// Guards against shards that each try every pair again, and against others' results that outweigh many own ones.
+func TestOtherShardsResultsAreUsed(t *testing.T) {
+	is := is.New(t)
+	pair := Pair{"s0", "f0"}
+	other := func(factor, weight float64) Learned {
+		return Learned{Images: []LearnedImage{{Name: "s0", Pairs: []LearnedPair{{Filling: "f0", Factor: factor, Weight: weight}}}}}
+	}
+	m := NewModel(2 * time.Second)
+	is.True(!m.Seen(pair))
+	m.SetOthers([]Learned{other(0.2, 1), other(0.4, 1)})
+	is.True(m.Seen(pair) && m.Tolerates(pair))
+	m.SetOthers([]Learned{other(5, 1), other(6, 1)})
+	is.True(m.Disturbs(pair))
+	m.SetOthers(nil)
+	is.True(!m.Seen(pair))
+
+	for range 4000 {
+		filling := []Filling{{Image: "f0", Share: 0.1, FullShare: 0.1, PacePercent: 100}}
+		m.Observe([]Serving{{Image: "s0", TargetMs: targetMs, TailMs: baseMs / (1 - 0.42 - 0.03)}}, filling)
+	}
+	m.SetOthers([]Learned{other(12, 1e9)})
+	is.True(m.Factor(pair) < 3)
+	m.SetOthers([]Learned{other(math.NaN(), 1), other(1, math.NaN()), other(-1, 1), other(1, -1), other(1e300, 1)})
+	is.True(!math.IsNaN(m.Factor(pair)))
+	is.Equal(m.others[pair], evidence{})
+}
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -81,6 +81,7 @@
 		ZoneOutOfService: d.control.ZoneOutOfService,
 		Region:           func(zone string) string { return settings.Regions[zone] },
 		DecodeWorker:     deps.DecodeWorker, Registry: deps.Layout.Registry, Assigned: d.assigned,
+		Shards: d.shardCount,
 		Limits: shard.Limits{MaxWorkerLease: settings.Bounds.maxWorkerLease(),
 			EndedRetention:   settings.Bounds.endedRetention(),
 			MaxObjectiveMiss: duration(settings.Bounds.HarmMs, time.Millisecond)},
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -179,7 +179,7 @@
 			}
 			return info, nil
 		},
-		Registry: registry, Assigned: func(int, jobworker.Info) bool { return true },
+		Registry: registry, Shards: func() int { return 1 }, Assigned: func(int, jobworker.Info) bool { return true },
 		Limits: shard.Limits{MaxWorkerLease: maxWorkerLease, EndedRetention: 2 * time.Minute,
 			MaxObjectiveMiss: 4 * time.Second},
 		Now: now, WallTime: time.Now, Log: zerolog.New(zerolog.NewTestWriter(c.t)).With().Str("vm", name).Logger(),
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -74,6 +74,8 @@
 	// DecodeWorker decodes an entry of the worker registry.
 	DecodeWorker func(id string, value []byte) (jobworker.Info, error)
 	Registry     keyedlog.Partition
+	// Shards returns the number of shards of the environment.
+	Shards func() int
 	// Assigned reports whether a worker belongs to the shard.
 	Assigned func(shard int, w jobworker.Info) bool
 	Limits   Limits
@@ -251,7 +253,7 @@
 	})
 	registry := ledger.NewFollower(s.deps.Store, s.deps.Registry, s.applyRegistry)
 	loops.Go(func() { registry.Run(s.ctx, 0, registryPollInterval, ledger.LogDependency(s.log, "worker registry")) })
-	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop} {
+	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop, "share": s.shareLoop} {
 		loops.Go(func() {
 			if s.contain(step, loop) != nil {
 				s.cancel()
