--- a/node/boundary/boundary_test.go
+++ b/node/boundary/boundary_test.go
@@ -28,7 +28,7 @@
 // Guards against callers without a response after a panic, and against a second status after a response has begun.
 func TestHandler(t *testing.T) {
 	is := is.New(t)
-	panics := telemetry.New(time.Now).Counter("boundary_panics")
+	panics := telemetry.New(time.Now).Counter("callers_panics")
 	h := boundary.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/begun":
