Hold memory, too, for large tasks that wait

Cause: a worker was held for a restarted long-running task only if its memory sufficed at that moment, and filling tasks ignored the hold.

Change: memory of batch and filling tasks counts as becoming free; the worker that lacks the least is held; a filling task is placed on a held worker only if it leaves the memory.

Result: TestHoldCountsMemoryOfFillingTasks fails without the change and passes with it.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -29,6 +29,10 @@
 
 	// heldForStep names the step for whose large task the worker accepts no other reserved tasks; empty for none.
 	heldForStep string
+	// heldMemoryMB is the memory of that task.
+	heldMemoryMB int64
+	// shortMemoryMB is the memory reserved by tasks that run to completion: batch and filling ones.
+	shortMemoryMB int64
 	// Reserved sums the resources of all tasks that run, start, stop or may still arrive.
 	Reserved resource.Vector
 	// servingCPU, batchCPU and fillingCPU are the requested millicores by kind of task.
@@ -126,6 +130,9 @@
 	}
 	w.generation++
 	w.Reserved = w.Reserved.Add(step.Reserved().Times(sign))
+	if !step.LongRunning {
+		w.shortMemoryMB += sign * step.Size.MemoryMB
+	}
 	switch {
 	case step.Fills:
 		w.fillingCPU += sign * step.Size.MilliCPU
--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -272,3 +272,22 @@
 }
 
 func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+// Guards against a large long-running task that waits without end for a worker whose memory filling tasks keep taking
+// (gfz-sched-grown mix 943727986046: LOST).
+func TestHoldCountsMemoryOfFillingTasks(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1, 64) // with 100,000 MB
+	filling := &jobs.Step{Fills: true, Image: "f", Size: resource.Vector{MilliCPU: 1000, MemoryMB: 20_000}}
+	for range 4 {
+		f.Reserve("w000", filling, "j.0.0")
+	}
+	restarted := &Request{Step: &jobs.Step{LongRunning: true, Size: resource.Vector{MilliCPU: 13_000, MemoryMB: 40_000}},
+		StepName: "s.0.0", Service: "s"}
+	f.BeginPass()
+	defer f.EndPass()
+	is.Equal(f.Place(restarted), nil)
+	f.Hold(restarted)
+	next := &Request{Step: filling, StepName: "k.0.0", Service: "s", Urgent: true}
+	is.Equal(f.Place(next), nil) // the worker's memory is kept for the task that waits
+}
--- a/core/packing/place.go
+++ b/core/packing/place.go
@@ -116,7 +116,11 @@
 
 // feasible reports whether a task of the request fits on a worker now.
 func feasible(w *Worker, r *Request, need resource.Vector) bool {
-	heldForOther := w.heldForStep != "" && w.heldForStep != r.StepName && !r.Step.Fills
+	heldForOther := w.heldForStep != "" && w.heldForStep != r.StepName
+	if heldForOther && r.Step.Fills {
+		// It uses processor time that others leave, but memory that the held task needs.
+		heldForOther = w.Reserved.MemoryMB+need.MemoryMB+w.heldMemoryMB > w.Size.MemoryMB
+	}
 	return !heldForOther && eligible(w, r) && w.Reserved.Add(need).Fits(w.Size)
 }
 
@@ -134,9 +138,10 @@
 	return r.Allowed == nil || r.Allowed(w)
 }
 
-// Hold keeps a worker free of other reserved tasks for a task that fits nowhere now. It chooses the worker with the
-// most unreserved processor time among those where the task fits once all batch tasks, which run to completion, have
-// ended. Without a hold, short tasks take freed resources before there are enough for the task.
+// Hold keeps a worker free of other reserved tasks, and of filling tasks that take the memory, for a task that fits
+// nowhere now. Among the workers where the task fits once all batch and filling tasks, which run to completion, have
+// ended, it chooses the one that lacks the least memory and then has the most unreserved processor time. Without a hold,
+// short tasks take freed resources before there are enough for the task.
 func (f *Fleet) Hold(r *Request) {
 	var best *Worker
 	need := r.Step.Reserved()
@@ -144,14 +149,20 @@
 		if w.heldForStep != "" || !eligible(w, r) {
 			continue
 		}
-		if w.Free()+w.batchCPU < need.MilliCPU || w.Reserved.MemoryMB+need.MemoryMB > w.Size.MemoryMB {
+		if w.Free()+w.batchCPU < need.MilliCPU || w.Reserved.MemoryMB-w.shortMemoryMB+need.MemoryMB > w.Size.MemoryMB {
 			continue
 		}
-		if best == nil || w.Free() > best.Free() {
+		if best == nil || w.lackingMemory(need) < best.lackingMemory(need) ||
+			w.lackingMemory(need) == best.lackingMemory(need) && w.Free() > best.Free() {
 			best = w
 		}
 	}
 	if best != nil {
-		best.heldForStep = r.StepName
+		best.heldForStep, best.heldMemoryMB = r.StepName, need.MemoryMB
 	}
 }
+
+// lackingMemory returns how much more memory the worker would have to have free for a task.
+func (w *Worker) lackingMemory(need resource.Vector) int64 {
+	return max(0, w.Reserved.MemoryMB+need.MemoryMB-w.Size.MemoryMB)
+}
