--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -115,7 +115,7 @@
 	}
 	c.await("all tasks run", 10*time.Second, func() bool { return len(c.fleet.runsOf(before.id)) == 4 })
 	if c.trouble {
-		c.rec.say("the store leaves calls unanswered for 4.5 s")
+		c.rec.say("the store leaves calls unanswered for under 4.5 s")
 		for _, d := range c.daemons {
 			d.path.closed.Store(true)
 		}
@@ -128,7 +128,7 @@
 				panic(err)
 			}
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(2900 * time.Millisecond)
 		for _, d := range c.daemons {
 			d.path.closed.Store(false)
 		}
@@ -258,16 +258,16 @@
 // waiting lets the only worker with room reject starts for a while, and asks how many jobs wait.
 func waiting(c *testCase) bool {
 	c.addDaemons(3)
-	for i := range 10 {
-		c.fleet.add(fmt.Sprintf("i-1f0000001%d", i), "luzon-a", "a", "r1-1", 64000)
+	for i := range 12 {
+		c.fleet.add(fmt.Sprintf("i-1f000000%02d", i), "luzon-a", "a", "r1-1", 64000)
 	}
 	c.startAll()
 	time.Sleep(3 * time.Second)
-	full := &job{id: "5c0e7a21d94b36f8", steps: []step{{count: 9, cpu: 60000, memMB: 8000, work: 100 * time.Second, maxPerWorker: 1}}}
+	full := &job{id: "5c0e7a21d94b36f8", steps: []step{{count: 11, cpu: 60000, memMB: 8000, work: 100 * time.Second, maxPerWorker: 1}}}
 	if !c.submit(full) {
 		panic(errNotRun("the job is not accepted"))
 	}
-	c.await("nine of ten workers are full", 10*time.Second, func() bool { return len(c.fleet.runsOf(full.id)) == 9 })
+	c.await("eleven of twelve workers are full", 10*time.Second, func() bool { return len(c.fleet.runsOf(full.id)) == 11 })
 	c.fleet.mu.Lock()
 	var free *worker
 	for _, w := range c.fleet.workers {
@@ -278,8 +278,8 @@
 	free.refusing = c.trouble
 	c.fleet.mu.Unlock()
 	if c.trouble {
-		c.rec.say("worker %s rejects starts for 6.5 s", free.id)
-		time.AfterFunc(6500*time.Millisecond, func() {
+		c.rec.say("worker %s rejects starts for 6.4 s", free.id)
+		time.AfterFunc(6400*time.Millisecond, func() {
 			c.fleet.mu.Lock()
 			defer c.fleet.mu.Unlock()
 			free.refusing = false
