Carry in the owner's record how long earlier owners may renew leases

Cause: a claimant derived from the newest owner's record alone until when workers' leases may be renewed. If that owner had released the shard, handed it over, or was an earlier process at the claimant's address, it took the time of reading, although an owner before it, cut off from the store, renews for its whole grace of 6 s. A record that could not be decoded was passed over.

Change: each owner's record says for how long after it was sent earlier owners may still renew; a claimant waits for the longest of all. Records of builds without the field and records that cannot be decoded count as the full grace.

--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -35,6 +35,8 @@
 	// tasks survive an outage of the store. A new owner waits for it before it considers tasks on unreachable
 	// workers ended.
 	WorkerLeaseGrace = 6 * time.Second
+	// maxEarlierRenewalsMs limits the time that an owner's record may give for earlier owners.
+	maxEarlierRenewalsMs = int64(WorkerLeaseGrace / time.Millisecond)
 	// pollWait is how long a read of the owner's record waits for a change.
 	pollWait = 700 * time.Millisecond
 	// renewTimeout limits one attempt of a renewal.
@@ -61,6 +63,17 @@
 	Capacity float64 `cbor:"6,keyasint,omitempty"`
 	// Successor is the daemon to which a released shard is handed over; empty for any.
 	Successor string `cbor:"7,keyasint,omitempty"`
+	// EarlierRenewalsMs is for how many milliseconds after this record was sent owners before this one may renew
+	// workers' leases. Nil stands for an unknown time, in the records of builds without the field.
+	EarlierRenewalsMs *int64 `cbor:"8,keyasint,omitempty"`
+}
+
+// earlierRenewals returns for how long after the record was sent earlier owners may renew workers' leases.
+func (o *Owner) earlierRenewals() time.Duration {
+	if o.EarlierRenewalsMs == nil {
+		return WorkerLeaseGrace
+	}
+	return time.Duration(min(max(*o.EarlierRenewalsMs, 0), maxEarlierRenewalsMs)) * time.Millisecond
 }
 
 // Options configures a Manager.
@@ -109,7 +122,7 @@
 // Ownership is the ownership of a shard under one epoch.
 type Ownership struct {
 	Epoch int64
-	// PreviousRenewalsUntil is until when the previous owner may have renewed workers' leases; zero if there was none.
+	// PreviousRenewalsUntil is until when any earlier owner may renew workers' leases; zero if there was none.
 	PreviousRenewalsUntil time.Duration
 
 	now func() time.Duration
@@ -166,8 +179,9 @@
 		}
 		var o Owner
 		if err := cbor.Unmarshal(r.Value, &o); err != nil {
+			// Whoever appended it may own the shard, so it counts as an owner without name and address.
 			m.opts.Log.Error().Err(err).Int("shard", m.opts.Shard).Msg("owner record cannot be decoded")
-			continue
+			o = Owner{Epoch: r.Offset + 1}
 		}
 		if m.owner == nil || m.owner.Epoch != o.Epoch || m.owner.Released != o.Released {
 			m.ownerAt = m.seenAt
@@ -331,28 +345,19 @@
 	at, owner := m.endOffset, m.owner
 	m.successor = ""
 	m.mu.Unlock()
-	self := m.opts.Self
-	self.Epoch = at + 1
-	value, err := cbor.Marshal(self)
+	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt), now: m.opts.Now}
+	value, err := m.encodeOwner(ownership, false)
 	if err != nil {
 		m.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
 		return nil
 	}
-	ownership := &Ownership{Epoch: self.Epoch, now: m.opts.Now}
-	switch {
-	case owner == nil:
-	case m.hasEnded(owner):
-		ownership.PreviousRenewalsUntil = previousSeenAt // it made its last call to a worker before that
-	default:
-		ownership.PreviousRenewalsUntil = previousSeenAt + WorkerLeaseGrace
-	}
 	attemptCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sentAt := m.opts.Now()
 	_, err = m.opts.Store.Append(attemptCtx, keyedlog.Append{
 		Partition: m.partition(), At: &at, Records: []keyedlog.Record{{Key: ownerKey, Value: value}},
 	})
-	if err != nil && !m.claimTookEffect(ctx, self.Epoch) {
+	if err != nil && !m.claimTookEffect(ctx, ownership.Epoch) {
 		m.opts.Log.Info().Err(err).Int("shard", m.opts.Shard).Int64("at", at).Msg("claim of shard failed")
 		return nil
 	}
@@ -361,6 +366,19 @@
 	return ownership
 }
 
+// renewalsUntil returns until when the owner of the newest record, which was read at seenAt, and all owners before it may
+// renew workers' leases; zero without an owner. That the newest owner has ended says nothing of those before it: one that
+// is cut off from the store goes on until its grace is over.
+func (m *Manager) renewalsUntil(o *Owner, seenAt time.Duration) time.Duration {
+	switch {
+	case o == nil:
+		return 0
+	case m.hasEnded(o):
+		return seenAt + o.earlierRenewals() // it made its last call to a worker before that
+	}
+	return seenAt + WorkerLeaseGrace // not shorter than what is left to those before it
+}
+
 // claimTookEffect reports whether the newest record was appended by this daemon under an epoch. A claim without a
 // response may have taken effect.
 func (m *Manager) claimTookEffect(ctx context.Context, epoch int64) bool {
@@ -412,10 +430,6 @@
 
 // renewUntilLost renews the ownership and returns why it ended.
 func (m *Manager) renewUntilLost(ctx context.Context, ownership *Ownership, stopped <-chan struct{}) string {
-	value, err := m.encodeOwner(ownership, false)
-	if err != nil {
-		return err.Error()
-	}
 	for {
 		ctxtime.Sleep(ctx, RenewInterval)
 		select {
@@ -435,6 +449,10 @@
 		if o := m.Owner(); o != nil && o.Epoch > ownership.Epoch {
 			return "shard is owned by " + o.Name
 		}
+		value, err := m.encodeOwner(ownership, false)
+		if err != nil {
+			return err.Error()
+		}
 		if err := m.renew(ctx, ownership, value); err != nil {
 			return err.Error()
 		}
@@ -469,6 +487,9 @@
 func (m *Manager) encodeOwner(ownership *Ownership, released bool) ([]byte, error) {
 	self := m.opts.Self
 	self.Epoch, self.Released = ownership.Epoch, released
+	left := max(ownership.PreviousRenewalsUntil-m.opts.Now(), 0)
+	leftMs := (left + time.Millisecond - 1).Milliseconds() // rounded up
+	self.EarlierRenewalsMs = &leftMs
 	if released {
 		self.Successor = m.handOverTo()
 	}
