Limit the time of every call to the store and repeat each step of the start

Cause: time limits stood with the callers. The first read of a topic, the values on which daemons agree, the measurement of the store and the deletion of records had none, and a call whose response never comes was not repeated. A step of the start that failed for another reason ended the start for good.

Ruled out: the outage by itself (with resets in place of silence the daemons recover), and connections.

Change: ledger.TimedStore limits each call, and what follows, reads or writes topics takes that type, so a store without limits does not compile. The steps of the start, deletions, the record of the owners' capacity and a release are repeated.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -41,6 +41,7 @@
 type Daemon struct {
 	settings  *Settings
 	deps      Dependencies
+	store     *ledger.TimedStore
 	log       zerolog.Logger
 	now       func() time.Duration
 	metrics   *telemetry.Registry
@@ -69,15 +70,14 @@
 
 // New returns a daemon. Run starts it.
 func New(settings *Settings, deps Dependencies, log zerolog.Logger) *Daemon {
-	timed := ledger.NewTimedStore(deps.Store)
-	deps.Store = timed
+	store := ledger.NewTimedStore(deps.Store)
 	d := &Daemon{
-		settings: settings, deps: deps, log: log, now: deps.Now, metrics: telemetry.New(time.Now),
+		settings: settings, deps: deps, store: store, log: log, now: deps.Now, metrics: telemetry.New(time.Now),
 		control: newControl(deps.Layout, log), shards: map[int]*shard.Shard{},
 	}
-	d.commands = newCommandStore(timed, settings.Store.Partitions, deps.Now, d.ownerStore)
+	d.commands = newCommandStore(store, settings.Store.Partitions, deps.Now, d.ownerStore)
 	d.shardDeps = &shard.Dependencies{
-		Store: deps.Store, Workers: deps.Workers, Advisor: deps.Advisor, Config: d.control.Config,
+		Store: store, Workers: deps.Workers, Advisor: deps.Advisor, Config: d.control.Config,
 		ZoneOutOfService: d.control.ZoneOutOfService,
 		Region:           func(zone string) string { return settings.Regions[zone] },
 		DecodeWorker:     deps.DecodeWorker, Registry: deps.Layout.Registry, Assigned: d.assigned,
@@ -222,16 +222,16 @@
 // start connects to the other daemons and starts a lease manager for each shard.
 func (d *Daemon) start(ctx context.Context) {
 	go d.followControl(ctx)
-	if err := d.startPeers(ctx); err != nil {
-		d.log.Error().Err(err).Msg("joining the other daemons failed")
-		return
-	}
-	count, err := d.agreeOnShardCount(ctx)
-	if err != nil {
-		d.log.Error().Err(err).Msg("reading the number of shards failed")
+	d.retry(ctx, "join the other daemons", d.startPeers)
+	count := 0
+	d.retry(ctx, "agree on the number of shards", func(ctx context.Context) (err error) {
+		count, err = d.agreeOnShardCount(ctx)
+		return err
+	})
+	d.retry(ctx, "measure the store", d.measureStore)
+	if ctx.Err() != nil {
 		return
 	}
-	d.measureStore(ctx)
 	self := shardlease.Owner{Name: d.settings.Name, Address: d.settings.Listen.Peers, Lifetime: time.Now().UnixNano(),
 		Capacity: d.capacity()}
 	d.mu.Lock()
@@ -239,7 +239,7 @@
 	claimLock := &sync.Mutex{}
 	for n := range count {
 		m := shardlease.New(shardlease.Options{
-			Store: d.deps.Store, Shard: n, Self: self, Now: d.now, Log: d.log, ClaimLock: claimLock,
+			Store: d.store, Shard: n, Self: self, Now: d.now, Log: d.log, ClaimLock: claimLock,
 			Preference: func() int { return d.preference(n) }, FollowPause: d.followPause,
 			Lead: func(ctx context.Context, ownership *shardlease.Ownership) { d.runShard(ctx, n, ownership) },
 		})
@@ -253,8 +253,22 @@
 	d.shardTotal.Store(int64(count))
 }
 
+// retry repeats a step of the start until it succeeds or the context ends. The cause of a failure, such as a port that
+// the former process still uses, can pass at any time.
+func (d *Daemon) retry(ctx context.Context, step string, f func(context.Context) error) {
+	var backoff ledger.Backoff
+	logResult := ledger.LogDependency(d.log, step)
+	for ctx.Err() == nil {
+		err := f(ctx)
+		if logResult(err); err == nil {
+			return
+		}
+		backoff.Sleep(ctx)
+	}
+}
+
 func (d *Daemon) followControl(ctx context.Context) {
-	f := ledger.NewFollower(d.deps.Store, d.deps.Layout.Control, d.control.apply)
+	f := ledger.NewFollower(d.store, d.deps.Layout.Control, d.control.apply)
 	logResult := ledger.LogDependency(d.log, "control topic")
 	f.Run(ctx, controlPollWait, 0, func(err error) {
 		logResult(err)
--- a/node/hosted/join.go
+++ b/node/hosted/join.go
@@ -47,7 +47,7 @@
 
 // authority returns the authority of the daemons' certificates.
 func (d *Daemon) authority(ctx context.Context) (*devcert.Authority, error) {
-	secret, err := ledger.GetOrCreate(ctx, d.deps.Store, agreementPartition, authorityKey, func() ([]byte, error) {
+	secret, err := ledger.GetOrCreate(ctx, d.store, agreementPartition, authorityKey, func() ([]byte, error) {
 		authority, err := devcert.NewAuthority()
 		if err != nil {
 			return nil, err
@@ -87,25 +87,26 @@
 		return err
 	}
 	credentials := peer.NewCredentials(cert, authority.Roots())
-	go d.renewCertificate(ctx, credentials)
+	host, _, err := net.SplitHostPort(d.settings.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "parse peer listen address")
+	}
 	server, err := peer.NewServer(peer.ServerOptions{Address: d.settings.Listen.Peers, Credentials: credentials, Timing: peerTiming})
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "listen for other daemons on %s", d.settings.Listen.Peers)
 	}
+	transport, err := peer.NewTransport(peer.Options{LocalAddress: net.JoinHostPort(host, "0"), Credentials: credentials, Timing: peerTiming})
+	if err != nil {
+		server.Close() // the next attempt opens it again
+		return errors.Wrap(err, "open the transport to other daemons")
+	}
+	go d.renewCertificate(ctx, credentials)
 	d.handlePeers(server)
 	go func() {
 		if err := server.Serve(); err != nil && ctx.Err() == nil {
 			d.log.Error().Err(err).Msg("listener for other daemons failed")
 		}
 	}()
-	host, _, err := net.SplitHostPort(d.settings.Listen.Peers)
-	if err != nil {
-		return errors.Wrap(err, "parse peer listen address")
-	}
-	transport, err := peer.NewTransport(peer.Options{LocalAddress: net.JoinHostPort(host, "0"), Credentials: credentials, Timing: peerTiming})
-	if err != nil {
-		return err
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers = transport
@@ -134,7 +135,7 @@
 // agreeOnShardCount returns the number of shards, which the first daemon derives from the number of workers.
 func (d *Daemon) agreeOnShardCount(ctx context.Context) (int, error) {
 	start, proposed := d.now(), false
-	value, err := ledger.GetOrCreate(ctx, d.deps.Store, agreementPartition, shardsKey, func() ([]byte, error) {
+	value, err := ledger.GetOrCreate(ctx, d.store, agreementPartition, shardsKey, func() ([]byte, error) {
 		workers, err := d.countWorkers(ctx, start)
 		if err != nil {
 			return nil, err
@@ -152,22 +153,21 @@
 		return 0, errors.Errorf("number of shards cannot be read, or is not between 1 and %d (%v)", d.settings.Store.Partitions, err)
 	}
 	if proposed {
-		d.storeCapacity(ctx)
+		go d.retry(ctx, "store the capacity of owners", d.storeCapacity)
 	}
 	return count, nil
 }
 
 // storeCapacity stores this daemon's capacity, so that daemons with much less leave shards to those like it. Without the
 // record, the capacities of the owners tell.
-func (d *Daemon) storeCapacity(ctx context.Context) {
+func (d *Daemon) storeCapacity(ctx context.Context) error {
 	value, err := cbor.Marshal(d.settings.VM.Cores)
-	if err == nil {
-		_, err = d.deps.Store.Append(ctx, keyedlog.Append{Partition: agreementPartition,
-			Records: []keyedlog.Record{{Key: capacityKey, Value: value}}})
-	}
 	if err != nil {
-		d.log.Warn().Err(err).Msg("storing the capacity of owners failed")
+		return err
 	}
+	_, err = d.store.Append(ctx, keyedlog.Append{Partition: agreementPartition,
+		Records: []keyedlog.Record{{Key: capacityKey, Value: value}}})
+	return err
 }
 
 // countWorkers returns the number of registered workers once it no longer grows. It returns errAgreed if another daemon
@@ -204,7 +204,7 @@
 
 // shardCountStored reports whether the number of shards is agreed on.
 func (d *Daemon) shardCountStored(ctx context.Context) (bool, error) {
-	page, err := d.deps.Store.Newest(ctx, agreementPartition, "")
+	page, err := d.store.Newest(ctx, agreementPartition, "")
 	return slices.ContainsFunc(page.Records, func(r keyedlog.Record) bool { return r.Key == shardsKey }), err
 }
 
@@ -212,7 +212,7 @@
 func (d *Daemon) registeredWorkers(ctx context.Context) (int, error) {
 	workers, after := 0, ""
 	for {
-		page, err := d.deps.Store.Newest(ctx, d.deps.Layout.Registry, after)
+		page, err := d.store.Newest(ctx, d.deps.Layout.Registry, after)
 		if err != nil {
 			return 0, err
 		}
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -77,12 +77,12 @@
 
 // measureStore records the latency of the store, for which an owner waits before each start of a task, and reads the
 // capacity of the daemon that proposed the number of shards.
-func (d *Daemon) measureStore(ctx context.Context) {
+func (d *Daemon) measureStore(ctx context.Context) error {
 	for range 3 {
 		start := d.now()
-		page, err := d.deps.Store.Newest(ctx, agreementPartition, "")
+		page, err := d.store.Newest(ctx, agreementPartition, "")
 		if err != nil {
-			continue
+			return err
 		}
 		took := int64(d.now() - start)
 		if shortest := d.storeLatency.Load(); shortest == 0 || took < shortest {
@@ -95,6 +95,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // runShard runs a shard while this daemon owns it.
--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -14,9 +14,6 @@
 	"waxwingslip.example/node/ctxtime"
 )
 
-// ReadMargin is the time beyond its wait after which a read times out and its connection counts as unresponsive.
-const ReadMargin = time.Second
-
 // ApplyFunc receives records in order. With reset, they are the newest records of all keys and replace the earlier
 // state; later records may repeat some of them.
 type ApplyFunc func(records []keyedlog.Record, reset bool)
@@ -24,7 +21,7 @@
 // Follower reads the newest record of every key of a partition, then the records appended after that. It is safe for
 // concurrent use.
 type Follower struct {
-	store     keyedlog.Store
+	store     *TimedStore
 	partition keyedlog.Partition
 	apply     ApplyFunc
 
@@ -34,7 +31,7 @@
 }
 
 // NewFollower returns a follower that has read nothing.
-func NewFollower(store keyedlog.Store, partition keyedlog.Partition, apply ApplyFunc) *Follower {
+func NewFollower(store *TimedStore, partition keyedlog.Partition, apply ApplyFunc) *Follower {
 	return &Follower{store: store, partition: partition, apply: apply}
 }
 
@@ -90,8 +87,6 @@
 	if !loaded {
 		return f.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+ReadMargin)
-	defer cancel()
 	batch, err := f.store.Read(ctx, f.partition, next, wait)
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		return f.Load(ctx)
--- a/node/ledger/follower_test.go
+++ b/node/ledger/follower_test.go
@@ -26,7 +26,7 @@
 		}
 	}
 	seen := map[string]bool{}
-	f := ledger.NewFollower(store, p, func(records []keyedlog.Record, reset bool) {
+	f := ledger.NewFollower(ledger.NewTimedStore(store), p, func(records []keyedlog.Record, reset bool) {
 		if reset {
 			clear(seen)
 		}
--- a/node/ledger/getorcreate.go
+++ b/node/ledger/getorcreate.go
@@ -10,7 +10,7 @@
 
 // GetOrCreate returns the value of a key and retries until the context ends. If the key has no value, it stores the
 // one that make returns. All callers get the same value. The partition must have few keys.
-func GetOrCreate(ctx context.Context, store keyedlog.Store, p keyedlog.Partition, key string,
+func GetOrCreate(ctx context.Context, store *TimedStore, p keyedlog.Partition, key string,
 	make func() ([]byte, error)) ([]byte, error) {
 	var retry Backoff
 	for ctx.Err() == nil {
--- a/node/ledger/writer.go
+++ b/node/ledger/writer.go
@@ -44,35 +44,16 @@
 	return min(t<<min(n, 4), attemptTimeoutMax)
 }
 
-// TimedStore is a store that measures the latency of all appends of a process. It is safe for concurrent use.
-type TimedStore struct {
-	keyedlog.Store
-	latency latency
-}
-
-// NewTimedStore returns a TimedStore that forwards calls to a store.
-func NewTimedStore(store keyedlog.Store) *TimedStore { return &TimedStore{Store: store} }
-
-// Append implements keyedlog.Store.
-func (s *TimedStore) Append(ctx context.Context, a keyedlog.Append) (int64, error) {
-	start := time.Now()
-	offset, err := s.Store.Append(ctx, a)
-	if err == nil {
-		s.latency.observe(time.Since(start))
-	}
-	return offset, err
-}
-
 // Writer appends to a partition under an epoch. It is not safe for concurrent use.
 type Writer struct {
-	store     keyedlog.Store
+	store     *TimedStore
 	partition keyedlog.Partition
 	writer    keyedlog.Writer
 	latency   latency
 }
 
 // NewWriter returns a writer with an epoch that no other writer of that name has used.
-func NewWriter(store keyedlog.Store, partition keyedlog.Partition, name string, epoch int64) *Writer {
+func NewWriter(store *TimedStore, partition keyedlog.Partition, name string, epoch int64) *Writer {
 	return &Writer{store: store, partition: partition, writer: keyedlog.Writer{Name: name, Epoch: epoch, Sequence: 1}}
 }
 
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -1,10 +1,13 @@
 package shard
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/ctxtime"
 )
 
 // maxAppendBytes keeps one append well below the store's limit for one call.
@@ -144,7 +147,11 @@
 		Int64("late_ms", s.deps.WallTime().UnixMilli()-e.dueMs).Msg("job state")
 }
 
-// deleteRecords deletes the records of jobs past their retention. If that fails, the next owner finds and deletes them.
+// deleteRetryDelay is the time after which records that could not be deleted are tried again.
+const deleteRetryDelay = 2 * time.Second
+
+// deleteRecords deletes the records of jobs past their retention. If that fails, a later commit, or the next owner,
+// deletes them.
 func (s *Shard) deleteRecords(ids []string) {
 	var commands []keyedlog.Record
 	for _, id := range ids {
@@ -153,7 +160,12 @@
 	_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 		Partition: keyedlog.Partition{Topic: JobsTopic, Number: s.number}, Records: commands})
 	if err != nil {
-		s.log.Warn().Err(err).Int("jobs", len(ids)).Msg("deleting records of ended jobs failed")
+		s.log.Warn().Err(err).Int("jobs", len(ids)).Msg("deleting records of ended jobs failed, retrying")
+		ctxtime.Sleep(s.ctx, deleteRetryDelay)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.deletedJobs = append(s.deletedJobs, ids...)
+		signal(s.commitSignal)
 		return
 	}
 	s.mu.Lock()
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -20,6 +20,7 @@
 	workerfake "waxwingslip.example/external/jobworker/fake"
 	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/shard"
 	"waxwingslip.example/node/shardlease"
 	"waxwingslip.example/node/telemetry"
@@ -166,7 +167,7 @@
 		return c.now() + d.skew
 	}
 	deps := &shard.Dependencies{
-		Store: c.store.As(name), Workers: c.fleet, Advisor: clusterAdvisor{c}, Config: c.currentConfig,
+		Store: ledger.NewTimedStore(c.store.As(name)), Workers: c.fleet, Advisor: clusterAdvisor{c}, Config: c.currentConfig,
 		ZoneOutOfService: func(zone string) bool { c.mu.Lock(); defer c.mu.Unlock(); return c.zonesOut[zone] },
 		Region:           func(string) string { return "r" },
 		DecodeWorker: func(id string, value []byte) (jobworker.Info, error) {
--- a/node/shard/lock_test.go
+++ b/node/shard/lock_test.go
@@ -13,6 +13,7 @@
 	workerfake "waxwingslip.example/external/jobworker/fake"
 	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/shard"
 	"waxwingslip.example/node/telemetry"
 )
@@ -31,7 +32,7 @@
 	var s *shard.Shard
 	answered := make(chan bool, 1)
 	deps := &shard.Dependencies{
-		Store: store, Workers: workerfake.NewFleet(oneSecondTask), Config: func() *jobqueue.Config { return nil },
+		Store: ledger.NewTimedStore(store), Workers: workerfake.NewFleet(oneSecondTask), Config: func() *jobqueue.Config { return nil },
 		ZoneOutOfService: func(string) bool { return false },
 		DecodeWorker: func(string, []byte) (jobworker.Info, error) {
 			loaded := make(chan bool, 1)
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -61,7 +61,7 @@
 
 // Dependencies holds the dependencies that all shards of a daemon share.
 type Dependencies struct {
-	Store   keyedlog.Store
+	Store   *ledger.TimedStore
 	Workers jobworker.Client
 	// Advisor decides which workers may run the steps of some queues; nil if there is none.
 	Advisor advisor.Advisor
--- a/node/shardlease/earlier_owners_test.go
+++ b/node/shardlease/earlier_owners_test.go
@@ -12,6 +12,7 @@
 
 	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/shardlease"
 )
 
@@ -27,7 +28,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	p := &process{leads: make(chan *shardlease.Ownership, 10)}
 	p.manager = shardlease.New(shardlease.Options{
-		Store: store.As(name), Self: shardlease.Owner{Name: name, Address: name, Lifetime: lifetime},
+		Store: ledger.NewTimedStore(store.As(name)), Self: shardlease.Owner{Name: name, Address: name, Lifetime: lifetime},
 		Now: now, Log: zerolog.Nop(), Preference: func() int { return 0 },
 		Lead: func(ctx context.Context, o *shardlease.Ownership) {
 			p.leads <- o
@@ -113,3 +114,23 @@
 		})
 	}
 }
+
+// Guards against a shard without an owner for 2 s, and a needless wait for leases, because a release had no response.
+func TestReleaseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, startedAt := storefake.New(), time.Now()
+		now := func() time.Duration { return time.Since(startedAt) }
+		first := startProcess(t, store, now, "first", 1)
+		<-first.leads
+		second := startProcess(t, store, now, "second", 2)
+		time.Sleep(time.Second)
+		first.manager.Drain()
+		store.SetFault(func(caller, method string, _ keyedlog.Partition) storefake.Fault {
+			return storefake.Fault{Hang: caller == "first" && method == "append" && now() < 1500*time.Millisecond}
+		})
+		ownership := <-second.leads
+		is.True(second.manager.Owner() != nil)
+		is.True(ownership.PreviousRenewalsUntil <= now()) // the shard was released
+	})
+}
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -41,6 +41,8 @@
 	pollWait = 700 * time.Millisecond
 	// renewTimeout limits one attempt of a renewal.
 	renewTimeout = 1200 * time.Millisecond
+	// releaseTimeout limits one attempt of a release.
+	releaseTimeout = 700 * time.Millisecond
 	// successorHeadStart is how long other daemons leave a released shard to the successor that its owner named.
 	successorHeadStart = time.Second
 	// minClaimPoll is the shortest wait of a read for a change while a claim becomes due.
@@ -78,7 +80,7 @@
 
 // Options configures a Manager.
 type Options struct {
-	Store keyedlog.Store
+	Store *ledger.TimedStore
 	Shard int
 	Self  Owner
 	Now   func() time.Duration
@@ -471,16 +473,26 @@
 		ownership.endOffset = offset + 1
 		ownership.setRenewed(sentAt)
 	case errors.Is(err, keyedlog.ErrOffsetMismatch):
-		if err := m.follower.Poll(ctx, 0); err != nil {
-			return nil // the store is unreachable again
-		}
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.owner == nil || m.owner.Epoch != ownership.Epoch || m.owner.Lifetime != m.opts.Self.Lifetime {
-			return errors.New("another daemon claimed the shard")
-		}
-		ownership.endOffset = m.endOffset // an earlier attempt took effect
+		return m.adoptOwnRecord(ctx, ownership)
+	}
+	return nil
+}
+
+// errClaimed means that a newer owner has appended its record.
+var errClaimed = errors.New("another daemon claimed the shard")
+
+// adoptOwnRecord continues after the newest record, once an append has failed because the partition ends elsewhere: an
+// earlier attempt without a response may have taken effect. It returns errClaimed if another daemon appended it.
+func (m *Manager) adoptOwnRecord(ctx context.Context, ownership *Ownership) error {
+	if err := m.follower.Poll(ctx, 0); err != nil {
+		return nil // the store is unreachable again
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owner == nil || m.owner.Epoch != ownership.Epoch || m.owner.Lifetime != m.opts.Self.Lifetime {
+		return errClaimed
 	}
+	ownership.endOffset = m.endOffset
 	return nil
 }
 
@@ -496,17 +508,41 @@
 	return cbor.Marshal(self)
 }
 
-// release records that the shard has no owner. If that fails, the other daemons claim it after ClaimAfter.
+// release records that the shard has no owner, and repeats that until the other daemons may claim the shard anyway.
 func (m *Manager) release(ownership *Ownership) {
 	value, err := m.encodeOwner(ownership, true)
 	if err != nil {
 		m.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), ClaimAfter)
 	defer cancel()
-	if _, err := m.opts.Store.Append(ctx, keyedlog.Append{Partition: m.partition(), At: &ownership.endOffset,
-		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}}); err != nil {
-		m.opts.Log.Warn().Err(err).Int("shard", m.opts.Shard).Msg("release of shard failed")
+	var backoff ledger.Backoff
+	for {
+		err := m.tryRelease(ctx, ownership, value)
+		if err == nil || errors.Is(err, errClaimed) {
+			return
+		}
+		if backoff.Sleep(ctx); ctx.Err() != nil {
+			m.opts.Log.Warn().Err(err).Int("shard", m.opts.Shard).Msg("release of shard failed")
+			return
+		}
+	}
+}
+
+// tryRelease makes one attempt to release the shard.
+func (m *Manager) tryRelease(ctx context.Context, ownership *Ownership, value []byte) error {
+	if o := m.Owner(); o != nil && o.Epoch == ownership.Epoch && o.Released {
+		return nil // an earlier attempt took effect
+	}
+	attemptCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, err := m.opts.Store.Append(attemptCtx, keyedlog.Append{Partition: m.partition(), At: &ownership.endOffset,
+		Records: []keyedlog.Record{{Key: ownerKey, Value: value}}})
+	if errors.Is(err, keyedlog.ErrOffsetMismatch) {
+		if lost := m.adoptOwnRecord(ctx, ownership); lost != nil {
+			return lost
+		}
 	}
+	return err
 }
--- a/node/shardlease/lease_test.go
+++ b/node/shardlease/lease_test.go
@@ -15,6 +15,7 @@
 	"waxwingslip.example/core/sharding"
 	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/shardlease"
 )
 
@@ -26,7 +27,7 @@
 	var m *shardlease.Manager
 	ownerReturned := make(chan bool, 1)
 	m = shardlease.New(shardlease.Options{
-		Store: storefake.New().As("d0"), Self: shardlease.Owner{Name: "d0", Address: "d0", Lifetime: 1},
+		Store: ledger.NewTimedStore(storefake.New().As("d0")), Self: shardlease.Owner{Name: "d0", Address: "d0", Lifetime: 1},
 		Now: func() time.Duration { return time.Since(startedAt) }, Log: zerolog.Nop(),
 		Preference: func() int {
 			owner := make(chan struct{})
@@ -91,7 +92,7 @@
 		for i := range n {
 			name := fmt.Sprintf("d%d", i)
 			m := shardlease.New(shardlease.Options{
-				Store: store.As(name), Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
+				Store: ledger.NewTimedStore(store.As(name)), Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
 				Now: func() time.Duration { return time.Since(startedAt) }, Log: zerolog.Nop(), Preference: func() int { return 2 * i },
 				Lead: func(ctx context.Context, _ *shardlease.Ownership) {
 					l.set(name, true)
@@ -144,7 +145,7 @@
 			name := fmt.Sprintf("d%d", i)
 			for n := range shards {
 				m := shardlease.New(shardlease.Options{
-					Store: store.As(name), Shard: n, Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
+					Store: ledger.NewTimedStore(store.As(name)), Shard: n, Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
 					Now: func() time.Duration { return time.Since(startedAt) }, Log: zerolog.Nop(), ClaimLock: claimLock,
 					Preference: func() int {
 						owned := 0
@@ -202,7 +203,7 @@
 		for i, name := range []string{"able", "second", "weak"} {
 			ctx, cancel := context.WithCancel(t.Context())
 			m := shardlease.New(shardlease.Options{
-				Store: store.As(name), Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
+				Store: ledger.NewTimedStore(store.As(name)), Self: shardlease.Owner{Name: name, Address: name, Lifetime: int64(i + 1)},
 				Now: func() time.Duration { return time.Since(startedAt) }, Log: zerolog.Nop(), Preference: func() int { return 2 * i },
 				FollowPause: func() time.Duration {
 					if name == "weak" {
