--- a/node/ledger/timedstore_test.go
+++ b/node/ledger/timedstore_test.go
@@ -23,7 +23,10 @@
 			_, err := s.Append(ctx, keyedlog.Append{Partition: p})
 			return err
 		},
-		"read":   func(ctx context.Context, s *ledger.TimedStore) error { _, err := s.Read(ctx, p, 0, time.Second); return err },
+		"read": func(ctx context.Context, s *ledger.TimedStore) error {
+			_, err := s.Read(ctx, p, 0, time.Second)
+			return err
+		},
 		"newest": func(ctx context.Context, s *ledger.TimedStore) error { _, err := s.Newest(ctx, p, ""); return err },
 	} {
 		t.Run(name, func(t *testing.T) {
