Replace everything derived from a worker's entry when the entry changes

Cause: of what placement derives from an entry only the size was replaced; labels, rack, zone and service stayed those of the first entry. The same assumption was found by reading in tasks that were bound before the change, in the advisor's decisions, in holds, and in the clock by which leases are granted.

Ruled out: the registry (the entry is read and decoded) and the worker (it refuses nothing).

Change: packing.Kind holds what placement knows of an entry and is replaced as a whole. A start is checked against the newest entry; advice and holds end with the kind; a worker whose entry names another incarnation or address gets no start before it has reported.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -14,14 +14,19 @@
 	"waxwingslip.example/core/resource"
 )
 
-// Worker is the scheduling state of a worker.
-type Worker struct {
-	ID      string
+// Kind is what a worker's entry in the registry says of it. It changes as a whole.
+type Kind struct {
 	Service string
 	Zone    string
 	Rack    string
 	Labels  []string
 	Size    resource.Vector
+}
+
+// Worker is the scheduling state of a worker.
+type Worker struct {
+	ID string
+	Kind
 	// Open is whether the worker accepts new tasks.
 	Open bool
 	// ObjectiveMissed is whether a serving task misses its objective; only urgent filling tasks are added then.
@@ -110,6 +115,17 @@
 	}
 }
 
+// SetKind replaces the kind of a worker, whose entry has changed. Its tasks keep their reservations; a hold for a task
+// ends, since the worker may no longer suit it.
+func (f *Fleet) SetKind(id string, k Kind) {
+	if w := f.workers[id]; w != nil {
+		w.Kind = k
+		w.heldForStep = ""
+		w.generation++
+		f.trialsStale = true
+	}
+}
+
 // Worker returns a worker by ID, or nil.
 func (f *Fleet) Worker(id string) *Worker { return f.workers[id] }
 
--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -18,8 +18,8 @@
 func newTestFleet(workers int, cores int64) *Fleet {
 	f := NewFleet(pressure.NewModel(2 * time.Second))
 	for i := range workers {
-		f.Add(&Worker{ID: fmt.Sprintf("w%03d", i), Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/8), Open: true,
-			Size: resource.Vector{MilliCPU: cores * 1000, MemoryMB: 100_000}})
+		f.Add(&Worker{ID: fmt.Sprintf("w%03d", i), Open: true, Kind: Kind{Service: "s", Zone: "z",
+			Rack: fmt.Sprintf("r%d", i/8), Size: resource.Vector{MilliCPU: cores * 1000, MemoryMB: 100_000}}})
 	}
 	return f
 }
@@ -134,7 +134,7 @@
 	filling := &jobs.Step{Fills: true, Image: "f", Size: resource.Vector{MilliCPU: 7000, MemoryMB: 10}}
 	for i := range 6 {
 		id := fmt.Sprint("w", i)
-		f.Add(&Worker{ID: id, Service: "s", Open: true, Size: resource.Vector{MilliCPU: 64_000, MemoryMB: 1000}})
+		f.Add(&Worker{ID: id, Open: true, Kind: Kind{Service: "s", Size: resource.Vector{MilliCPU: 64_000, MemoryMB: 1000}}})
 		f.Reserve(id, serving, "serve")
 	}
 	place := func() (n int) {
@@ -178,7 +178,7 @@
 	f := NewFleet(m)
 	serving := map[string]string{"w0": "soft", "w1": "hard"}
 	for id, image := range serving {
-		f.Add(&Worker{ID: id, Service: "s", Open: true, Size: resource.Vector{MilliCPU: 64000, MemoryMB: 250000}})
+		f.Add(&Worker{ID: id, Open: true, Kind: Kind{Service: "s", Size: resource.Vector{MilliCPU: 64000, MemoryMB: 250000}}})
 		longRunning := newStep(8000)
 		longRunning.LongRunning, longRunning.Image, longRunning.TailTargetMs = true, image, 18
 		f.Reserve(id, longRunning, image)
@@ -226,7 +226,7 @@
 	model := pressure.NewModel(2 * time.Second)
 	f := NewFleet(model)
 	for i := range 6 {
-		f.Add(&Worker{ID: fmt.Sprintf("w%d", i), Service: "s", Open: true, Size: resource.Vector{MilliCPU: 64_000, MemoryMB: 256_000}})
+		f.Add(&Worker{ID: fmt.Sprintf("w%d", i), Open: true, Kind: Kind{Service: "s", Size: resource.Vector{MilliCPU: 64_000, MemoryMB: 256_000}}})
 	}
 	serving := func(i int) *jobs.Step {
 		return &jobs.Step{LongRunning: true, TailTargetMs: 18, Image: fmt.Sprintf("s%d", i), Size: resource.Vector{MilliCPU: 8000, MemoryMB: 1000}}
@@ -291,3 +291,33 @@
 	next := &Request{Step: filling, StepName: "k.0.0", Service: "s", Urgent: true}
 	is.Equal(f.Place(next), nil) // the worker's memory is kept for the task that waits
 }
+
+// Guards against a worker whose entry changed and that is still used, or held for a large task, as its former kind.
+func TestSetKind(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1, 64)
+	a, b := newStep(40_000), newStep(40_000)
+	a.RequiredLabel, b.RequiredLabel = "a", "b"
+	a.LongRunning = true
+	w := f.Worker("w000")
+	kind := w.Kind
+	kind.Labels = []string{"a"}
+	f.SetKind(w.ID, kind)
+	short := newStep(30_000)
+	f.Reserve(w.ID, short, "short")
+	is.True(f.Place(newRequest(a, "a")) == nil)
+	f.Hold(newRequest(a, "a"))
+
+	kind.Labels, kind.Rack, kind.Zone = []string{"b"}, "r9", "z2"
+	f.SetKind(w.ID, kind)
+	is.Equal(w.Free(), int64(34_000)) // tasks keep their reservations
+	f.Release(w.ID, short, "short")
+	is.True(f.Place(newRequest(b, "b")) == w) // it is not held for the other step any more
+	is.True(f.Place(newRequest(a, "a")) == nil)
+
+	kind.Service = "other"
+	f.SetKind(w.ID, kind)
+	is.True(f.Place(newRequest(b, "b")) == nil)
+	is.Equal(f.CPUTotals("s").Size, int64(0))
+	is.Equal(f.CPUTotals("other").Size, int64(64_000))
+}
--- a/core/packing/place.go
+++ b/core/packing/place.go
@@ -126,10 +126,12 @@
 
 // eligible reports whether a worker may run a task of the request, regardless of its free resources.
 func eligible(w *Worker, r *Request) bool {
-	if !w.Open || w.Service != r.Service {
-		return false
-	}
-	if r.Step.MaxPerWorker > 0 && w.steps[r.StepName] >= r.Step.MaxPerWorker {
+	return w.Open && w.Suits(r) && (r.Step.MaxPerWorker == 0 || w.steps[r.StepName] < r.Step.MaxPerWorker)
+}
+
+// Suits reports whether a worker is of a kind that may run tasks of the request, regardless of its state and its tasks.
+func (w *Worker) Suits(r *Request) bool {
+	if w.Service != r.Service {
 		return false
 	}
 	if r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel) {
--- a/node/shard/advice.go
+++ b/node/shard/advice.go
@@ -85,13 +85,18 @@
 		return
 	}
 	workers = workers[:min(len(workers), maxAdvisedWorkers)]
+	kinds := make([]int, len(workers))
+	for i, id := range workers {
+		kinds[i] = s.kindVersion(id)
+	}
 	a.inFlight = true
 	s.adviceCallsInFlight++
 	timeout := q.Advice.PerCall + time.Duration(len(workers))*q.Advice.PerWorker + adviceTimeoutMargin
-	s.runInBackground("call advisor", func() { s.callAdvisor(a, r.StepName, workers, timeout, q.Advice.Validity) })
+	s.runInBackground("call advisor", func() { s.callAdvisor(a, r.StepName, workers, kinds, timeout, q.Advice.Validity) })
 }
 
-func (s *Shard) callAdvisor(a *advice, stepName string, workers []string, timeout, validity time.Duration) {
+// callAdvisor requests and applies advice on workers, whose kinds had the given versions.
+func (s *Shard) callAdvisor(a *advice, stepName string, workers []string, kinds []int, timeout, validity time.Duration) {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	response, err := s.deps.Advisor.Advise(ctx, stepName, workers)
@@ -111,7 +116,10 @@
 	if response.Validity > 0 {
 		validity = response.Validity
 	}
-	for _, id := range workers {
+	for i, id := range workers {
+		if s.kindVersion(id) != kinds[i] {
+			continue // the advice was on a worker of another kind
+		}
 		text, allowed := response.Tickets[id]
 		a.allowed[id] = allowed
 		if allowed {
@@ -136,6 +144,22 @@
 	}
 }
 
+// kindVersion returns the version of a worker's kind; 0 for one that is not known. The caller holds mu.
+func (s *Shard) kindVersion(workerID string) int {
+	if w := s.workers[workerID]; w != nil {
+		return w.kindVersion
+	}
+	return 0
+}
+
+// deleteAdviceOn deletes the advice on a worker that is of another kind now. The caller holds mu.
+func (s *Shard) deleteAdviceOn(workerID string) {
+	for _, a := range s.advice {
+		delete(a.allowed, workerID)
+		delete(a.tickets, workerID)
+	}
+}
+
 // pruneAdvice deletes the advice on steps of jobs that ended. The caller holds mu.
 func (s *Shard) pruneAdvice() {
 	for name := range s.advice {
--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -85,11 +85,11 @@
 func (s *Shard) setPace(w *worker, r *run, pace int) {
 	previous := r.pace
 	r.pace, r.progressAt = pace, s.deps.Now()
-	info := w.info
 	s.deps.Counters.Paces.Inc()
-	s.log.Debug().Str("job", r.id.Job).Str("task", r.name).Str("worker", info.ID).Int("pace", pace).
+	s.log.Debug().Str("job", r.id.Job).Str("task", r.name).Str("worker", w.info.ID).Int("pace", pace).
 		Int("previous", previous).Msg("pace set")
 	s.callWorker(w, func() {
+		info := s.entryOf(w)
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
 		if err := s.deps.Workers.Pace(ctx, info, r.name, r.number, pace, s.epoch); err != nil {
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -129,6 +129,16 @@
 	return info
 }
 
+// changeEntry changes a worker's entry in the registry.
+func (c *cluster) changeEntry(id string, change func(*jobworker.Info)) {
+	c.mu.Lock()
+	info := c.infos[id]
+	change(&info)
+	c.infos[id] = info
+	c.mu.Unlock()
+	c.register(id, []byte("up"))
+}
+
 func (c *cluster) currentConfig() *jobqueue.Config {
 	c.mu.Lock()
 	hook, config := c.configHook, c.config
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,6 +58,11 @@
 	// startsBlockedUntil delays starts after a refusal.
 	startsBlockedUntil time.Duration
 	failures           failureWindow
+	// entryAt is when an entry of another incarnation or address was read, and reportedAt when the renewal was sent that
+	// the worker answered last.
+	entryAt, reportedAt time.Duration
+	// kindVersion counts the changes of the worker's kind.
+	kindVersion int
 	// leavesAt is the earliest time at which a draining worker leaves.
 	leavesAt  time.Duration
 	cancel    context.CancelFunc
@@ -106,13 +112,37 @@
 		s.addWorker(info)
 		return
 	}
+	s.replaceEntry(w, info, r.Offset)
+}
+
+// replaceEntry replaces a worker's entry and everything that is derived from it. The caller holds mu.
+func (s *Shard) replaceEntry(w *worker, info jobworker.Info, offset int64) {
+	w.registered = true
+	if reflect.DeepEqual(w.info, info) {
+		return
+	}
 	if info.Draining {
 		w.leavesAt = s.deps.Now() + info.LeavesIn
 	}
-	if w.info.Draining != info.Draining {
-		s.log.Info().Str("worker", info.ID).Bool("draining", info.Draining).Int64("offset", r.Offset).Msg("worker changed")
+	restarted := w.info.Address != info.Address || w.info.Incarnation != info.Incarnation && w.incarnation != info.Incarnation
+	kindChanged := !reflect.DeepEqual(kindOf(w.info), kindOf(info))
+	s.log.Info().Str("worker", info.ID).Bool("draining", info.Draining).Bool("restarted", restarted).
+		Bool("kind_changed", kindChanged).Int64("offset", offset).Msg("worker changed")
+	w.info = info
+	if restarted {
+		// Its clock and its runs are not known until it has reported.
+		w.entryAt = s.deps.Now()
 	}
-	w.registered, w.info = true, info
+	if kindChanged {
+		s.fleet.SetKind(info.ID, kindOf(info))
+		w.kindVersion++
+		s.deleteAdviceOn(info.ID)
+	}
+}
+
+// kindOf returns the part of a worker's entry that decides which tasks it may run.
+func kindOf(info jobworker.Info) packing.Kind {
+	return packing.Kind{Service: info.Service, Zone: info.Zone, Rack: info.Rack, Labels: info.Labels, Size: info.Size}
 }
 
 // addWorker adds a worker and starts renewing its lease. The caller holds mu.
@@ -120,8 +150,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{info: info, registered: true, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
 	s.workers[info.ID] = w
-	s.fleet.Add(&packing.Worker{ID: info.ID, Service: info.Service, Zone: info.Zone, Rack: info.Rack,
-		Labels: info.Labels, Size: info.Size})
+	s.fleet.Add(&packing.Worker{ID: info.ID, Kind: kindOf(info)})
 	for _, r := range s.runsByWorker[info.ID] {
 		s.fleet.Reserve(r.workerID, r.step, r.stepName)
 	}
@@ -129,14 +158,16 @@
 	s.runInBackground("renew lease", func() { s.renewLoop(ctx, w) })
 }
 
+// entryConfirmed reports whether the worker has reported at the address of its newest entry.
+func (w *worker) entryConfirmed() bool { return w.reportedAt >= w.entryAt }
+
 // updateAvailability updates whether the worker takes new tasks. The caller holds mu.
 func (s *Shard) updateAvailability(w *worker) {
 	p := s.fleet.Worker(w.info.ID)
 	now := s.deps.Now()
-	p.Open = w.registered && w.adopted && !w.unreachable && !w.info.Draining && now >= w.startsBlockedUntil &&
+	p.Open = w.registered && w.adopted && w.entryConfirmed() && !w.unreachable && !w.info.Draining && now >= w.startsBlockedUntil &&
 		!s.deps.ZoneOutOfService(w.info.Zone) && !w.failures.quarantined(now)
 	p.ObjectiveMissed = w.objectiveMissed
-	p.Size = w.info.Size
 	p.Penalty = w.failures.rankPenalty(now)
 }
 
@@ -256,7 +287,7 @@
 	}
 	w.incarnation = report.Incarnation
 	w.clock.Observe(sentAt, s.deps.Now(), report.ClockMs)
-	w.unreachable, w.adopted = false, true
+	w.unreachable, w.adopted, w.reportedAt = false, true, sentAt
 	s.applyReport(w, report, sentAt)
 	s.updateAvailability(w)
 	signal(s.planSignal)
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -72,12 +72,12 @@
 		return jobworker.Info{}, jobworker.Start{}, false
 	}
 	e := s.jobs[r.id.Job]
+	mayStart := s.auth.MayStart() && w.entryConfirmed() && s.suits(w, r, e)
 	switch {
-	case attempt > 1 && !s.auth.MayStart():
+	case attempt > 1 && !mayStart:
 		s.stopRun(w, r) // the first attempt may have arrived
 		return jobworker.Info{}, jobworker.Start{}, false
-	case attempt == 1 && (e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayStart() ||
-		s.deps.ZoneOutOfService(w.info.Zone)):
+	case attempt == 1 && (!mayStart || e.job.Outcome != jobs.Unfinished || s.deps.ZoneOutOfService(w.info.Zone)):
 		s.endRun(r, jobs.EndNotStarted, "", "the start was not sent")
 		return jobworker.Info{}, jobworker.Start{}, false
 	}
@@ -87,6 +87,17 @@
 		Fence: s.epoch, DeadlineMs: deadline, Ticket: s.ticketFor(r)}, true
 }
 
+// suits reports whether the worker of a run, whose entry may have changed since the run was bound, is still of a kind
+// that may run it. The caller holds mu.
+func (s *Shard) suits(w *worker, r *run, e *jobEntry) bool {
+	p := s.fleet.Worker(w.info.ID)
+	if e == nil || p == nil {
+		return false
+	}
+	request := s.placementRequest(e, r.id)
+	return p.Suits(&request)
+}
+
 // handleStartResponse applies the response to a start and reports whether the start is settled.
 func (s *Shard) handleStartResponse(w *worker, r *run, err error, attempt int) bool {
 	s.mu.Lock()
@@ -182,11 +193,18 @@
 	return w.info, s.runs[r.name] == r && s.workers[w.info.ID] == w
 }
 
+// entryOf returns the newest entry of a worker.
+func (s *Shard) entryOf(w *worker) jobworker.Info {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.info
+}
+
 // stopUnexpectedRun stops a run that the shard has no record of. If the call fails, the next report lists the run
 // again.
 func (s *Shard) stopUnexpectedRun(w *worker, task string, number int64) {
-	info := w.info
 	s.callWorker(w, func() {
+		info := s.entryOf(w)
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
 		if err := s.deps.Workers.Stop(ctx, info, task, number, s.epoch); err != nil {
