Move workers to shards that cannot place their tasks

Cause: workers and jobs were divided among shards by a hash of their ids for good, and a shard uses its own workers only.

Ruled out: the lost worker's lease and planning, by the owner's log: the worker is removed, and the job is planned again and again.

Change: a shard that cannot place tasks for 0.75 s asks the owners of the other shards; these give up idle workers that their own waiting tasks don't need.

A worker whose long-running tasks fit on no other does not move.

--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -34,7 +34,7 @@
 // Config implements jobqueue.JobAPI.
 func (a *jobAPI) Config() *jobqueue.Config { return a.d.control.Config() }
 
-// shardOf returns the shard of a job. It never changes for an environment.
+// shardOf returns the shard of a job, or the home shard of a worker. It never changes for an environment.
 func shardOf(id string, shards int) int { return int(xxhash.Sum64String(id) % uint64(shards)) }
 
 // errStarting refuses requests until the number of shards is known, which determines a job's shard.
@@ -196,6 +196,7 @@
 	methodState   = "job.state"
 	methodWaiting = "queue.waiting"
 	methodMove    = "shard.move"
+	methodLend    = "shard.lend"
 )
 
 type stateQuery struct {
@@ -208,6 +209,12 @@
 	Queue string `cbor:"2,keyasint"`
 }
 
+// lendRequest asks the owner of a shard for workers.
+type lendRequest struct {
+	Shard int        `cbor:"1,keyasint"`
+	Need  shard.Need `cbor:"2,keyasint"`
+}
+
 // codeNotOwner is the error code of a daemon that does not own the requested shard.
 const codeNotOwner = peer.CodeApplication
 
@@ -240,6 +247,13 @@
 		}
 		return ownedShard.Waiting(q.Queue)
 	})
+	peer.HandleCall(s, methodLend, func(_ context.Context, _ string, req lendRequest) (int, error) {
+		ownedShard, err := d.requireOwnedShard(req.Shard)
+		if err != nil {
+			return 0, err
+		}
+		return ownedShard.Lend(req.Need)
+	})
 	peer.HandleCall(s, methodMove, func(_ context.Context, _ string, req moveRequest) (struct{}, error) {
 		return struct{}{}, d.handOver(req)
 	})
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -6,19 +6,33 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/sharding"
-	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/node/shard"
 	"waxwingslip.example/node/shardlease"
 )
 
-// assigned reports whether a worker belongs to a shard.
-func (d *Daemon) assigned(n int, w jobworker.Info) bool {
-	return int(xxhash.Sum64String(w.ID)%uint64(max(1, d.shardCount()))) == n
+// homeShard returns the shard that holds a worker until the worker is moved to another.
+func (d *Daemon) homeShard(workerID string) int { return shardOf(workerID, max(1, d.shardCount())) }
+
+// lend asks the owner of a shard, which may be this daemon, for workers.
+func (d *Daemon) lend(ctx context.Context, n int, need shard.Need) (int, error) {
+	if s := d.ownedShard(n); s != nil {
+		return s.Lend(need)
+	}
+	address := d.ownerAddress(n)
+	if address == "" {
+		return 0, errors.Errorf("shard %d has no known owner", n)
+	}
+	var room int
+	err := d.peers.Call(ctx, address, methodLend, lendRequest{n, need}, &room)
+	if err != nil {
+		d.refreshOwner(n)
+	}
+	return room, err
 }
 
 // weakFollowPause is how long a weak daemon leaves the record of an owner unread. A failed call to the owner ends it.
--- /dev/null
+++ b/node/shard/borrow.go
@@ -0,0 +1,157 @@
+package shard
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/packing"
+	"waxwingslip.example/node/ctxtime"
+)
+
+// Timing of requests for workers of other shards.
+const (
+	// borrowInterval is the time between checks for tasks that other shards could have workers for.
+	borrowInterval = 250 * time.Millisecond
+	// borrowAfter is how long a task cannot be placed before the owners of the other shards are asked.
+	borrowAfter = 750 * time.Millisecond
+	// Bounds of the time between two requests for the same tasks, which doubles while no shard lends a worker. While no
+	// worker of the shard suits them, the shortest time applies.
+	minBorrowPause, maxBorrowPause = time.Second, 4 * time.Second
+	// maxBorrowRequests limits the steps for which the other shards are asked at a time.
+	maxBorrowRequests = 4
+	// firstReportTime is how long a worker that was moved here has to report.
+	firstReportTime = 5 * time.Second
+	// lendTimeout limits one request to another shard.
+	lendTimeout = 500 * time.Millisecond
+)
+
+// shortage describes the tasks of a step that could not be placed in the newest plan.
+type shortage struct {
+	request packing.Request
+	regions []string
+	// tasks is the number of tasks that wait.
+	tasks int
+	// nothingRuns is set if nothing of the job runs, or if its tasks are needed all the time or all together.
+	nothingRuns bool
+	priority    int
+	since       time.Duration
+	plan        int // number of the newest plan in which the tasks could not be placed
+	// askAt is the earliest time of the next request to other shards, and pause the time after that.
+	askAt, pause time.Duration
+}
+
+// recordShortage records that tasks of a step cannot be placed. The caller holds mu.
+func (s *Shard) recordShortage(e *jobEntry, tasks []jobs.Task, r *packing.Request, now time.Duration) {
+	sh := s.shortages[r.StepName]
+	if sh == nil {
+		sh = &shortage{since: now, pause: minBorrowPause}
+		s.shortages[r.StepName] = sh
+	}
+	sh.request, sh.plan, sh.priority, sh.tasks = *r, s.plans, e.job.Spec.Priority, 0
+	sh.nothingRuns = r.Step.LongRunning || r.Step.Gang || !e.job.AnyBound()
+	sh.regions = nil
+	if q := s.queueOf(e); q != nil {
+		sh.regions = q.Regions
+	}
+	for i := range tasks {
+		if tasks[i].Phase == jobs.Waiting {
+			sh.tasks++
+		}
+	}
+}
+
+// endShortages forgets the tasks that no longer wait after a plan. The caller holds mu.
+func (s *Shard) endShortages() {
+	for name, sh := range s.shortages {
+		if sh.plan != s.plans {
+			delete(s.shortages, name)
+		}
+	}
+}
+
+// borrowLoop asks other shards for workers on which waiting tasks can be placed.
+func (s *Shard) borrowLoop() {
+	for ctxtime.Sleep(s.ctx, borrowInterval) {
+		if s.deps.Shards() < 2 || !s.auth.MayStart() {
+			continue
+		}
+		var needs []Need
+		s.locked("check for shortages", func() { needs = s.dueNeeds() })
+		for i := range needs {
+			s.borrow(&needs[i])
+		}
+	}
+}
+
+// dueNeeds returns the requests to other shards that are due, those of the most urgent jobs that have waited longest first.
+// The caller holds mu.
+func (s *Shard) dueNeeds() []Need {
+	now := s.deps.Now()
+	var due []*shortage
+	for _, sh := range s.shortages {
+		if now-sh.since < borrowAfter || now < sh.askAt || !sh.nothingRuns && s.fleet.HasOpen(&sh.request) {
+			continue
+		}
+		if s.othersMaySuit(&sh.request, now) {
+			due = append(due, sh)
+		}
+	}
+	slices.SortFunc(due, func(a, b *shortage) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.since, b.since),
+			cmp.Compare(a.request.StepName, b.request.StepName))
+	})
+	var needs []Need
+	for _, sh := range due[:min(len(due), maxBorrowRequests)] {
+		noneSuits := !s.fleet.HasOpen(&sh.request)
+		if noneSuits {
+			sh.pause = minBorrowPause
+		}
+		sh.askAt = now + sh.pause
+		sh.pause = min(2*sh.pause, maxBorrowPause)
+		needs = append(needs, Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step, Regions: sh.regions,
+			Tasks: sh.tasks, NoneSuits: noneSuits})
+	}
+	return needs
+}
+
+// othersMaySuit reports whether the registry has a worker of another shard that may run tasks of a request. While a worker
+// that was moved here for such tasks has not reported, it waits for that: if this daemon cannot reach it, more would not
+// help. The caller holds mu.
+func (s *Shard) othersMaySuit(r *packing.Request, now time.Duration) bool {
+	found := false
+	for id, info := range s.entries {
+		p := packing.Worker{ID: id, Kind: kindOf(info)}
+		if info.Draining || !p.Suits(r) || !r.Step.Reserved().Fits(p.Size) {
+			continue
+		}
+		if w := s.workers[id]; w == nil {
+			found = true
+		} else if w.fenceBase > 0 && !w.adopted && now-w.heldSince < firstReportTime {
+			return false
+		}
+	}
+	return found
+}
+
+// borrow asks the owners of the other shards, one after the other, until they have lent workers for all tasks.
+func (s *Shard) borrow(n *Need) {
+	shards, wanted := s.deps.Shards(), n.Tasks
+	for i := 1; i < shards && n.Tasks > 0 && s.ctx.Err() == nil; i++ {
+		other := (s.number + i) % shards
+		ctx, cancel := context.WithTimeout(s.ctx, lendTimeout)
+		room, err := s.deps.Lend(ctx, other, *n)
+		cancel()
+		if err != nil {
+			s.log.Debug().Err(err).Int("of_shard", other).Msg("request for workers failed")
+			continue
+		}
+		n.Tasks -= room
+	}
+	if lent := wanted - n.Tasks; lent > 0 {
+		s.log.Info().Int("tasks", wanted).Int("room_for", lent).Str("service", n.Service).Str("label", n.Step.RequiredLabel).
+			Bool("none_suited", n.NoneSuits).Msg("workers of other shards move here")
+	}
+}
--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -92,7 +92,7 @@
 		info := s.entryOf(w)
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
-		if err := s.deps.Workers.Pace(ctx, info, r.name, r.number, pace, s.epoch); err != nil {
+		if err := s.deps.Workers.Pace(ctx, info, r.name, r.number, pace, s.fence(w)); err != nil {
 			s.log.Info().Err(err).Str("job", r.id.Job).Str("task", r.name).Str("worker", info.ID).Msg("setting the pace failed")
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,7 +34,7 @@
 
 var registry = keyedlog.Partition{Topic: "keyed.servers"}
 
-// cluster is a store, workers, and daemons that may own the only shard. Everything runs in simulated time.
+// cluster is a store, workers, and daemons that may own a shard each. Everything runs in simulated time.
 type cluster struct {
 	t             *testing.T
 	store         *storefake.Store
@@ -44,15 +45,18 @@
 	infos         map[string]jobworker.Info
 	zonesOut      map[string]bool // zones out of service
 	daemons       []*daemon
+	shards        int
+	home          map[string]int // home shards of workers, 0 for others
 	config        *jobqueue.Config
 	// configHook replaces the function that returns the configuration.
 	configHook func() *jobqueue.Config
 	advisor    advisor.Advisor
 }
 
-// daemon takes part in the ownership of the shard.
+// daemon takes part in the ownership of a shard.
 type daemon struct {
 	name         string
+	number       int // of the shard
 	leaseManager *shardlease.Manager
 	cancel       context.CancelFunc
 	done         sync.WaitGroup
@@ -69,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: storefake.New(), fleet: workerfake.NewFleet(outcome), startedAt: time.Now().Add(-time.Hour),
-			infos: map[string]jobworker.Info{}, zonesOut: map[string]bool{},
+			shards: 1, home: map[string]int{}, infos: map[string]jobworker.Info{}, zonesOut: map[string]bool{},
 			config: &jobqueue.Config{Version: 1, Queues: []jobqueue.Queue{{Name: "q", Service: service}},
 				Services: map[string]jobqueue.Service{service: {Name: service}}},
 		}
@@ -167,8 +171,30 @@
 	}
 }
 
-func (c *cluster) addDaemon(name string) *daemon {
-	d := &daemon{name: name}
+func (c *cluster) homeShard(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.home[id]
+}
+
+// lend forwards a request for workers to the owner of a shard.
+func (c *cluster) lend(_ context.Context, number int, n shard.Need) (int, error) {
+	c.mu.Lock()
+	daemons := slices.Clone(c.daemons)
+	c.mu.Unlock()
+	for _, d := range daemons {
+		if s := d.ownedShard(); d.number == number && s != nil && s.Loaded() {
+			return s.Lend(n)
+		}
+	}
+	return 0, shard.ErrStale
+}
+
+func (c *cluster) addDaemon(name string) *daemon { return c.addOwner(name, 0) }
+
+// addOwner adds a daemon that takes part in the ownership of a shard.
+func (c *cluster) addOwner(name string, number int) *daemon {
+	d := &daemon{name: name, number: number}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	now := func() time.Duration {
@@ -190,7 +216,7 @@
 			}
 			return info, nil
 		},
-		Registry: registry, Shards: func() int { return 1 }, Assigned: func(int, jobworker.Info) bool { return true },
+		Registry: registry, Shards: func() int { return c.shards }, HomeShard: c.homeShard, Lend: c.lend,
 		Limits: shard.Limits{MaxWorkerLease: maxWorkerLease, EndedRetention: 2 * time.Minute,
 			MaxObjectiveMiss: 4 * time.Second},
 		Now: now, WallTime: time.Now, Log: zerolog.New(zerolog.NewTestWriter(c.t)).With().Str("vm", name).Logger(),
@@ -198,20 +224,22 @@
 	}
 	index := len(c.daemons)
 	d.leaseManager = shardlease.New(shardlease.Options{
-		Store: deps.Store, Self: shardlease.Owner{Name: name, Address: name, Lifetime: time.Now().UnixNano() + int64(index)},
+		Store: deps.Store, Shard: number, Self: shardlease.Owner{Name: name, Address: name, Lifetime: time.Now().UnixNano() + int64(index)},
 		Now: now, Log: deps.Log, Preference: func() int { return index },
 		Lead: func(ctx context.Context, ownership *shardlease.Ownership) {
 			leasesExpireAt := time.Duration(0)
 			if ownership.PreviousRenewalsUntil > 0 {
 				leasesExpireAt = ownership.PreviousRenewalsUntil + maxWorkerLease*102/100
 			}
-			s := shard.New(deps, 0, ownership.Epoch, ownership, leasesExpireAt)
+			s := shard.New(deps, number, ownership.Epoch, ownership, leasesExpireAt)
 			d.setShard(s)
 			s.Run(ctx)
 			d.setShard(nil)
 		},
 	})
 	d.done.Go(func() { d.leaseManager.Run(ctx) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.daemons = append(c.daemons, d)
 	return d
 }
@@ -260,24 +288,29 @@
 	return spec
 }
 
-// accept stores a job.
-func (c *cluster) accept(spec *jobs.Spec) {
+// accept stores a job of shard 0.
+func (c *cluster) accept(spec *jobs.Spec) { c.acceptIn(0, spec) }
+
+// acceptIn stores a job of a shard.
+func (c *cluster) acceptIn(number int, spec *jobs.Spec) {
 	value, err := cbor.Marshal(spec)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.append(keyedlog.Partition{Topic: shard.JobsTopic}, shard.AcceptRecord(spec.ID, value))
+	c.append(keyedlog.Partition{Topic: shard.JobsTopic, Number: number}, shard.AcceptRecord(spec.ID, value))
 }
 
-func (c *cluster) cancel(id string) {
-	c.append(keyedlog.Partition{Topic: shard.JobsTopic}, shard.CancelRecord(id))
+func (c *cluster) cancel(id string) { c.cancelIn(0, id) }
+
+func (c *cluster) cancelIn(number int, id string) {
+	c.append(keyedlog.Partition{Topic: shard.JobsTopic, Number: number}, shard.CancelRecord(id))
 }
 
 // state returns the state of a job by the owner, whichever daemon that is.
 func (c *cluster) state(id string) jobs.State {
 	for _, d := range c.daemons {
 		if s := d.ownedShard(); s != nil && s.Loaded() {
-			if state, err := s.State(context.Background(), id); err == nil {
+			if state, err := s.State(context.Background(), id); err == nil && state != jobs.StateUnknown {
 				return state
 			}
 		}
--- /dev/null
+++ b/node/shard/holding.go
@@ -0,0 +1,191 @@
+package shard
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/ledger"
+)
+
+// Each worker is held by one shard, which alone uses it: its home shard, until that one moves it to another. A move has
+// a version, which rises with each move of the worker.
+//
+// The owner that gives a worker up stores that in its own progress topic, under its epoch, so that no other owner of its
+// shard uses the worker any more. Only then does it announce the worker in the jobs topic of the other shard, and repeats
+// that until it is stored. A worker therefore has at most one holder at any time, and none only for a short time.
+
+const (
+	// movedPrefix and a worker's id make the key in ProgressTopic of the newest move of a worker to another shard.
+	movedPrefix = "m/"
+	// takenPrefix, a worker's id and the version make the key in JobsTopic of a worker that was moved to the shard.
+	takenPrefix = "w/"
+)
+
+// holding is how a shard holds a worker.
+type holding struct {
+	// Version is 0 for a worker that was never moved.
+	Version int64 `cbor:"1,keyasint"`
+	// FenceBase is added to the epoch of the holder's owner to get the fence number. It is not less than any fence
+	// number that earlier holders have used.
+	FenceBase int64 `cbor:"2,keyasint"`
+}
+
+// move is the newest move of a worker from this shard to another.
+type move struct {
+	holding // as it was before the move
+	// To is the number of the other shard, and NextFenceBase its fence base.
+	To            int   `cbor:"3,keyasint"`
+	NextFenceBase int64 `cbor:"4,keyasint"`
+	// Announced is set once the other shard's owners can read of the move.
+	Announced bool `cbor:"5,keyasint,omitempty"`
+}
+
+// heldWorker returns how the shard holds a worker. The caller holds mu.
+func (s *Shard) heldWorker(id string) (holding, bool) {
+	h, taken := s.taken[id]
+	if !taken && s.deps.HomeShard(id) != s.number {
+		return holding{}, false
+	}
+	m, moved := s.moved[id]
+	return h, !moved || h.Version > m.Version
+}
+
+// fence returns the fence number of calls to a worker.
+func (s *Shard) fence(w *worker) int64 { return w.fenceBase + s.epoch }
+
+// applyTaken applies a record of a worker that was moved to this shard. The caller holds mu.
+func (s *Shard) applyTaken(r keyedlog.Record) error {
+	id, version, ok := cutLast(r.Key[len(takenPrefix):])
+	var h holding
+	if err := cbor.Unmarshal(r.Value, &h); err != nil {
+		return errors.Wrap(err, "decode moved worker")
+	}
+	if !ok || h.Version < 1 || h.FenceBase < 0 || version != strconv.FormatInt(h.Version, 10) {
+		return errors.Errorf("record of moved worker has version %d and fence base %d", h.Version, h.FenceBase)
+	}
+	if h.Version <= s.taken[id].Version {
+		return nil
+	}
+	s.taken[id] = h
+	if !s.loaded {
+		return nil // the registry is read later
+	}
+	if _, held := s.heldWorker(id); held && s.workers[id] == nil {
+		s.log.Info().Str("worker", id).Int64("version", h.Version).Msg("worker was moved to this shard")
+		if info, registered := s.entries[id]; registered {
+			s.addWorker(info)
+		}
+	}
+	return nil
+}
+
+// cutLast cuts a key around its last slash.
+func cutLast(key string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(key, '/')
+	if i < 0 {
+		return key, "", false
+	}
+	return key[:i], key[i+1:], true
+}
+
+func takenKey(id string, version int64) string {
+	return takenPrefix + id + "/" + strconv.FormatInt(version, 10)
+}
+
+// moveWorker gives up an idle worker for another shard. The caller holds mu.
+func (s *Shard) moveWorker(w *worker, to int) {
+	id := w.info.ID
+	before, _ := s.heldWorker(id)
+	m := move{holding: before, To: to, NextFenceBase: s.fence(w)}
+	s.log.Info().Str("worker", id).Int("to", to).Int64("version", m.Version+1).Msg("worker moves to another shard")
+	s.deps.Counters.WorkersLent.Inc()
+	w.cancel()
+	delete(s.workers, id)
+	s.fleet.Remove(id)
+	s.storeMove(id, m)
+	s.whenStored(func() { s.runInBackground("announce move", func() { s.announceMove(id, m) }) })
+}
+
+// storeMove makes the next commit store a move. The caller holds mu.
+func (s *Shard) storeMove(id string, m move) {
+	s.moved[id] = m
+	s.unstoredMoves[id] = struct{}{}
+	signal(s.commitSignal)
+}
+
+// announceMove tells the owners of the other shard of a move that is stored, and deletes the record by which this shard
+// held the worker. It repeats both until they succeed; if the shard is lost before, the next owner does.
+func (s *Shard) announceMove(id string, m move) {
+	value, err := cbor.Marshal(holding{Version: m.Version + 1, FenceBase: m.NextFenceBase})
+	if err != nil {
+		s.log.Error().Err(err).Str("worker", id).Msg("moved worker cannot be encoded")
+		return
+	}
+	announced := s.appendUntilStored(m.To, keyedlog.Record{Key: takenKey(id, m.Version+1), Value: value})
+	if !announced || m.Version > 0 && !s.appendUntilStored(s.number, keyedlog.Record{Key: takenKey(id, m.Version)}) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.moved[id] == m {
+		m.Announced = true
+		s.storeMove(id, m)
+	}
+}
+
+// appendUntilStored appends a record to the jobs topic of a shard and repeats that until it is stored or the shard is lost.
+func (s *Shard) appendUntilStored(number int, r keyedlog.Record) bool {
+	var backoff ledger.Backoff
+	for s.ctx.Err() == nil {
+		_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
+			Partition: keyedlog.Partition{Topic: JobsTopic, Number: number}, Records: []keyedlog.Record{r}})
+		if err == nil {
+			return true
+		}
+		s.log.Warn().Err(err).Str("key", r.Key).Int("of_shard", number).Msg("storing the move of a worker failed, retrying")
+		backoff.Sleep(s.ctx)
+	}
+	return false
+}
+
+// announceMoves announces the moves of previous owners that may not be announced. The caller holds mu.
+func (s *Shard) announceMoves() {
+	for id, m := range s.moved {
+		if !m.Announced {
+			s.runInBackground("announce move", func() { s.announceMove(id, m) })
+		}
+	}
+}
+
+// decodeMove decodes the record of a worker that was moved to another shard.
+func (s *Shard) decodeMove(r keyedlog.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.Key[len(movedPrefix):]
+	var m move
+	if err := cbor.Unmarshal(r.Value, &m); err != nil {
+		// Without the move, two shards might use the worker. Fence numbers keep this one from it.
+		s.log.Error().Err(err).Str("worker", id).Int64("offset", r.Offset).Msg("move of a worker cannot be decoded")
+		return
+	}
+	s.moved[id] = m
+}
+
+// moveRecords returns records of the moves that are not stored yet. The caller holds mu.
+func (s *Shard) moveRecords() []keyedlog.Record {
+	var records []keyedlog.Record
+	for id := range s.unstoredMoves {
+		value, err := cbor.Marshal(s.moved[id])
+		if err != nil {
+			s.log.Error().Err(err).Str("worker", id).Msg("move of a worker cannot be encoded")
+			continue
+		}
+		records = append(records, keyedlog.Record{Key: movedPrefix + id, Value: value})
+	}
+	clear(s.unstoredMoves)
+	return records
+}
--- /dev/null
+++ b/node/shard/lend.go
@@ -0,0 +1,184 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/packing"
+	"waxwingslip.example/core/sharding"
+)
+
+// Need is a request of a shard for workers on which it can place tasks of a step.
+type Need struct {
+	// Shard is the shard that asks.
+	Shard   int       `cbor:"1,keyasint"`
+	Service string    `cbor:"2,keyasint"`
+	Step    jobs.Step `cbor:"3,keyasint"`
+	// Regions restricts the workers; none allows all.
+	Regions []string `cbor:"4,keyasint,omitempty"`
+	// Tasks is the number of tasks that wait.
+	Tasks int `cbor:"5,keyasint"`
+	// NoneSuits is set if the shard has no worker that may run the tasks, and not just none with free capacity.
+	NoneSuits bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Timing of moves of workers that are in use.
+const (
+	// minHolding is how long a shard has had a worker before it stops using it for another shard, so that shards that
+	// need the same worker take turns.
+	minHolding = 3 * time.Second
+	// promiseDuration is how long a worker takes no tasks so that it can move once it is idle. The other shard repeats its
+	// request within that time while it still needs the worker.
+	promiseDuration = 2500 * time.Millisecond
+)
+
+// Lend moves workers that this shard can do without to the shard that needs them, and returns for how many of its tasks
+// they have room.
+func (s *Shard) Lend(n Need) (int, error) {
+	if !s.auth.MayStart() {
+		return 0, ErrStale
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.loaded:
+		return 0, errors.New("the shard is not loaded")
+	case n.Shard == s.number || n.Shard < 0 || n.Shard >= s.deps.Shards() || n.Tasks < 1:
+		return 0, errors.Errorf("request of shard %d for %d tasks is not valid", n.Shard, n.Tasks)
+	}
+	request := packing.Request{Step: &n.Step, Service: n.Service, Allowed: s.inRegions(n.Regions)}
+	limit, now, room := s.lendable(&n), s.deps.Now(), 0
+	for _, p := range s.fleet.Spare(&request) {
+		w := s.workers[p.ID]
+		if room >= n.Tasks || limit == 0 {
+			break
+		}
+		promised := w.promisedTo == n.Shard && now < w.promisedUntil
+		if !s.usable(w, now) || w.storedEnd != w.recordedEnd || !promised && (now < w.promisedUntil || s.needs(p)) {
+			continue
+		}
+		limit--
+		room += p.Room(&n.Step)
+		s.moveWorker(w, n.Shard)
+	}
+	if room == 0 && n.NoneSuits {
+		s.promise(&request, n.Shard, now)
+	}
+	return min(room, n.Tasks), nil
+}
+
+// lendable returns how many workers the shard may lend. The caller holds mu.
+func (s *Shard) lendable(n *Need) int {
+	if n.NoneSuits {
+		return sharding.MaxLent
+	}
+	l := sharding.Lender{Shards: s.deps.Shards()}
+	workers, cpu := s.fleet.ServiceTotals(n.Service)
+	l.Workers, l.Size, l.Free = workers, cpu.Size, cpu.Free
+	for _, info := range s.entries {
+		if info.Service == n.Service {
+			l.FleetWorkers++
+		}
+	}
+	return l.Lendable()
+}
+
+// needs reports whether a task that this shard cannot place may run on a worker. The caller holds mu.
+func (s *Shard) needs(p *packing.Worker) bool {
+	for _, sh := range s.shortages {
+		if p.Suits(&sh.request) {
+			return true
+		}
+	}
+	return false
+}
+
+// promise keeps a worker that suits a request free of new tasks, so that it can move once its tasks have ended. Waiting
+// tasks of this shard have had their turn with it. The caller holds mu.
+func (s *Shard) promise(r *packing.Request, to int, now time.Duration) {
+	var chosen *worker
+	for _, p := range append(s.fleet.Spare(r), s.fleet.Busy(r)...) {
+		w := s.workers[p.ID]
+		switch {
+		case !s.usable(w, now):
+		case now < w.promisedUntil && w.promisedTo == to:
+			chosen = w // extends the promise
+		case chosen == nil && now >= w.promisedUntil && now-w.heldSince >= minHolding && s.canEmpty(w):
+			chosen = w
+		}
+	}
+	if chosen == nil {
+		return
+	}
+	if now >= chosen.promisedUntil {
+		s.log.Info().Str("worker", chosen.info.ID).Int("to", to).Msg("worker takes no tasks until it can move")
+	}
+	chosen.promisedTo, chosen.promisedUntil = to, now+promiseDuration
+	s.updateAvailability(chosen)
+}
+
+// canEmpty reports whether all tasks on a worker end by themselves or fit on others now. The caller holds mu.
+func (s *Shard) canEmpty(w *worker) bool {
+	p := s.fleet.Worker(w.info.ID)
+	open := p.Open
+	p.Open = false
+	defer func() { p.Open = open }()
+	for _, r := range s.runsByWorker[w.info.ID] {
+		e := s.jobs[r.id.Job]
+		if !r.step.LongRunning || e == nil {
+			continue
+		}
+		request := s.placementRequest(e, r.id)
+		if s.fleet.Place(&request) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// emptyPromised moves long-running tasks away from workers that are promised to another shard, one task a sweep and only
+// to where there is room. The caller holds mu.
+func (s *Shard) emptyPromised(now time.Duration) {
+	for id, w := range s.workers {
+		if now >= w.promisedUntil || !s.usable(w, now) {
+			continue
+		}
+		for _, r := range s.runsByWorker[id] {
+			e := s.jobs[r.id.Job]
+			if e == nil || e.job.Outcome != jobs.Unfinished || r.stage != running || !r.step.LongRunning || s.stepRestarts(e, r) {
+				continue
+			}
+			request := s.placementRequest(e, r.id)
+			if s.fleet.Place(&request) == nil {
+				continue
+			}
+			s.log.Info().Str("job", r.id.Job).Str("task", r.name).Str("worker", id).Int("to", w.promisedTo).
+				Msg("task leaves a worker that another shard needs")
+			s.stopRun(w, r)
+			return
+		}
+	}
+}
+
+// stepRestarts reports whether another long-running task of a run's step does not run at the moment. The caller holds mu.
+func (s *Shard) stepRestarts(e *jobEntry, r *run) bool {
+	tasks := e.job.Occurrence(r.id.Occurrence).Steps[r.id.Step]
+	for i := range tasks {
+		other := s.runs[jobs.TaskID{Job: r.id.Job, Occurrence: r.id.Occurrence, Step: r.id.Step, Index: i}.String()]
+		if other == nil || other.stage != running {
+			return true
+		}
+	}
+	return false
+}
+
+// inRegions returns the function that restricts workers to regions, or nil for no restriction.
+func (s *Shard) inRegions(regions []string) func(*packing.Worker) bool {
+	if len(regions) == 0 {
+		return nil
+	}
+	return func(w *packing.Worker) bool { return slices.Contains(regions, s.deps.Region(w.Zone)) }
+}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,6 +56,7 @@
 	}
 	s.applyCancels()
 	s.createDueOccurrences()
+	s.announceMoves()
 	s.loaded = true
 	s.isLoaded.Store(true)
 	s.log.Info().Int("jobs", len(s.jobs)).Int("runs", len(s.runs)).Dur("took", s.deps.Now()-startedAt).Msg("shard loaded")
@@ -94,6 +96,10 @@
 			s.restoreLearned(r)
 			continue
 		}
+		if strings.HasPrefix(r.Key, movedPrefix) {
+			s.decodeMove(r)
+			continue
+		}
 		p := &jobs.Progress{}
 		if err := cbor.Unmarshal(r.Value, p); err != nil {
 			s.log.Error().Err(err).Str("job", r.Key).Int64("offset", r.Offset).Msg("stored progress of job cannot be decoded")
@@ -136,6 +142,10 @@
 			}
 		case r.Key[:len(cancelledPrefix)] == cancelledPrefix:
 			cancelled = append(cancelled, r.Key[len(cancelledPrefix):])
+		case r.Key[:len(takenPrefix)] == takenPrefix:
+			if err := s.applyTaken(r); err != nil {
+				s.log.Error().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("record of moved worker cannot be used")
+			}
 		}
 	}
 	for _, id := range cancelled {
--- a/node/shard/lock_test.go
+++ b/node/shard/lock_test.go
@@ -45,7 +45,7 @@
 			}
 			return jobworker.Info{ID: "w0"}, nil
 		},
-		Registry: registry, Assigned: func(int, jobworker.Info) bool { return false },
+		Registry: registry, HomeShard: func(string) int { return 1 }, Shards: func() int { return 2 },
 		Now: func() time.Duration { return time.Hour }, WallTime: time.Now, Log: zerolog.Nop(),
 		Counters: shard.NewCounters(telemetry.New(time.Now)),
 	}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -51,6 +51,7 @@
 			waiting = append(waiting, e)
 		}
 	}
+	s.plans++
 	s.fleet.BeginPass()
 	defer s.fleet.EndPass()
 	wall := s.deps.WallTime().UnixMilli()
@@ -63,6 +64,7 @@
 		s.forJob("plan job", e, func() { s.planJob(e, config, now) })
 	}
 	s.planLongRunningRounds(waiting, config, now)
+	s.endShortages()
 }
 
 // planLongRunningRounds binds new long-running tasks round by round, one task per job and round, so that scarce
@@ -156,9 +158,7 @@
 	r := packing.Request{Step: &e.job.Spec.Steps[id.Step], StepName: id.StepName(), Service: e.job.Spec.Service}
 	if q := s.queueOf(e); q != nil {
 		r.Service = q.Service
-		if len(q.Regions) > 0 {
-			r.Allowed = func(w *packing.Worker) bool { return slices.Contains(q.Regions, s.deps.Region(w.Zone)) }
-		}
+		r.Allowed = s.inRegions(q.Regions)
 	}
 	return r
 }
@@ -193,7 +193,7 @@
 	now time.Duration) (int, bool) {
 	spec := &e.job.Spec.Steps[step]
 	if spec.Gang {
-		return s.planGang(e, o, step, request)
+		return s.planGang(e, o, step, request, now)
 	}
 	request.Urgent = s.isUrgent(e, request.Service)
 	bound, remaining := 0, false
@@ -207,6 +207,7 @@
 			continue
 		}
 		if spec.LongRunning && o.Steps[step][i].Run == 0 && !s.leavesReserve(e, request.Service, spec) {
+			s.recordShortage(e, o.Steps[step], request, now)
 			return bound, true
 		}
 		request.Avoid = e.avoid[id]
@@ -215,6 +216,7 @@
 			if spec.LongRunning && o.Steps[step][i].Run > 0 {
 				s.fleet.Hold(request)
 			}
+			s.recordShortage(e, o.Steps[step], request, now)
 			return bound, true
 		}
 		isNew := o.Steps[step][i].Run == 0
@@ -248,7 +250,7 @@
 }
 
 // planGang binds all members of a gang or none. The caller holds mu.
-func (s *Shard) planGang(e *jobEntry, o *jobs.Occurrence, step int, request *packing.Request) (int, bool) {
+func (s *Shard) planGang(e *jobEntry, o *jobs.Occurrence, step int, request *packing.Request, now time.Duration) (int, bool) {
 	tasks := o.Steps[step]
 	runNumber := int64(0)
 	for i := range tasks {
@@ -273,6 +275,7 @@
 		s.fleet.Release(w.ID, request.Step, request.StepName)
 	}
 	if len(workers) < len(tasks) {
+		s.recordShortage(e, tasks, request, now)
 		return 0, true
 	}
 	for i, w := range workers {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -35,7 +35,7 @@
 	ProgressTopic = "keyed.progress"
 )
 
-// Key prefixes in JobsTopic; the job's id follows.
+// Key prefixes in JobsTopic; the job's id follows. takenPrefix is another one.
 const (
 	acceptedPrefix  = "a/"
 	cancelledPrefix = "c/"
@@ -76,8 +76,10 @@
 	Registry     keyedlog.Partition
 	// Shards returns the number of shards of the environment.
 	Shards func() int
-	// Assigned reports whether a worker belongs to the shard.
-	Assigned func(shard int, w jobworker.Info) bool
+	// HomeShard returns the shard that holds a worker until the worker is moved to another.
+	HomeShard func(workerID string) int
+	// Lend asks the owner of another shard for workers, see Shard.Lend.
+	Lend     func(ctx context.Context, shard int, n Need) (int, error)
 	Limits   Limits
 	Now      func() time.Duration // monotonic, includes time in system suspend
 	WallTime func() time.Time
@@ -171,6 +173,16 @@
 	workers map[string]*worker
 	fleet   *packing.Fleet
 	runs    map[string]*run // by the task's name
+	// entries holds the registry's entries of the workers of all shards.
+	entries map[string]jobworker.Info
+	// taken holds the newest record of each worker that was moved to this shard, and moved the newest move of each worker
+	// from this shard. unstoredMoves holds the ids of workers whose moves are not stored yet.
+	taken         map[string]holding
+	moved         map[string]move
+	unstoredMoves map[string]struct{}
+	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
+	shortages map[string]*shortage
+	plans     int
 	// runsByWorker indexes runs by the worker's id.
 	runsByWorker map[string]map[string]*run
 	pressure     *pressure.Model
@@ -213,6 +225,8 @@
 		jobs: map[string]*jobEntry{}, workers: map[string]*worker{},
 		pressure: pressure.NewModel(deps.Limits.MaxObjectiveMiss - objectiveMissReserve),
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
+		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
+		unstoredMoves: map[string]struct{}{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
@@ -253,7 +267,8 @@
 	})
 	registry := ledger.NewFollower(s.deps.Store, s.deps.Registry, s.applyRegistry)
 	loops.Go(func() { registry.Run(s.ctx, 0, registryPollInterval, ledger.LogDependency(s.log, "worker registry")) })
-	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop, "share": s.shareLoop} {
+	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop, "share": s.shareLoop,
+		"borrow": s.borrowLoop} {
 		loops.Go(func() {
 			if s.contain(step, loop) != nil {
 				s.cancel()
@@ -314,6 +329,7 @@
 	s.sweptAt = now
 	s.expireWorkerLeases(now)
 	s.drainWorkers(now)
+	s.emptyPromised(now)
 	s.createDueOccurrences()
 	s.pruneEndedJobs()
 	s.pruneAdvice()
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -61,6 +61,12 @@
 	// entryAt is when an entry of another incarnation or address was read, and reportedAt when the renewal was sent that
 	// the worker answered last.
 	entryAt, reportedAt time.Duration
+	// fenceBase is added to the epoch to get the fence number, and heldSince is since when this owner has had the worker.
+	fenceBase int64
+	heldSince time.Duration
+	// promisedTo is the shard for which the worker takes no new tasks until promisedUntil.
+	promisedTo    int
+	promisedUntil time.Duration
 	// kindVersion counts the changes of the worker's kind.
 	kindVersion int
 	// leavesAt is the earliest time at which a draining worker leaves.
@@ -81,6 +87,9 @@
 			w.registered = false
 		}
 	}
+	if reset {
+		clear(s.entries)
+	}
 	for _, r := range records {
 		s.applyRegistryRecord(r)
 	}
@@ -93,6 +102,7 @@
 // applyRegistryRecord applies one record of the worker registry. The caller holds mu.
 func (s *Shard) applyRegistryRecord(r keyedlog.Record) {
 	if r.Value == nil {
+		delete(s.entries, r.Key)
 		if w := s.workers[r.Key]; w != nil && w.registered {
 			w.registered = false
 			s.log.Info().Str("worker", r.Key).Int64("offset", r.Offset).Msg("worker left the registry")
@@ -104,7 +114,8 @@
 		s.log.Warn().Err(err).Int64("offset", r.Offset).Msg("registry entry cannot be decoded, it is ignored")
 		return
 	}
-	if !s.deps.Assigned(s.number, info) {
+	s.entries[info.ID] = info
+	if _, held := s.heldWorker(info.ID); !held {
 		return
 	}
 	w := s.workers[info.ID]
@@ -148,7 +159,8 @@
 // addWorker adds a worker and starts renewing its lease. The caller holds mu.
 func (s *Shard) addWorker(info jobworker.Info) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	w := &worker{info: info, registered: true, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
+	h, _ := s.heldWorker(info.ID)
+	w := &worker{info: info, registered: true, heldSince: s.deps.Now(), fenceBase: h.FenceBase, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
 	s.workers[info.ID] = w
 	s.fleet.Add(&packing.Worker{ID: info.ID, Kind: kindOf(info)})
 	for _, r := range s.runsByWorker[info.ID] {
@@ -165,12 +177,17 @@
 func (s *Shard) updateAvailability(w *worker) {
 	p := s.fleet.Worker(w.info.ID)
 	now := s.deps.Now()
-	p.Open = w.registered && w.adopted && w.entryConfirmed() && !w.unreachable && !w.info.Draining && now >= w.startsBlockedUntil &&
-		!s.deps.ZoneOutOfService(w.info.Zone) && !w.failures.quarantined(now)
+	p.Open = s.usable(w, now) && now >= w.promisedUntil
 	p.ObjectiveMissed = w.objectiveMissed
 	p.Penalty = w.failures.rankPenalty(now)
 }
 
+// usable reports whether the worker can take new tasks. The caller holds mu.
+func (s *Shard) usable(w *worker, now time.Duration) bool {
+	return w.registered && w.adopted && w.entryConfirmed() && !w.unreachable && !w.info.Draining && now >= w.startsBlockedUntil &&
+		!s.deps.ZoneOutOfService(w.info.Zone) && !w.failures.quarantined(now)
+}
+
 // renewLoop renews the worker's lease and applies its reports until the worker is removed.
 func (s *Shard) renewLoop(ctx context.Context, w *worker) {
 	var backoff ledger.Backoff
@@ -192,6 +209,9 @@
 		s.deps.Counters.LeaseRenewals.Inc()
 		unstored := false
 		s.locked("apply report", func() {
+			if ctx.Err() != nil {
+				return // the worker was moved or removed meanwhile
+			}
 			unstored = s.handleRenewal(w, report, err, sentAt)
 			if err == nil && renewal.Ack > 0 && w.storedEnd >= renewal.Ack {
 				w.ackedEnd = renewal.Ack
@@ -216,7 +236,7 @@
 	if !s.auth.MayRenew() {
 		return jobworker.Info{}, jobworker.LeaseRenewal{}, 0, false
 	}
-	r.Fence = s.epoch
+	r.Fence = s.fence(w)
 	if w.storedEnd > w.ackedEnd && !w.unreachable {
 		// An acknowledgement is not repeated once confirmed, and not sent to a worker that may have restarted: it
 		// numbers its ends from the start again and would drop ends that were never reported.
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -84,7 +84,7 @@
 	deadline := w.clock.Deadline(s.deps.Now(), s.deps.Limits.MaxWorkerLease)
 	w.grant.Sent(deadline)
 	return w.info, jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
-		Fence: s.epoch, DeadlineMs: deadline, Ticket: s.ticketFor(r)}, true
+		Fence: s.fence(w), DeadlineMs: deadline, Ticket: s.ticketFor(r)}, true
 }
 
 // suits reports whether the worker of a run, whose entry may have changed since the run was bound, is still of a kind
@@ -171,7 +171,7 @@
 				return
 			}
 			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-			err := s.deps.Workers.Stop(ctx, info, r.name, r.number, s.epoch)
+			err := s.deps.Workers.Stop(ctx, info, r.name, r.number, s.fence(w))
 			cancel()
 			if err == nil || errors.Is(err, jobworker.ErrStaleRun) {
 				s.mu.Lock()
@@ -207,7 +207,7 @@
 		info := s.entryOf(w)
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
-		if err := s.deps.Workers.Stop(ctx, info, task, number, s.epoch); err != nil {
+		if err := s.deps.Workers.Stop(ctx, info, task, number, s.fence(w)); err != nil {
 			s.log.Warn().Err(err).Str("task", task).Str("worker", info.ID).Msg("stopping an unexpected run failed")
 		}
 	})
