Run failed long-running tasks again before new ones of their step

Ruled out: capacity that is kept for short tasks, since the new task was bound in the same plan.

Change: no new task of a long-running step is bound while one that has run before waits.

TestFailedTaskKeepsItsPlace failed before the change.

--- a/node/shard/kinds_test.go
+++ b/node/shard/kinds_test.go
@@ -83,3 +83,23 @@
 		is.Equal(other.Load(), int32(5))
 	})
 }
+
+// Guards against a long-running task that fails and waits for good, because a task of its step that never ran takes its
+// place (ambon-mist-large scale-1, small twin).
+func TestFailedTaskKeepsItsPlace(t *testing.T) {
+	outcome := func(id jobs.TaskID, run int64) workerfake.Outcome {
+		o := endlessTask(id, run)
+		if id.Index == 1 && run < 3 {
+			o.UntilStopped, o.Fails, o.Duration = false, true, 3*time.Second
+		}
+		return o
+	}
+	runCluster(t, 3, 1, outcome, func(c *cluster, is *is.I) {
+		c.owner()
+		c.submit("job", jobs.Step{LongRunning: true, MaxPerWorker: 1}, 5)
+		time.Sleep(20 * time.Second)
+		is.True(c.allRunning("job", 3))
+		is.Equal(c.fleet.Starts(task("job", 1)), 3)
+		is.Equal(c.fleet.Starts(task("job", 3)), 0)
+	})
+}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -197,10 +197,15 @@
 	}
 	request.Urgent = s.isUrgent(e, request.Service)
 	bound, remaining := 0, false
+	restarts := spec.LongRunning && slices.ContainsFunc(o.Steps[step], waitsAgain)
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != jobs.Waiting {
 			continue
 		}
+		if restarts && o.Steps[step][i].Run == 0 {
+			remaining = true // a new task would take the place of one that has run
+			continue
+		}
 		id := jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step, Index: i}
 		if e.retryAt[id] > now {
 			remaining = true
@@ -229,6 +234,9 @@
 	return bound, remaining
 }
 
+// waitsAgain reports whether a task waits that has run before.
+func waitsAgain(t jobs.Task) bool { return t.Phase == jobs.Waiting && t.Run > 0 }
+
 // Limits of how long filling tasks wait for workers on which they disturb no serving task.
 const (
 	// urgentAfterMs is the age of a job above which its filling tasks run on any worker, at a limited pace.
