Empty workers of mostly idle shards for shards that lack capacity

Cause: shards lent idle workers only, and short tasks are spread so that hardly any is idle for long.

Change: a mostly idle shard promises workers that have short tasks alone. They take no new ones until they can move, or until the request is not repeated any more.

TestBusyWorkersOfIdleShardAreLent failed without promises.

--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -247,10 +247,10 @@
 		}
 		return ownedShard.Waiting(q.Queue)
 	})
-	peer.HandleCall(s, methodLend, func(_ context.Context, _ string, req lendRequest) (int, error) {
+	peer.HandleCall(s, methodLend, func(_ context.Context, _ string, req lendRequest) (shard.Loan, error) {
 		ownedShard, err := d.requireOwnedShard(req.Shard)
 		if err != nil {
-			return 0, err
+			return shard.Loan{}, err
 		}
 		return ownedShard.Lend(req.Need)
 	})
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -19,20 +19,20 @@
 func (d *Daemon) homeShard(workerID string) int { return shardOf(workerID, max(1, d.shardCount())) }
 
 // lend asks the owner of a shard, which may be this daemon, for workers.
-func (d *Daemon) lend(ctx context.Context, n int, need shard.Need) (int, error) {
+func (d *Daemon) lend(ctx context.Context, n int, need shard.Need) (shard.Loan, error) {
 	if s := d.ownedShard(n); s != nil {
 		return s.Lend(need)
 	}
 	address := d.ownerAddress(n)
 	if address == "" {
-		return 0, errors.Errorf("shard %d has no known owner", n)
+		return shard.Loan{}, errors.Errorf("shard %d has no known owner", n)
 	}
-	var room int
-	err := d.peers.Call(ctx, address, methodLend, lendRequest{n, need}, &room)
+	var loan shard.Loan
+	err := d.peers.Call(ctx, address, methodLend, lendRequest{n, need}, &loan)
 	if err != nil {
 		d.refreshOwner(n)
 	}
-	return room, err
+	return loan, err
 }
 
 // weakFollowPause is how long a weak daemon leaves the record of an owner unread. A failed call to the owner ends it.
--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -17,8 +17,8 @@
 	borrowInterval = 250 * time.Millisecond
 	// borrowAfter is how long a task cannot be placed before the owners of the other shards are asked.
 	borrowAfter = 750 * time.Millisecond
-	// Bounds of the time between two requests for the same tasks, which doubles while no shard lends a worker. While no
-	// worker of the shard suits them, the shortest time applies.
+	// Bounds of the time between two requests for the same tasks, which doubles while no shard has workers for them. While
+	// no worker of the shard suits them, or some are promised, the shortest time applies.
 	minBorrowPause, maxBorrowPause = time.Second, 4 * time.Second
 	// maxBorrowRequests limits the steps for which the other shards are asked at a time.
 	maxBorrowRequests = 4
@@ -78,7 +78,7 @@
 		if s.deps.Shards() < 2 || !s.auth.MayStart() {
 			continue
 		}
-		var needs []Need
+		var needs []dueNeed
 		s.locked("check for shortages", func() { needs = s.dueNeeds() })
 		for i := range needs {
 			s.borrow(&needs[i])
@@ -86,9 +86,15 @@
 	}
 }
 
+// dueNeed is a request to other shards that is due for tasks that wait.
+type dueNeed struct {
+	Need
+	stepName string
+}
+
 // dueNeeds returns the requests to other shards that are due, those of the most urgent jobs that have waited longest first.
 // The caller holds mu.
-func (s *Shard) dueNeeds() []Need {
+func (s *Shard) dueNeeds() []dueNeed {
 	now := s.deps.Now()
 	var due []*shortage
 	for _, sh := range s.shortages {
@@ -103,7 +109,7 @@
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.since, b.since),
 			cmp.Compare(a.request.StepName, b.request.StepName))
 	})
-	var needs []Need
+	var needs []dueNeed
 	for _, sh := range due[:min(len(due), maxBorrowRequests)] {
 		noneSuits := !s.fleet.HasOpen(&sh.request)
 		if noneSuits {
@@ -111,8 +117,8 @@
 		}
 		sh.askAt = now + sh.pause
 		sh.pause = min(2*sh.pause, maxBorrowPause)
-		needs = append(needs, Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step, Regions: sh.regions,
-			Tasks: sh.tasks, NoneSuits: noneSuits})
+		needs = append(needs, dueNeed{Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step,
+			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits}, sh.request.StepName})
 	}
 	return needs
 }
@@ -136,22 +142,31 @@
 	return found
 }
 
-// borrow asks the owners of the other shards, one after the other, until they have lent workers for all tasks.
-func (s *Shard) borrow(n *Need) {
-	shards, wanted := s.deps.Shards(), n.Tasks
-	for i := 1; i < shards && n.Tasks > 0 && s.ctx.Err() == nil; i++ {
+// borrow asks the owners of the other shards, one after the other, until they have workers for all tasks.
+func (s *Shard) borrow(n *dueNeed) {
+	shards, total := s.deps.Shards(), Loan{}
+	for i := 1; i < shards && total.Room+total.Promised < n.Tasks && s.ctx.Err() == nil; i++ {
 		other := (s.number + i) % shards
+		left := n.Need
+		left.Tasks -= total.Room + total.Promised
 		ctx, cancel := context.WithTimeout(s.ctx, lendTimeout)
-		room, err := s.deps.Lend(ctx, other, *n)
+		l, err := s.deps.Lend(ctx, other, left)
 		cancel()
 		if err != nil {
 			s.log.Debug().Err(err).Int("of_shard", other).Msg("request for workers failed")
 			continue
 		}
-		n.Tasks -= room
+		total.Room += l.Room
+		total.Promised += l.Promised
+	}
+	if total == (Loan{}) {
+		return
 	}
-	if lent := wanted - n.Tasks; lent > 0 {
-		s.log.Info().Int("tasks", wanted).Int("room_for", lent).Str("service", n.Service).Str("label", n.Step.RequiredLabel).
-			Bool("none_suited", n.NoneSuits).Msg("workers of other shards move here")
+	s.log.Info().Int("tasks", n.Tasks).Int("room_for", total.Room).Int("promised_for", total.Promised).Str("service", n.Service).
+		Str("label", n.Step.RequiredLabel).Bool("none_suited", n.NoneSuits).Msg("workers of other shards move here")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sh := s.shortages[n.stepName]; sh != nil {
+		sh.askAt, sh.pause = min(sh.askAt, s.deps.Now()+minBorrowPause), minBorrowPause
 	}
 }
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -178,7 +178,7 @@
 }
 
 // lend forwards a request for workers to the owner of a shard.
-func (c *cluster) lend(_ context.Context, number int, n shard.Need) (int, error) {
+func (c *cluster) lend(_ context.Context, number int, n shard.Need) (shard.Loan, error) {
 	c.mu.Lock()
 	daemons := slices.Clone(c.daemons)
 	c.mu.Unlock()
@@ -187,7 +187,7 @@
 			return s.Lend(n)
 		}
 	}
-	return 0, shard.ErrStale
+	return shard.Loan{}, shard.ErrStale
 }
 
 func (c *cluster) addDaemon(name string) *daemon { return c.addOwner(name, 0) }
--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -35,25 +35,32 @@
 	promiseDuration = 2500 * time.Millisecond
 )
 
-// Lend moves workers that this shard can do without to the shard that needs them, and returns for how many of its tasks
-// they have room.
-func (s *Shard) Lend(n Need) (int, error) {
+// Loan is the response to a Need, as numbers of tasks.
+type Loan struct {
+	// Room is for how many tasks the workers that move have room, and Promised for how many those have that move once
+	// they are idle, if they are asked for again by then.
+	Room     int `cbor:"1,keyasint"`
+	Promised int `cbor:"2,keyasint"`
+}
+
+// Lend moves workers that this shard can do without to the shard that needs them.
+func (s *Shard) Lend(n Need) (Loan, error) {
 	if !s.auth.MayStart() {
-		return 0, ErrStale
+		return Loan{}, ErrStale
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case !s.loaded:
-		return 0, errors.New("the shard is not loaded")
+		return Loan{}, errors.New("the shard is not loaded")
 	case n.Shard == s.number || n.Shard < 0 || n.Shard >= s.deps.Shards() || n.Tasks < 1:
-		return 0, errors.Errorf("request of shard %d for %d tasks is not valid", n.Shard, n.Tasks)
+		return Loan{}, errors.Errorf("request of shard %d for %d tasks is not valid", n.Shard, n.Tasks)
 	}
 	request := packing.Request{Step: &n.Step, Service: n.Service, Allowed: s.inRegions(n.Regions)}
-	limit, now, room := s.lendable(&n), s.deps.Now(), 0
+	limit, now, l := s.lendable(&n), s.deps.Now(), Loan{}
 	for _, p := range s.fleet.Spare(&request) {
 		w := s.workers[p.ID]
-		if room >= n.Tasks || limit == 0 {
+		if l.Room >= n.Tasks || limit == 0 {
 			break
 		}
 		promised := w.promisedTo == n.Shard && now < w.promisedUntil
@@ -61,13 +68,14 @@
 			continue
 		}
 		limit--
-		room += p.Room(&n.Step)
+		l.Room += p.Room(&n.Step)
 		s.moveWorker(w, n.Shard)
 	}
-	if room == 0 && n.NoneSuits {
-		s.promise(&request, n.Shard, now)
+	if n.NoneSuits {
+		limit = min(limit, 1) // tasks wait for these workers here, too
 	}
-	return min(room, n.Tasks), nil
+	l.Promised = s.promise(&n, &request, limit, n.Tasks-l.Room, now)
+	return l, nil
 }
 
 // lendable returns how many workers the shard may lend. The caller holds mu.
@@ -96,28 +104,43 @@
 	return false
 }
 
-// promise keeps a worker that suits a request free of new tasks, so that it can move once its tasks have ended. Waiting
-// tasks of this shard have had their turn with it. The caller holds mu.
-func (s *Shard) promise(r *packing.Request, to int, now time.Duration) {
-	var chosen *worker
+// promise keeps up to limit workers that suit a request free of new tasks, so that they can move once their tasks have
+// ended, and returns for how many of the tasks they have room. The caller holds mu.
+func (s *Shard) promise(n *Need, r *packing.Request, limit, tasks int, now time.Duration) int {
+	room := 0
 	for _, p := range append(s.fleet.Spare(r), s.fleet.Busy(r)...) {
+		if room >= tasks || limit == 0 {
+			break
+		}
 		w := s.workers[p.ID]
-		switch {
-		case !s.usable(w, now):
-		case now < w.promisedUntil && w.promisedTo == to:
-			chosen = w // extends the promise
-		case chosen == nil && now >= w.promisedUntil && now-w.heldSince >= minHolding && s.canEmpty(w):
-			chosen = w
+		extends := now < w.promisedUntil && w.promisedTo == n.Shard
+		if !s.usable(w, now) || !extends && (now < w.promisedUntil || !s.mayPromise(w, p, n, now)) {
+			continue
+		}
+		if !extends {
+			s.log.Info().Str("worker", w.info.ID).Int("to", n.Shard).Msg("worker takes no tasks until it can move")
 		}
+		w.promisedTo, w.promisedUntil = n.Shard, now+promiseDuration
+		s.updateAvailability(w)
+		limit--
+		room += p.Room(r.Step)
 	}
-	if chosen == nil {
-		return
+	return room
+}
+
+// mayPromise reports whether a worker may be promised to the shard that needs it. If that one has no worker that suits,
+// tasks of this shard may wait for the worker, too, once they have had their turn, and long-running tasks may move to
+// other workers. The caller holds mu.
+func (s *Shard) mayPromise(w *worker, p *packing.Worker, n *Need, now time.Duration) bool {
+	if n.NoneSuits {
+		return now-w.heldSince >= minHolding && s.canEmpty(w)
 	}
-	if now >= chosen.promisedUntil {
-		s.log.Info().Str("worker", chosen.info.ID).Int("to", to).Msg("worker takes no tasks until it can move")
+	for _, r := range s.runsByWorker[w.info.ID] {
+		if r.step.LongRunning {
+			return false
+		}
 	}
-	chosen.promisedTo, chosen.promisedUntil = to, now+promiseDuration
-	s.updateAvailability(chosen)
+	return !s.needs(p)
 }
 
 // canEmpty reports whether all tasks on a worker end by themselves or fit on others now. The caller holds mu.
--- a/node/shard/lend_test.go
+++ b/node/shard/lend_test.go
@@ -136,6 +136,30 @@
 	})
 }
 
+// Guards against a mostly idle shard that lends nothing because each of its workers has a short task most of the time.
+func TestBusyWorkersOfIdleShardAreLent(t *testing.T) {
+	outcome := func(id jobs.TaskID, n int64) workerfake.Outcome {
+		if id.Job == "wide" {
+			return endlessTask(id, n)
+		}
+		return oneSecondTask(id, n)
+	}
+	runShards(t, 4, outcome, func(c *cluster, is *is.I) {
+		time.Sleep(2 * time.Second)
+		for i := range 60 {
+			c.submitIn(1, fmt.Sprintf("short%d", i), jobs.Step{Count: 4, MaxPerWorker: 1})
+			if i == 20 {
+				c.submitIn(0, "wide", jobs.Step{Count: 5, MaxPerWorker: 1, LongRunning: true})
+			}
+			if c.allRunning("wide", 5) {
+				return
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		t.Error("a task does not run although the other shard is mostly idle")
+	})
+}
+
 // Guards against a shard that lends workers, for lack of capacity elsewhere, although it is busy itself.
 func TestBusyShardKeepsItsWorkers(t *testing.T) {
 	runShards(t, 4, endlessTask, func(c *cluster, is *is.I) {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -79,7 +79,7 @@
 	// HomeShard returns the shard that holds a worker until the worker is moved to another.
 	HomeShard func(workerID string) int
 	// Lend asks the owner of another shard for workers, see Shard.Lend.
-	Lend     func(ctx context.Context, shard int, n Need) (int, error)
+	Lend     func(ctx context.Context, shard int, n Need) (Loan, error)
 	Limits   Limits
 	Now      func() time.Duration // monotonic, includes time in system suspend
 	WallTime func() time.Time
