Lend workers of busy shards for long-running tasks that ran before

A task that is to last and failed waited, if no worker of its shard might take it, until another shard was mostly idle. Callers count on such tasks at any time, however busy the fleet is.

Cause: shards lent workers for lack of capacity only while half of their own was free, whatever the tasks.

Change: a request says whether long-running tasks wait that have run before. For them any shard lends idle workers, two at a time, or promises one that has short tasks alone.

TestFailedTaskRunsOnAWorkerOfABusyShard failed before the change.

--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -36,9 +36,11 @@
 	tasks int
 	// nothingRuns is set if nothing of the job runs, or if its tasks are needed all the time or all together.
 	nothingRuns bool
-	priority    int
-	since       time.Duration
-	plan        int // number of the newest plan in which the tasks could not be placed
+	// restarts is set if some of the tasks are long-running and have run before.
+	restarts bool
+	priority int
+	since    time.Duration
+	plan     int // number of the newest plan in which the tasks could not be placed
 	// askAt is the earliest time of the next request to other shards, and pause the time after that.
 	askAt, pause time.Duration
 }
@@ -52,6 +54,7 @@
 	}
 	sh.request, sh.plan, sh.priority, sh.tasks = *r, s.plans, e.job.Spec.Priority, 0
 	sh.nothingRuns = r.Step.LongRunning || r.Step.Gang || !e.job.AnyBound()
+	sh.restarts = r.Step.LongRunning && slices.ContainsFunc(tasks, waitsAgain)
 	sh.regions = nil
 	if q := s.queueOf(e); q != nil {
 		sh.regions = q.Regions
@@ -112,13 +115,13 @@
 	var needs []dueNeed
 	for _, sh := range due[:min(len(due), maxBorrowRequests)] {
 		noneSuits := !s.fleet.HasOpen(&sh.request)
-		if noneSuits {
+		if noneSuits || sh.restarts {
 			sh.pause = minBorrowPause
 		}
 		sh.askAt = now + sh.pause
 		sh.pause = min(2*sh.pause, maxBorrowPause)
 		needs = append(needs, dueNeed{Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step,
-			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits}, sh.request.StepName})
+			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits, Restarts: sh.restarts}, sh.request.StepName})
 	}
 	return needs
 }
--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -23,8 +23,13 @@
 	Tasks int `cbor:"5,keyasint"`
 	// NoneSuits is set if the shard has no worker that may run the tasks, and not just none with free capacity.
 	NoneSuits bool `cbor:"6,keyasint,omitempty"`
+	// Restarts is set if long-running tasks wait that have run before. They have to run again however busy the fleet is.
+	Restarts bool `cbor:"7,keyasint,omitempty"`
 }
 
+// maxLentForRestarts limits the workers that a shard lends at a time to long-running tasks that have run before.
+const maxLentForRestarts = 2
+
 // Timing of moves of workers that are in use.
 const (
 	// minHolding is how long a shard has had a worker before it stops using it for another shard, so that shards that
@@ -71,8 +76,8 @@
 		l.Room += p.Room(&n.Step)
 		s.moveWorker(w, n.Shard)
 	}
-	if n.NoneSuits {
-		limit = min(limit, 1) // tasks wait for these workers here, too
+	if n.NoneSuits || n.Restarts {
+		limit = min(limit, 1) // tasks may wait for these workers here, too
 	}
 	l.Promised = s.promise(&n, &request, limit, n.Tasks-l.Room, now)
 	return l, nil
@@ -80,8 +85,11 @@
 
 // lendable returns how many workers the shard may lend. The caller holds mu.
 func (s *Shard) lendable(n *Need) int {
-	if n.NoneSuits {
+	switch {
+	case n.NoneSuits:
 		return sharding.MaxLent
+	case n.Restarts:
+		return maxLentForRestarts
 	}
 	l := sharding.Lender{Shards: s.deps.Shards()}
 	workers, cpu := s.fleet.ServiceTotals(n.Service)
@@ -129,18 +137,21 @@
 }
 
 // mayPromise reports whether a worker may be promised to the shard that needs it. If that one has no worker that suits,
-// tasks of this shard may wait for the worker, too, once they have had their turn, and long-running tasks may move to
-// other workers. The caller holds mu.
+// or long-running tasks to run again, tasks of this shard may wait for the worker, too, once they have had their turn.
+// Only in the first case long-running tasks move to other workers. The caller holds mu.
 func (s *Shard) mayPromise(w *worker, p *packing.Worker, n *Need, now time.Duration) bool {
+	if (n.NoneSuits || n.Restarts) && now-w.heldSince < minHolding {
+		return false
+	}
 	if n.NoneSuits {
-		return now-w.heldSince >= minHolding && s.canEmpty(w)
+		return s.canEmpty(w)
 	}
 	for _, r := range s.runsByWorker[w.info.ID] {
 		if r.step.LongRunning {
 			return false
 		}
 	}
-	return !s.needs(p)
+	return n.Restarts || !s.needs(p)
 }
 
 // canEmpty reports whether all tasks on a worker end by themselves or fit on others now. The caller holds mu.
--- a/node/shard/lend_test.go
+++ b/node/shard/lend_test.go
@@ -136,6 +136,31 @@
 	})
 }
 
+// Guards against a long-running task that failed and does not run again, since no worker of its shard may take it and the
+// other shard is busy.
+func TestFailedTaskRunsOnAWorkerOfABusyShard(t *testing.T) {
+	outcome := func(id jobs.TaskID, n int64) workerfake.Outcome {
+		switch {
+		case id.Job == "wide":
+			return endlessTask(id, n)
+		case id.Job[0] == 'b':
+			return workerfake.Outcome{Duration: 1500 * time.Millisecond, Size: resource.Vector{MilliCPU: 8000, MemoryMB: 1000}}
+		}
+		return oneSecondTask(id, n)
+	}
+	runShards(t, 3, outcome, func(c *cluster, is *is.I) {
+		time.Sleep(2 * time.Second)
+		c.submitIn(0, "wide", jobs.Step{Count: 3, MaxPerWorker: 1, LongRunning: true})
+		c.waitUntil("its tasks run", 5*time.Second, func() bool { return c.allRunning("wide", 3) })
+		for i := range 20 { // keeps all workers of the other shard busy
+			c.submitIn(1, fmt.Sprintf("b%d", i), jobs.Step{Count: 4, Size: resource.Vector{MilliCPU: 8000, MemoryMB: 1000}})
+		}
+		time.Sleep(time.Second)
+		c.fleet.Crash("w0")
+		c.waitUntil("its tasks run again", 16*time.Second, func() bool { return c.allRunning("wide", 3) })
+	})
+}
+
 // Guards against a mostly idle shard that lends nothing because each of its workers has a short task most of the time.
 func TestBusyWorkersOfIdleShardAreLent(t *testing.T) {
 	outcome := func(id jobs.TaskID, n int64) workerfake.Outcome {
