Count a job as begun once a worker has confirmed one of its runs

Cause: Bind set Begun, and an end as not started did not take it back. The planner tries another job each 0.3 s, so most jobs that wait were bound once.

Ruled out: the age of the figure, which stays wrong after the worker takes starts again.

Change: a job begins with the first confirmed start, listed run or end that only a run can have.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -70,7 +70,7 @@
 	Next int `cbor:"3,keyasint,omitempty"`
 	// Occurrences are those that began and have not ended.
 	Occurrences []*Occurrence `cbor:"4,keyasint,omitempty"`
-	// Begun is whether any task has ever been bound.
+	// Begun is whether any task has ever run.
 	Begun bool `cbor:"5,keyasint,omitempty"`
 	// Unreported lists runs that were taken to have ended although no worker reported their end, oldest first.
 	Unreported []TaskRun `cbor:"6,keyasint,omitempty"`
@@ -163,10 +163,17 @@
 		return errors.Errorf("bind %s: run %d is not the next run of a waiting task", id, run)
 	}
 	t.Phase, t.Worker, t.Run = Bound, worker, run
-	j.Begun = true
 	return nil
 }
 
+// Begin records that a task runs or has run, and reports whether it is the first of the job. A binding is no proof: the
+// worker may refuse the start.
+func (j *Job) Begin() bool {
+	first := !j.Begun
+	j.Begun = true
+	return first
+}
+
 // EndKind is how a run ended.
 type EndKind uint8
 
@@ -189,6 +196,15 @@
 	EndNotStarted
 )
 
+// ran reports whether only a run that was started can end so.
+func (k EndKind) ran() bool {
+	switch k {
+	case EndStopped, EndLost, EndNotStarted:
+		return false
+	}
+	return true
+}
+
 // String names the kind.
 func (k EndKind) String() string {
 	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "not started"}[k]
@@ -206,6 +222,7 @@
 	}
 	step := &j.Spec.Steps[id.Step]
 	t.Phase, t.Worker = Waiting, ""
+	j.Begun = j.Begun || kind.ran()
 	switch kind {
 	case EndDone:
 		if step.LongRunning {
--- a/node/shard/kinds_test.go
+++ b/node/shard/kinds_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,3 +104,37 @@
 		is.Equal(c.fleet.Starts(task("job", 3)), 0)
 	})
 }
+
+// Guards against jobs that count as begun, and are shown as running, although their starts were refused (review of
+// ambon-mist), also by the next owner.
+func TestRefusedJobsHaveNotBegun(t *testing.T) {
+	runCluster(t, 1, 2, oneSecondTask, func(c *cluster, is *is.I) {
+		first := c.owner()
+		c.fleet.SetFault(func(_, method string) workerfake.Fault { return workerfake.Fault{NotConnected: method == "start"} })
+		for i := range 5 {
+			c.submit(fmt.Sprintf("job%d", i), jobs.Step{}, 1)
+		}
+		check := func() {
+			waiting, err := c.owner().ownedShard().Waiting("q")
+			is.NoErr(err)
+			is.Equal(waiting, 5)
+			for i := range 5 {
+				is.Equal(c.state(fmt.Sprintf("job%d", i)), jobs.StatePending)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		check()
+		first.cancel()
+		first.done.Wait()
+		time.Sleep(5 * time.Second)
+		check()
+		c.fleet.SetFault(nil)
+		c.waitForState("job0", jobs.StateRunning, 5*time.Second)
+		for i := range 5 {
+			c.waitForState(fmt.Sprintf("job%d", i), jobs.StateCompleted, 20*time.Second)
+		}
+		waiting, err := c.owner().ownedShard().Waiting("q")
+		is.NoErr(err)
+		is.Equal(waiting, 0)
+	})
+}
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -51,6 +51,7 @@
 		s.applyLateEnd(w, e)
 		return
 	}
+	s.recordBegun(r)
 	switch e.Kind {
 	case jobs.EndDone:
 		s.deps.Counters.EndsDone.Inc()
@@ -64,6 +65,13 @@
 	s.endRun(r, e.Kind, e.Checkpoint, "")
 }
 
+// recordBegun records that a run's worker has confirmed it. The caller holds mu.
+func (s *Shard) recordBegun(r *run) {
+	if e := s.jobs[r.id.Job]; e != nil && e.job.Begin() {
+		s.markDirty(e)
+	}
+}
+
 // applyLateEnd applies the end of a run that was settled before the worker reported it: the worker did not respond until
 // its lease had expired, or a previous owner settled the run. Results count; work that was done is not done again.
 func (s *Shard) applyLateEnd(w *worker, end *jobworker.End) {
@@ -75,6 +83,7 @@
 	if e == nil || e.setAside != "" || !e.job.LateEnd(id, end.Run, end.Kind, s.deps.WallTime().UnixMilli()) {
 		return
 	}
+	e.job.Begin() // it ran, whatever was taken to have happened
 	s.deps.Counters.EndsLate.Inc()
 	s.log.Info().Str("job", id.Job).Str("task", end.Task).Int64("run", end.Run).Str("worker", w.info.ID).
 		Stringer("kind", end.Kind).Msg("end reported late")
@@ -111,6 +120,7 @@
 	if r.stage == starting || r.stage == committing {
 		r.stage, r.respondedAt = running, s.deps.Now()
 	}
+	s.recordBegun(r)
 	if listedRun.Checkpoint != "" && listedRun.Checkpoint != r.checkpoint {
 		r.checkpoint = listedRun.Checkpoint
 		if e := s.jobs[r.id.Job]; e != nil {
