Move jobs to the shard of the only workers that may run them

A job waited for good if the only workers of its kind were in another shard and had long-running tasks that fit on no other, although they had room.

Cause: a worker moves between shards only once it is empty.

The home shard stores the move as the job's outcome, under its epoch, before the other shard can read the job, and passes queries and cancellations on.

TestJobMovesToAnOccupiedWorker failed without the move.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -50,11 +50,13 @@
 	Completed
 	Failed
 	Cancelled
+	// Moved jobs go on in another shard.
+	Moved
 )
 
 // String names the outcome.
 func (o Outcome) String() string {
-	names := [...]string{"unfinished", "completed", "failed", "cancelled"}
+	names := [...]string{"unfinished", "completed", "failed", "cancelled", "moved"}
 	if int(o) >= len(names) {
 		return "unknown"
 	}
@@ -74,6 +76,11 @@
 	Begun bool `cbor:"5,keyasint,omitempty"`
 	// Unreported lists runs that were taken to have ended although no worker reported their end, oldest first.
 	Unreported []TaskRun `cbor:"6,keyasint,omitempty"`
+	// MovedTo is the shard to which a job with the outcome Moved was moved, and MovedProgress its encoded progress before
+	// that. MoveAnnounced is set once that shard can read the job.
+	MovedTo       int    `cbor:"7,keyasint,omitempty"`
+	MovedProgress []byte `cbor:"8,keyasint,omitempty"`
+	MoveAnnounced bool   `cbor:"9,keyasint,omitempty"`
 }
 
 // TaskRun identifies a run of a task of a job.
@@ -273,6 +280,14 @@
 	return true
 }
 
+// AwaitsLateEnd reports whether a task that is not done had a run whose end may yet be reported.
+func (j *Job) AwaitsLateEnd() bool {
+	return slices.ContainsFunc(j.Unreported, func(r TaskRun) bool {
+		t := j.Task(TaskID{Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
+		return t != nil && t.Phase != Done
+	})
+}
+
 // removeUnreported removes a run from Unreported and reports whether it was listed.
 func (j *Job) removeUnreported(id TaskID, run int64) bool {
 	listed := TaskRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Run: run}
@@ -344,6 +359,16 @@
 	return true
 }
 
+// Move ends the job here, since it goes on in another shard, and reports whether it was unfinished and without bound tasks.
+func (j *Job) Move(to int, nowMs int64) bool {
+	if j.Outcome != Unfinished || j.AnyBound() {
+		return false
+	}
+	j.finish(Moved, nowMs)
+	j.Occurrences, j.MovedTo = nil, to
+	return true
+}
+
 func (j *Job) finish(o Outcome, nowMs int64) {
 	j.Outcome, j.EndedMs = o, nowMs
 }
--- a/core/jobs/job_test.go
+++ b/core/jobs/job_test.go
@@ -179,3 +179,24 @@
 		}
 	}
 }
+
+// Guards against a job that moves while tasks may run, or while a late end could still show that a task is done, and against
+// one that never moves because a run of a task that is done now was never reported.
+func TestMove(t *testing.T) {
+	is := is.New(t)
+	j := newBegunJob(newSpec(Step{Count: 1}, Step{Count: 1, After: []int{0}}))
+	is.NoErr(j.Bind(taskID(0, 0, 0), "w", 1))
+	is.True(!j.Move(3, 5))
+	is.True(j.End(taskID(0, 0, 0), 1, EndLost, "", 0))
+	is.True(j.AwaitsLateEnd())
+	is.NoErr(j.Bind(taskID(0, 0, 0), "w", 2))
+	is.True(j.End(taskID(0, 0, 0), 2, EndDone, "", 0))
+	is.True(!j.AwaitsLateEnd())
+	is.True(j.Move(3, 5))
+	is.Equal(j.State(), StateRunning) // until the other shard tells
+	is.NoErr(j.Progress.Validate(j.Spec))
+	is.True(!j.Cancel(6))
+	is.True(!j.CreateDue(7))
+	is.True(!j.Move(4, 8))
+	is.Equal(j.MovedTo, 3)
+}
--- a/core/jobs/limits.go
+++ b/core/jobs/limits.go
@@ -125,8 +125,11 @@
 // Validate returns an error if stored progress does not belong to a job. Nothing can be concluded from it then, neither
 // what runs nor what is done.
 func (p *Progress) Validate(s *Spec) error {
-	if p.Outcome > Cancelled {
-		return errors.Errorf("outcome is %d, at most %d is known", p.Outcome, Cancelled)
+	if p.Outcome > Moved {
+		return errors.Errorf("outcome is %d, at most %d is known", p.Outcome, Moved)
+	}
+	if p.MovedTo < 0 {
+		return errors.Errorf("job moved to shard %d", p.MovedTo)
 	}
 	if err := firstError(
 		checkRange("end", p.EndedMs, 0, MaxTimeMs),
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -80,7 +80,7 @@
 		Store: store, Workers: deps.Workers, Advisor: deps.Advisor, Config: d.control.Config,
 		ZoneOutOfService: d.control.ZoneOutOfService,
 		Region:           func(zone string) string { return settings.Regions[zone] },
-		DecodeWorker:     deps.DecodeWorker, Registry: deps.Layout.Registry, HomeShard: d.homeShard, Lend: d.lend,
+		DecodeWorker:     deps.DecodeWorker, Registry: deps.Layout.Registry, HomeShard: d.homeShard, Lend: d.lend, JobState: d.jobState,
 		Shards: d.shardCount,
 		Limits: shard.Limits{MaxWorkerLease: settings.Bounds.maxWorkerLease(),
 			EndedRetention:   settings.Bounds.endedRetention(),
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -9,14 +9,30 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/sharding"
 	"waxwingslip.example/node/shard"
 	"waxwingslip.example/node/shardlease"
 )
 
-// homeShard returns the shard that holds a worker until the worker is moved to another.
-func (d *Daemon) homeShard(workerID string) int { return shardOf(workerID, max(1, d.shardCount())) }
+// homeShard returns the shard that holds a worker, or runs a job, until it is moved to another.
+func (d *Daemon) homeShard(id string) int { return shardOf(id, max(1, d.shardCount())) }
+
+// jobState returns the state of a job by the owner of a shard, which may be this daemon.
+func (d *Daemon) jobState(ctx context.Context, n int, id string) (state jobs.State, err error) {
+	if s := d.ownedShard(n); s != nil {
+		return s.State(ctx, id)
+	}
+	address := d.ownerAddress(n)
+	if address == "" {
+		return jobs.StateUnknown, errors.Errorf("shard %d has no known owner", n)
+	}
+	if err = d.peers.Call(ctx, address, methodState, stateQuery{n, id}, &state); err != nil {
+		d.refreshOwner(n)
+	}
+	return state, err
+}
 
 // lend asks the owner of a shard, which may be this daemon, for workers.
 func (d *Daemon) lend(ctx context.Context, n int, need shard.Need) (shard.Loan, error) {
--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -30,6 +30,7 @@
 
 // shortage describes the tasks of a step that could not be placed in the newest plan.
 type shortage struct {
+	job     string
 	request packing.Request
 	regions []string
 	// tasks is the number of tasks that wait.
@@ -49,7 +50,7 @@
 func (s *Shard) recordShortage(e *jobEntry, tasks []jobs.Task, r *packing.Request, now time.Duration) {
 	sh := s.shortages[r.StepName]
 	if sh == nil {
-		sh = &shortage{since: now, pause: minBorrowPause}
+		sh = &shortage{job: e.job.Spec.ID, since: now, pause: minBorrowPause}
 		s.shortages[r.StepName] = sh
 	}
 	sh.request, sh.plan, sh.priority, sh.tasks = *r, s.plans, e.job.Spec.Priority, 0
@@ -92,7 +93,8 @@
 // dueNeed is a request to other shards that is due for tasks that wait.
 type dueNeed struct {
 	Need
-	stepName string
+	job, stepName string
+	waited        time.Duration
 }
 
 // dueNeeds returns the requests to other shards that are due, those of the most urgent jobs that have waited longest first.
@@ -121,7 +123,8 @@
 		sh.askAt = now + sh.pause
 		sh.pause = min(2*sh.pause, maxBorrowPause)
 		needs = append(needs, dueNeed{Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step,
-			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits, Restarts: sh.restarts}, sh.request.StepName})
+			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits, Restarts: sh.restarts},
+			sh.job, sh.request.StepName, now - sh.since})
 	}
 	return needs
 }
@@ -147,7 +150,7 @@
 
 // borrow asks the owners of the other shards, one after the other, until they have workers for all tasks.
 func (s *Shard) borrow(n *dueNeed) {
-	shards, total := s.deps.Shards(), Loan{}
+	shards, total, fitsIn := s.deps.Shards(), Loan{}, -1
 	for i := 1; i < shards && total.Room+total.Promised < n.Tasks && s.ctx.Err() == nil; i++ {
 		other := (s.number + i) % shards
 		left := n.Need
@@ -161,8 +164,14 @@
 		}
 		total.Room += l.Room
 		total.Promised += l.Promised
+		if l.Fits && fitsIn < 0 {
+			fitsIn = other
+		}
 	}
 	if total == (Loan{}) {
+		if n.NoneSuits && n.waited >= jobMoveAfter && fitsIn >= 0 {
+			s.moveJob(n.job, n.waited, fitsIn)
+		}
 		return
 	}
 	s.log.Info().Int("tasks", n.Tasks).Int("room_for", total.Room).Int("promised_for", total.Promised).Str("service", n.Service).
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -156,7 +156,8 @@
 func (s *Shard) deleteRecords(ids []string) {
 	var commands []keyedlog.Record
 	for _, id := range ids {
-		commands = append(commands, keyedlog.Record{Key: acceptedPrefix + id}, keyedlog.Record{Key: cancelledPrefix + id})
+		commands = append(commands, keyedlog.Record{Key: acceptedPrefix + id}, keyedlog.Record{Key: cancelledPrefix + id},
+			keyedlog.Record{Key: arrivedPrefix + id})
 	}
 	_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 		Partition: keyedlog.Partition{Topic: JobsTopic, Number: s.number}, Records: commands})
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -46,7 +46,7 @@
 	zonesOut      map[string]bool // zones out of service
 	daemons       []*daemon
 	shards        int
-	home          map[string]int // home shards of workers, 0 for others
+	home          map[string]int // home shards of workers and jobs, 0 for others
 	config        *jobqueue.Config
 	// configHook replaces the function that returns the configuration.
 	configHook func() *jobqueue.Config
@@ -190,6 +190,19 @@
 	return shard.Loan{}, shard.ErrStale
 }
 
+// jobState returns the state of a job by the owner of a shard.
+func (c *cluster) jobState(ctx context.Context, number int, id string) (jobs.State, error) {
+	c.mu.Lock()
+	daemons := slices.Clone(c.daemons)
+	c.mu.Unlock()
+	for _, d := range daemons {
+		if s := d.ownedShard(); d.number == number && s != nil && s.Loaded() {
+			return s.State(ctx, id)
+		}
+	}
+	return jobs.StateUnknown, shard.ErrStale
+}
+
 func (c *cluster) addDaemon(name string) *daemon { return c.addOwner(name, 0) }
 
 // addOwner adds a daemon that takes part in the ownership of a shard.
@@ -216,7 +229,7 @@
 			}
 			return info, nil
 		},
-		Registry: registry, Shards: func() int { return c.shards }, HomeShard: c.homeShard, Lend: c.lend,
+		Registry: registry, Shards: func() int { return c.shards }, HomeShard: c.homeShard, Lend: c.lend, JobState: c.jobState,
 		Limits: shard.Limits{MaxWorkerLease: maxWorkerLease, EndedRetention: 2 * time.Minute,
 			MaxObjectiveMiss: 4 * time.Second},
 		Now: now, WallTime: time.Now, Log: zerolog.New(zerolog.NewTestWriter(c.t)).With().Str("vm", name).Logger(),
@@ -293,6 +306,9 @@
 
 // acceptIn stores a job of a shard.
 func (c *cluster) acceptIn(number int, spec *jobs.Spec) {
+	c.mu.Lock()
+	c.home[spec.ID] = number
+	c.mu.Unlock()
 	value, err := cbor.Marshal(spec)
 	if err != nil {
 		c.t.Fatal(err)
--- a/node/shard/holding.go
+++ b/node/shard/holding.go
@@ -137,16 +137,17 @@
 	}
 }
 
-// appendUntilStored appends a record to the jobs topic of a shard and repeats that until it is stored or the shard is lost.
-func (s *Shard) appendUntilStored(number int, r keyedlog.Record) bool {
+// appendUntilStored appends records to the jobs topic of a shard and repeats that until they are stored or this shard is
+// lost.
+func (s *Shard) appendUntilStored(number int, records ...keyedlog.Record) bool {
 	var backoff ledger.Backoff
 	for s.ctx.Err() == nil {
 		_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
-			Partition: keyedlog.Partition{Topic: JobsTopic, Number: number}, Records: []keyedlog.Record{r}})
+			Partition: keyedlog.Partition{Topic: JobsTopic, Number: number}, Records: records})
 		if err == nil {
 			return true
 		}
-		s.log.Warn().Err(err).Str("key", r.Key).Int("of_shard", number).Msg("storing the move of a worker failed, retrying")
+		s.log.Warn().Err(err).Str("key", records[0].Key).Int("of_shard", number).Msg("storing a move failed, retrying")
 		backoff.Sleep(s.ctx)
 	}
 	return false
--- /dev/null
+++ b/node/shard/jobmove_test.go
@@ -0,0 +1,131 @@
+package shard_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/resource"
+	workerfake "waxwingslip.example/external/jobworker/fake"
+	"waxwingslip.example/external/keyedlog"
+	storefake "waxwingslip.example/external/keyedlog/fake"
+)
+
+// runOccupied calls f with a cluster of two shards, of which shard 1 holds the only worker of kind b, x9, with a long-running
+// task of that kind, so that it cannot move. Tasks of jobs whose names begin with "lasting" are endless.
+func runOccupied(t *testing.T, f func(c *cluster, is *is.I)) {
+	outcome := func(id jobs.TaskID, n int64) workerfake.Outcome {
+		if strings.HasPrefix(id.Job, "lasting") {
+			return endlessTask(id, n)
+		}
+		return oneSecondTask(id, n)
+	}
+	runShards(t, 2, outcome, func(c *cluster, is *is.I) {
+		c.addKind("x9", 1, "b")
+		time.Sleep(time.Second)
+		c.submitIn(1, "lasting", jobs.Step{Count: 1, LongRunning: true, RequiredLabel: "b"})
+		c.waitUntil("the long-running task runs", 5*time.Second, func() bool { return c.allRunning("lasting", 1) })
+		f(c, is)
+	})
+}
+
+// twoSteps returns a job whose first step runs on kind a and whose second step needs kind b.
+func twoSteps(id string) *jobs.Spec {
+	size := resource.Vector{MilliCPU: 1000, MemoryMB: 1000}
+	return &jobs.Spec{ID: id, Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
+		AcceptedMs: time.Now().UnixMilli(), Steps: []jobs.Step{{Count: 2, Size: size, RequiredLabel: "a"},
+			{Count: 2, Size: size, RequiredLabel: "b", After: []int{0}}}}
+}
+
+// Guards against jobs that never run because the only worker that may run them is in use in another shard, also if it has
+// room, and against steps that run again after their job moved.
+func TestJobMovesToAnOccupiedWorker(t *testing.T) {
+	runOccupied(t, func(c *cluster, is *is.I) {
+		c.acceptIn(0, twoSteps("job"))
+		c.waitForState("job", jobs.StateCompleted, 20*time.Second)
+		for step := range 2 {
+			for index := range 2 {
+				is.Equal(c.fleet.Starts(jobs.TaskID{Job: "job", Step: step, Index: index}.String()), 1)
+			}
+		}
+		is.True(c.allRunning("lasting", 1))
+		is.Equal(c.fleet.Starts(task("lasting", 0)), 1)
+
+		// The home shard passes the state and the cancellation on, also under other owners.
+		c.submitIn(0, "lasting1", jobs.Step{Count: 1, LongRunning: true, RequiredLabel: "b"})
+		c.waitUntil("the moved job runs", 20*time.Second, func() bool { return c.allRunning("lasting1", 1) })
+		for number := range 2 {
+			d := c.ownerOf(number)
+			d.cancel()
+			d.done.Wait()
+		}
+		c.waitForState("lasting1", jobs.StateRunning, 10*time.Second)
+		is.Equal(c.fleet.Starts(task("lasting1", 0)), 1)
+		c.cancelIn(0, "lasting1")
+		c.waitForState("lasting1", jobs.StateCancelled, 5*time.Second)
+		c.waitUntil("its task is gone", 5*time.Second, func() bool { return c.fleet.Running(task("lasting1", 0)) == 0 })
+
+		time.Sleep(4 * time.Minute) // longer than ended jobs are kept
+		is.Equal(c.state("job"), jobs.StateUnknown)
+		is.Equal(c.state("lasting1"), jobs.StateUnknown)
+		for _, topic := range []string{"keyed.jobs", "keyed.progress"} {
+			for number := range 2 {
+				page, err := c.operatorStore.Newest(t.Context(), keyedlog.Partition{Topic: topic, Number: number}, "")
+				is.NoErr(err)
+				for _, r := range page.Records {
+					is.True(!strings.Contains(r.Key, "job") && !strings.Contains(r.Key, "lasting1")) // no record is left
+				}
+			}
+		}
+	})
+}
+
+// Guards against jobs that run twice or never when they move while owners change and calls to the store fail.
+func TestMovesOfJobsBesideFaults(t *testing.T) {
+	for seed := range uint64(moveSeeds) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			runOccupied(t, func(c *cluster, is *is.I) {
+				var finished atomic.Bool
+				rng, faults := rand.New(rand.NewPCG(seed, 28)), rand.New(rand.NewPCG(seed, 29))
+				c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
+					if caller == "operator" || finished.Load() {
+						return storefake.Fault{}
+					}
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					switch faults.IntN(40) {
+					case 0:
+						return storefake.Fault{LoseResponse: true}
+					case 1:
+						return storefake.Fault{Late: time.Duration(faults.IntN(2500)) * time.Millisecond}
+					case 2:
+						return storefake.Fault{Hang: true}
+					}
+					return storefake.Fault{}
+				})
+				const count = 8
+				for i := range count {
+					c.acceptIn(rng.IntN(2), twoSteps(fmt.Sprintf("job%d", i)))
+					time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+					if rng.IntN(2) == 0 {
+						d := c.ownerOf(rng.IntN(2))
+						d.cancel()
+						d.done.Wait()
+						c.addOwner(d.name, d.number)
+					}
+				}
+				finished.Store(true)
+				for i := range count {
+					c.waitForState(fmt.Sprintf("job%d", i), jobs.StateCompleted, time.Minute)
+				}
+				is.True(c.allRunning("lasting", 1))
+			})
+		})
+	}
+}
--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -46,6 +46,8 @@
 	// they are idle, if they are asked for again by then.
 	Room     int `cbor:"1,keyasint"`
 	Promised int `cbor:"2,keyasint"`
+	// Fits is set if a task fits on a worker of the lender now, besides those that run there.
+	Fits bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Lend moves workers that this shard can do without to the shard that needs them.
@@ -79,6 +81,7 @@
 	if n.NoneSuits || n.Restarts {
 		limit = min(limit, 1) // tasks may wait for these workers here, too
 	}
+	l.Fits = s.fleet.Place(&request) != nil
 	l.Promised = s.promise(&n, &request, limit, n.Tasks-l.Room, now)
 	return l, nil
 }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -57,6 +57,7 @@
 	s.applyCancels()
 	s.createDueOccurrences()
 	s.announceMoves()
+	s.announceJobs()
 	s.loaded = true
 	s.isLoaded.Store(true)
 	s.log.Info().Int("jobs", len(s.jobs)).Int("runs", len(s.runs)).Dur("took", s.deps.Now()-startedAt).Msg("shard loaded")
@@ -133,6 +134,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var cancelled []string // applied last, since pages are sorted by key, not by time
+	for _, r := range records {
+		// Applied first, for the same reason: progress is needed where the job is accepted.
+		if r.Value != nil && strings.HasPrefix(r.Key, arrivedPrefix) {
+			if err := s.applyArrived(r); err != nil {
+				s.log.Error().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("progress of moved job cannot be used")
+			}
+		}
+	}
 	for _, r := range records {
 		switch {
 		case r.Value == nil || len(r.Key) < len(acceptedPrefix):
@@ -192,6 +201,13 @@
 		return err
 	}
 	e := &jobEntry{job: jobs.New(spec), storedState: jobs.StatePending, mayHaveReady: true}
+	if s.deps.HomeShard(id) != s.number {
+		if err := s.restoreArrived(e); err != nil {
+			s.jobs[id] = e
+			s.setAside(e, err)
+			return err
+		}
+	}
 	e.criticalPathMs, e.longRunning = spec.ChainMs(), spec.LongRunning()
 	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(e.criticalPathMs)) + spec.TargetMs
 	s.jobs[id] = e
@@ -207,6 +223,10 @@
 // applyCancels ends the jobs whose cancellation was read. The caller holds mu.
 func (s *Shard) applyCancels() {
 	for id, e := range s.jobs {
+		if e.job.Outcome == jobs.Moved {
+			s.passOnCancel(e)
+			continue
+		}
 		if e.cancelRequested && e.job.Cancel(s.deps.WallTime().UnixMilli()) {
 			s.log.Info().Str("job", id).Msg("job cancelled")
 			s.markDirty(e)
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -16,6 +16,9 @@
 	if !s.auth.MayRenew() {
 		return jobs.StateUnknown, ErrStale
 	}
+	if to, moved := s.movedTo(id); moved {
+		return s.movedState(ctx, id, to)
+	}
 	if state := s.state(id); state != jobs.StateUnknown {
 		return state, nil
 	}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -76,8 +76,10 @@
 	Registry     keyedlog.Partition
 	// Shards returns the number of shards of the environment.
 	Shards func() int
-	// HomeShard returns the shard that holds a worker until the worker is moved to another.
-	HomeShard func(workerID string) int
+	// HomeShard returns the shard that holds a worker, or runs a job, until it is moved to another.
+	HomeShard func(id string) int
+	// JobState returns the state of a job by the owner of a shard, see Shard.State.
+	JobState func(ctx context.Context, shard int, id string) (jobs.State, error)
 	// Lend asks the owner of another shard for workers, see Shard.Lend.
 	Lend     func(ctx context.Context, shard int, n Need) (Loan, error)
 	Limits   Limits
@@ -100,8 +102,9 @@
 	criticalPathMs int64
 	longRunning    bool
 	lateness       lateness // at the newest plan
-	// cancelRequested is set once a cancellation was read.
-	cancelRequested bool
+	// cancelRequested is set once a cancellation was read, and cancelPassedOn once this owner passes it on to the shard to
+	// which the job moved.
+	cancelRequested, cancelPassedOn bool
 	// setAside is why nothing of the job is planned or recorded any more; empty for other jobs.
 	setAside string
 	// retryAt is the earliest time at which a failed task may run again, and avoid the worker that it failed on.
@@ -180,6 +183,8 @@
 	taken         map[string]holding
 	moved         map[string]move
 	unstoredMoves map[string]struct{}
+	// arrived holds the progress with which jobs were moved to this shard, by the job's id.
+	arrived map[string]*jobs.Progress
 	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
 	shortages map[string]*shortage
 	plans     int
@@ -226,7 +231,7 @@
 		pressure: pressure.NewModel(deps.Limits.MaxObjectiveMiss - objectiveMissReserve),
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
 		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
-		unstoredMoves: map[string]struct{}{}, shortages: map[string]*shortage{},
+		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
@@ -268,7 +273,7 @@
 	registry := ledger.NewFollower(s.deps.Store, s.deps.Registry, s.applyRegistry)
 	loops.Go(func() { registry.Run(s.ctx, 0, registryPollInterval, ledger.LogDependency(s.log, "worker registry")) })
 	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop, "share": s.shareLoop,
-		"borrow": s.borrowLoop} {
+		"borrow": s.borrowLoop, "moved jobs": s.movedLoop} {
 		loops.Go(func() {
 			if s.contain(step, loop) != nil {
 				s.cancel()
@@ -351,14 +356,18 @@
 func (s *Shard) pruneEndedJobs() {
 	limit := s.deps.WallTime().Add(-s.deps.Limits.EndedRetention).UnixMilli()
 	for id, e := range s.jobs {
-		if e.job.Outcome == jobs.Unfinished || e.job.EndedMs > limit || e.job.AnyBound() {
+		if e.job.Outcome == jobs.Unfinished || e.job.Outcome == jobs.Moved || e.job.EndedMs > limit || e.job.AnyBound() {
 			continue
 		}
-		delete(s.jobs, id)
-		delete(s.dirty, id)
-		s.deletedJobs = append(s.deletedJobs, id)
-	}
-	if len(s.deletedJobs) > 0 {
-		signal(s.commitSignal)
+		s.removeJob(id)
 	}
 }
+
+// removeJob removes a job and its records. The caller holds mu.
+func (s *Shard) removeJob(id string) {
+	delete(s.jobs, id)
+	delete(s.dirty, id)
+	delete(s.arrived, id)
+	s.deletedJobs = append(s.deletedJobs, id)
+	signal(s.commitSignal)
+}
