Keep the record of tasks that cannot be placed cheap

Each plan counted the tasks of each waiting step, and each check for requests to other shards searched the registry for each of them.

Change: a plan records only the step; a check considers eight steps, those for kinds that the shard lacks first.

--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -20,8 +20,9 @@
 	// Bounds of the time between two requests for the same tasks, which doubles while no shard has workers for them. While
 	// no worker of the shard suits them, or some are promised, the shortest time applies.
 	minBorrowPause, maxBorrowPause = time.Second, 4 * time.Second
-	// maxBorrowRequests limits the steps for which the other shards are asked at a time.
-	maxBorrowRequests = 4
+	// maxBorrowRequests limits the steps for which the other shards are asked at a time, and maxBorrowChecks those for which
+	// that is considered.
+	maxBorrowRequests, maxBorrowChecks = 4, 8
 	// firstReportTime is how long a worker that was moved here has to report.
 	firstReportTime = 5 * time.Second
 	// lendTimeout limits one request to another shard.
@@ -30,41 +31,50 @@
 
 // shortage describes the tasks of a step that could not be placed in the newest plan.
 type shortage struct {
-	job     string
-	request packing.Request
-	regions []string
-	// tasks is the number of tasks that wait.
-	tasks int
-	// nothingRuns is set if nothing of the job runs, or if its tasks are needed all the time or all together.
-	nothingRuns bool
-	// restarts is set if some of the tasks are long-running and have run before.
-	restarts bool
-	priority int
-	since    time.Duration
-	plan     int // number of the newest plan in which the tasks could not be placed
+	entry      *jobEntry
+	occurrence *jobs.Occurrence
+	step       int
+	request    packing.Request
+	since      time.Duration
+	plan       int // number of the newest plan in which the tasks could not be placed
 	// askAt is the earliest time of the next request to other shards, and pause the time after that.
 	askAt, pause time.Duration
 }
 
-// recordShortage records that tasks of a step cannot be placed. The caller holds mu.
-func (s *Shard) recordShortage(e *jobEntry, tasks []jobs.Task, r *packing.Request, now time.Duration) {
+// recordShortage records that tasks of a step cannot be placed. It runs for each waiting step of each plan, so it leaves
+// the rest to the requests. The caller holds mu.
+func (s *Shard) recordShortage(e *jobEntry, o *jobs.Occurrence, step int, r *packing.Request, now time.Duration) {
 	sh := s.shortages[r.StepName]
 	if sh == nil {
-		sh = &shortage{job: e.job.Spec.ID, since: now, pause: minBorrowPause}
+		sh = &shortage{since: now, pause: minBorrowPause}
 		s.shortages[r.StepName] = sh
 	}
-	sh.request, sh.plan, sh.priority, sh.tasks = *r, s.plans, e.job.Spec.Priority, 0
-	sh.nothingRuns = r.Step.LongRunning || r.Step.Gang || !e.job.AnyBound()
-	sh.restarts = r.Step.LongRunning && slices.ContainsFunc(tasks, waitsAgain)
-	sh.regions = nil
-	if q := s.queueOf(e); q != nil {
-		sh.regions = q.Regions
-	}
-	for i := range tasks {
-		if tasks[i].Phase == jobs.Waiting {
-			sh.tasks++
+	sh.entry, sh.occurrence, sh.step, sh.request, sh.plan = e, o, step, *r, s.plans
+}
+
+// tasks returns the tasks of the step.
+func (sh *shortage) tasks() []jobs.Task { return sh.occurrence.Steps[sh.step] }
+
+// waiting returns the number of tasks that wait.
+func (sh *shortage) waiting() int {
+	n := 0
+	for _, t := range sh.tasks() {
+		if t.Phase == jobs.Waiting {
+			n++
 		}
 	}
+	return n
+}
+
+// restarts reports whether long-running tasks wait that have run before.
+func (sh *shortage) restarts() bool {
+	return sh.request.Step.LongRunning && slices.ContainsFunc(sh.tasks(), waitsAgain)
+}
+
+// urgent reports whether the tasks should not wait for the shard's own workers to become free: nothing of the job runs, or
+// its tasks are needed all the time or all together.
+func (sh *shortage) urgent() bool {
+	return sh.request.Step.LongRunning || sh.request.Step.Gang || !sh.entry.job.AnyBound()
 }
 
 // endShortages forgets the tasks that no longer wait after a plan. The caller holds mu.
@@ -97,34 +107,49 @@
 	waited        time.Duration
 }
 
-// dueNeeds returns the requests to other shards that are due, those of the most urgent jobs that have waited longest first.
-// The caller holds mu.
+// kind is the part of a request that decides which workers suit it, but for sizes and regions.
+type kind struct{ service, label string }
+
+func (sh *shortage) kind() kind { return kind{sh.request.Service, sh.request.Step.RequiredLabel} }
+
+// dueNeeds returns the requests to other shards that are due: those for kinds that the shard lacks first, then those of the
+// most urgent jobs, and of these those that have waited longest. The caller holds mu.
 func (s *Shard) dueNeeds() []dueNeed {
 	now := s.deps.Now()
 	var due []*shortage
+	has := map[kind]int{}
 	for _, sh := range s.shortages {
-		if now-sh.since < borrowAfter || now < sh.askAt || !sh.nothingRuns && s.fleet.HasOpen(&sh.request) {
+		if now-sh.since < borrowAfter || now < sh.askAt {
 			continue
 		}
-		if s.othersMaySuit(&sh.request, now) {
-			due = append(due, sh)
+		due = append(due, sh)
+		if _, known := has[sh.kind()]; !known && s.fleet.HasOpen(&sh.request) {
+			has[sh.kind()] = 1
+		} else if !known {
+			has[sh.kind()] = 0
 		}
 	}
 	slices.SortFunc(due, func(a, b *shortage) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.since, b.since),
+		return cmp.Or(cmp.Compare(has[a.kind()], has[b.kind()]), cmp.Compare(a.entry.job.Spec.Priority, b.entry.job.Spec.Priority), cmp.Compare(a.since, b.since),
 			cmp.Compare(a.request.StepName, b.request.StepName))
 	})
 	var needs []dueNeed
-	for _, sh := range due[:min(len(due), maxBorrowRequests)] {
-		noneSuits := !s.fleet.HasOpen(&sh.request)
-		if noneSuits || sh.restarts {
+	for _, sh := range due[:min(len(due), maxBorrowChecks)] {
+		noneSuits, restarts := !s.fleet.HasOpen(&sh.request), sh.restarts()
+		if noneSuits || restarts {
 			sh.pause = minBorrowPause
 		}
 		sh.askAt = now + sh.pause
 		sh.pause = min(2*sh.pause, maxBorrowPause)
-		needs = append(needs, dueNeed{Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step,
-			Regions: sh.regions, Tasks: sh.tasks, NoneSuits: noneSuits, Restarts: sh.restarts},
-			sh.job, sh.request.StepName, now - sh.since})
+		if len(needs) == maxBorrowRequests || !noneSuits && !sh.urgent() || !s.othersMaySuit(&sh.request, now) {
+			continue
+		}
+		n := Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step, Tasks: sh.waiting(), NoneSuits: noneSuits,
+			Restarts: restarts}
+		if q := s.queueOf(sh.entry); q != nil {
+			n.Regions = q.Regions
+		}
+		needs = append(needs, dueNeed{n, sh.entry.job.Spec.ID, sh.request.StepName, now - sh.since})
 	}
 	return needs
 }
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		if spec.LongRunning && o.Steps[step][i].Run == 0 && !s.leavesReserve(e, request.Service, spec) {
-			s.recordShortage(e, o.Steps[step], request, now)
+			s.recordShortage(e, o, step, request, now)
 			return bound, true
 		}
 		request.Avoid = e.avoid[id]
@@ -221,7 +221,7 @@
 			if spec.LongRunning && o.Steps[step][i].Run > 0 {
 				s.fleet.Hold(request)
 			}
-			s.recordShortage(e, o.Steps[step], request, now)
+			s.recordShortage(e, o, step, request, now)
 			return bound, true
 		}
 		isNew := o.Steps[step][i].Run == 0
@@ -283,7 +283,7 @@
 		s.fleet.Release(w.ID, request.Step, request.StepName)
 	}
 	if len(workers) < len(tasks) {
-		s.recordShortage(e, tasks, request, now)
+		s.recordShortage(e, o, step, request, now)
 		return 0, true
 	}
 	for i, w := range workers {
