Contain errors of loans and split the order of shortages

A panic while a shard lends workers would have left its state in doubt; it gives the shard up now, like those of other steps. A shard that is lost lends nothing.

--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -112,10 +112,18 @@
 	waited        time.Duration
 }
 
-// kind is the part of a request that decides which workers suit it, but for sizes and regions.
-type kind struct{ service, label string }
+// shortageKind is the part of a request that decides which workers suit it, but for sizes and regions.
+type shortageKind struct{ service, label string }
 
-func (sh *shortage) kind() kind { return kind{sh.request.Service, sh.request.Step.RequiredLabel} }
+func (sh *shortage) kind() shortageKind {
+	return shortageKind{sh.request.Service, sh.request.Step.RequiredLabel}
+}
+
+// compareShortages orders shortages by the priority of their jobs and the time that they have lasted.
+func compareShortages(a, b *shortage) int {
+	return cmp.Or(cmp.Compare(a.entry.job.Spec.Priority, b.entry.job.Spec.Priority), cmp.Compare(a.since, b.since),
+		cmp.Compare(a.request.StepName, b.request.StepName))
+}
 
 // dueNeeds returns the requests to other shards that are due: those for kinds that the shard lacks first, then those of the
 // most urgent jobs, and of these those that have waited longest. The caller holds mu.
@@ -125,21 +133,21 @@
 		return nil
 	}
 	var due []*shortage
-	has := map[kind]int{}
+	rank := map[shortageKind]int{} // 0 for kinds that the shard lacks, 1 for others
 	for _, sh := range s.shortages {
 		if now-sh.since < borrowAfter || now < sh.askAt {
 			continue
 		}
 		due = append(due, sh)
-		if _, known := has[sh.kind()]; !known && s.hasWorkerFor(&sh.request, now) {
-			has[sh.kind()] = 1
-		} else if !known {
-			has[sh.kind()] = 0
+		if _, known := rank[sh.kind()]; !known {
+			rank[sh.kind()] = 0
+			if s.hasWorkerFor(&sh.request, now) {
+				rank[sh.kind()] = 1
+			}
 		}
 	}
 	slices.SortFunc(due, func(a, b *shortage) int {
-		return cmp.Or(cmp.Compare(has[a.kind()], has[b.kind()]), cmp.Compare(a.entry.job.Spec.Priority, b.entry.job.Spec.Priority), cmp.Compare(a.since, b.since),
-			cmp.Compare(a.request.StepName, b.request.StepName))
+		return cmp.Or(cmp.Compare(rank[a.kind()], rank[b.kind()]), compareShortages(a, b))
 	})
 	var needs []dueNeed
 	for _, sh := range due[:min(len(due), maxBorrowChecks)] {
--- a/node/shard/jobmove_test.go
+++ b/node/shard/jobmove_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,7 +13,6 @@
 	"waxwingslip.example/core/resource"
 	workerfake "waxwingslip.example/external/jobworker/fake"
 	"waxwingslip.example/external/keyedlog"
-	storefake "waxwingslip.example/external/keyedlog/fake"
 )
 
 // runOccupied calls f with a cluster of two shards, of which shard 1 holds the only worker of kind b, x9, with a long-running
@@ -91,24 +89,8 @@
 	for seed := range uint64(moveSeeds) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
 			runOccupied(t, func(c *cluster, is *is.I) {
-				var finished atomic.Bool
-				rng, faults := rand.New(rand.NewPCG(seed, 28)), rand.New(rand.NewPCG(seed, 29))
-				c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
-					if caller == "operator" || finished.Load() {
-						return storefake.Fault{}
-					}
-					c.mu.Lock()
-					defer c.mu.Unlock()
-					switch faults.IntN(40) {
-					case 0:
-						return storefake.Fault{LoseResponse: true}
-					case 1:
-						return storefake.Fault{Late: time.Duration(faults.IntN(2500)) * time.Millisecond}
-					case 2:
-						return storefake.Fault{Hang: true}
-					}
-					return storefake.Fault{}
-				})
+				rng := rand.New(rand.NewPCG(seed, 28))
+				stopFaults := c.injectStoreFaults(rand.New(rand.NewPCG(seed, 29)))
 				const count = 8
 				for i := range count {
 					c.acceptIn(rng.IntN(2), twoSteps(fmt.Sprintf("job%d", i)))
@@ -120,7 +102,7 @@
 						c.addOwner(d.name, d.number)
 					}
 				}
-				finished.Store(true)
+				stopFaults()
 				for i := range count {
 					c.waitForState(fmt.Sprintf("job%d", i), jobs.StateCompleted, time.Minute)
 				}
--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -51,20 +51,24 @@
 }
 
 // Lend moves workers that this shard can do without to the shard that needs them.
-func (s *Shard) Lend(n Need) (Loan, error) {
+func (s *Shard) Lend(n Need) (l Loan, err error) {
 	if !s.auth.MayStart() {
 		return Loan{}, ErrStale
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.locked("lend workers", func() { l, err = s.lend(&n) })
+	return l, err
+}
+
+// lend moves or promises workers. The caller holds mu.
+func (s *Shard) lend(n *Need) (Loan, error) {
 	switch {
-	case !s.loaded:
-		return Loan{}, errors.New("the shard is not loaded")
+	case !s.loaded || s.ctx.Err() != nil:
+		return Loan{}, errors.New("the shard is not loaded, or lost")
 	case n.Shard == s.number || n.Shard < 0 || n.Shard >= s.deps.Shards() || n.Tasks < 1:
 		return Loan{}, errors.Errorf("request of shard %d for %d tasks is not valid", n.Shard, n.Tasks)
 	}
 	request := packing.Request{Step: &n.Step, Service: n.Service, Allowed: s.inRegions(n.Regions)}
-	limit, now, l := s.lendable(&n), s.deps.Now(), Loan{}
+	limit, now, l := s.lendable(n), s.deps.Now(), Loan{}
 	for _, p := range s.fleet.Spare(&request) {
 		w := s.workers[p.ID]
 		if l.Room >= n.Tasks || limit == 0 {
@@ -82,7 +86,7 @@
 		limit = min(limit, 1) // tasks may wait for these workers here, too
 	}
 	l.Fits = s.fleet.Place(&request) != nil
-	l.Promised = s.promise(&n, &request, limit, n.Tasks-l.Room, now)
+	l.Promised = s.promise(n, &request, limit, n.Tasks-l.Room, now)
 	return l, nil
 }
 
--- a/node/shard/lend_test.go
+++ b/node/shard/lend_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,6 +69,28 @@
 		AcceptedMs: time.Now().UnixMilli(), Steps: []jobs.Step{step}})
 }
 
+// injectStoreFaults makes some calls of the owners to the store fail, until the function that it returns is called.
+func (c *cluster) injectStoreFaults(rng *rand.Rand) (stop func()) {
+	var mu sync.Mutex
+	c.store.SetFault(func(caller, _ string, _ keyedlog.Partition) storefake.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if caller == "operator" {
+			return storefake.Fault{}
+		}
+		switch rng.IntN(40) {
+		case 0:
+			return storefake.Fault{LoseResponse: true}
+		case 1:
+			return storefake.Fault{Late: time.Duration(rng.IntN(2500)) * time.Millisecond}
+		case 2:
+			return storefake.Fault{Hang: true}
+		}
+		return storefake.Fault{}
+	})
+	return func() { c.store.SetFault(nil) }
+}
+
 // Guards against jobs that never run because their shard lost its last worker of a kind, while another shard has one
 // (review of ambon-mist).
 func TestJobsUseTheLastWorkerOfAKind(t *testing.T) {
@@ -206,27 +228,10 @@
 func TestMovesOfWorkersBesideFaults(t *testing.T) {
 	for seed := range uint64(moveSeeds) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
-			var finished atomic.Bool
 			runShards(t, 2, oneSecondTask, func(c *cluster, is *is.I) {
 				c.addKind("w9", 0, "b")
 				rng := rand.New(rand.NewPCG(seed, 26))
-				faults := rand.New(rand.NewPCG(seed, 27))
-				c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
-					if caller == "operator" || finished.Load() {
-						return storefake.Fault{}
-					}
-					c.mu.Lock()
-					defer c.mu.Unlock()
-					switch faults.IntN(40) {
-					case 0:
-						return storefake.Fault{LoseResponse: true}
-					case 1:
-						return storefake.Fault{Late: time.Duration(faults.IntN(2500)) * time.Millisecond}
-					case 2:
-						return storefake.Fault{Hang: true}
-					}
-					return storefake.Fault{}
-				})
+				stopFaults := c.injectStoreFaults(rand.New(rand.NewPCG(seed, 27)))
 				const count = 12
 				name := func(i int) string { return fmt.Sprintf("job%d", i) }
 				for i := range count {
@@ -251,7 +256,7 @@
 						c.changeEntry("w9", func(info *jobworker.Info) { info.Incarnation++ })
 					}
 				}
-				finished.Store(true)
+				stopFaults()
 				for i := range count {
 					c.waitForState(name(i), jobs.StateCompleted, time.Minute)
 				}
