--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -280,14 +280,6 @@
 	return true
 }
 
-// AwaitsLateEnd reports whether a task that is not done had a run whose end may yet be reported.
-func (j *Job) AwaitsLateEnd() bool {
-	return slices.ContainsFunc(j.Unreported, func(r TaskRun) bool {
-		t := j.Task(TaskID{Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
-		return t != nil && t.Phase != Done
-	})
-}
-
 // removeUnreported removes a run from Unreported and reports whether it was listed.
 func (j *Job) removeUnreported(id TaskID, run int64) bool {
 	listed := TaskRun{Occurrence: id.Occurrence, Step: id.Step, Index: id.Index, Run: run}
@@ -359,16 +351,6 @@
 	return true
 }
 
-// Move ends the job here, since it goes on in another shard, and reports whether it was unfinished and without bound tasks.
-func (j *Job) Move(to int, nowMs int64) bool {
-	if j.Outcome != Unfinished || j.AnyBound() {
-		return false
-	}
-	j.finish(Moved, nowMs)
-	j.Occurrences, j.MovedTo = nil, to
-	return true
-}
-
 func (j *Job) finish(o Outcome, nowMs int64) {
 	j.Outcome, j.EndedMs = o, nowMs
 }
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -51,33 +51,6 @@
 	claimStagger = 150 * time.Millisecond
 )
 
-// Owner is the record of a shard's owner.
-type Owner struct {
-	Name string `cbor:"1,keyasint"`
-	// Address is where the owner accepts calls of other daemons.
-	Address string `cbor:"2,keyasint"`
-	Epoch   int64  `cbor:"3,keyasint"`
-	// Released is set if the owner has given up the shard and makes no more calls to workers.
-	Released bool `cbor:"4,keyasint,omitempty"`
-	// Lifetime distinguishes two processes with the same name.
-	Lifetime int64 `cbor:"5,keyasint"`
-	// Capacity is the owner's capacity for shards in cores; 0 if it is not known.
-	Capacity float64 `cbor:"6,keyasint,omitempty"`
-	// Successor is the daemon to which a released shard is handed over; empty for any.
-	Successor string `cbor:"7,keyasint,omitempty"`
-	// EarlierRenewalsMs is for how many milliseconds after this record was sent owners before this one may renew
-	// workers' leases. Nil stands for an unknown time, in the records of builds without the field.
-	EarlierRenewalsMs *int64 `cbor:"8,keyasint,omitempty"`
-}
-
-// earlierRenewals returns for how long after the record was sent earlier owners may renew workers' leases.
-func (o *Owner) earlierRenewals() time.Duration {
-	if o.EarlierRenewalsMs == nil {
-		return WorkerLeaseGrace
-	}
-	return time.Duration(min(max(*o.EarlierRenewalsMs, 0), maxEarlierRenewalsMs)) * time.Millisecond
-}
-
 // Options configures a Manager.
 type Options struct {
 	Store *ledger.TimedStore
@@ -121,39 +94,6 @@
 	preference int
 }
 
-// Ownership is the ownership of a shard under one epoch.
-type Ownership struct {
-	Epoch int64
-	// PreviousRenewalsUntil is until when any earlier owner may renew workers' leases; zero if there was none.
-	PreviousRenewalsUntil time.Duration
-
-	now func() time.Duration
-	// endOffset is the offset after the owner's newest record. Only the owner appends while it owns the shard, so a
-	// renewal takes effect only if no other daemon has claimed the shard.
-	endOffset int64
-
-	mu        sync.Mutex
-	renewedAt time.Duration // when the last successful renewal was sent
-}
-
-// MayStart reports whether runs may be started: no other daemon can own the shard now.
-func (o *Ownership) MayStart() bool { return o.now()-o.lastRenewal() < LeaseDuration }
-
-// MayRenew reports whether workers' leases may still be renewed.
-func (o *Ownership) MayRenew() bool { return o.now()-o.lastRenewal() < WorkerLeaseGrace }
-
-func (o *Ownership) lastRenewal() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.renewedAt
-}
-
-func (o *Ownership) setRenewed(sentAt time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.renewedAt = max(o.renewedAt, sentAt)
-}
-
 // New returns a manager; Run starts it.
 func New(opts Options) *Manager {
 	if opts.ClaimLock == nil {
@@ -334,13 +274,6 @@
 	return min(max(m.claimIn(), minClaimPoll), pollWait)
 }
 
-// hasEnded reports whether an owner makes no more calls to workers: it released the shard, or it was an earlier process
-// at this daemon's address, which must have ended because this one listens there.
-func (m *Manager) hasEnded(o *Owner) bool {
-	self := &m.opts.Self
-	return o.Released || o.Name == self.Name && o.Address == self.Address && o.Lifetime != self.Lifetime
-}
-
 // claim appends this daemon's record if nothing was appended since the newest record read. It returns nil on failure.
 func (m *Manager) claim(ctx context.Context, previousSeenAt time.Duration) *Ownership {
 	m.mu.Lock()
@@ -368,19 +301,6 @@
 	return ownership
 }
 
-// renewalsUntil returns until when the owner of the newest record, which was read at seenAt, and all owners before it may
-// renew workers' leases; zero without an owner. That the newest owner has ended says nothing of those before it: one that
-// is cut off from the store goes on until its grace is over.
-func (m *Manager) renewalsUntil(o *Owner, seenAt time.Duration) time.Duration {
-	switch {
-	case o == nil:
-		return 0
-	case m.hasEnded(o):
-		return seenAt + o.earlierRenewals() // it made its last call to a worker before that
-	}
-	return seenAt + WorkerLeaseGrace // not shorter than what is left to those before it
-}
-
 // claimTookEffect reports whether the newest record was appended by this daemon under an epoch. A claim without a
 // response may have taken effect.
 func (m *Manager) claimTookEffect(ctx context.Context, epoch int64) bool {
@@ -496,18 +416,6 @@
 	return nil
 }
 
-func (m *Manager) encodeOwner(ownership *Ownership, released bool) ([]byte, error) {
-	self := m.opts.Self
-	self.Epoch, self.Released = ownership.Epoch, released
-	left := max(ownership.PreviousRenewalsUntil-m.opts.Now(), 0)
-	leftMs := (left + time.Millisecond - 1).Milliseconds() // rounded up
-	self.EarlierRenewalsMs = &leftMs
-	if released {
-		self.Successor = m.handOverTo()
-	}
-	return cbor.Marshal(self)
-}
-
 // release records that the shard has no owner, and repeats that until the other daemons may claim the shard anyway.
 func (m *Manager) release(ownership *Ownership) {
 	value, err := m.encodeOwner(ownership, true)
