Announce moves only while the shard is surely owned

A job could run twice: an owner that was cut off, or paused, for minutes between storing a job's move and announcing it announced it before it learned of its successor. The other shard had run and forgotten the job by then. Found by reading the change for what an earlier owner may still do.

Cause: the announcement was repeated until the shard was known to be lost, without asking whether the permission had run out.

Change: moves and passed-on cancellations are appended only while the owner may start tasks. The next owner announces them.

--- a/node/shard/holding.go
+++ b/node/shard/holding.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"waxwingslip.example/external/keyedlog"
+	"waxwingslip.example/node/ctxtime"
 	"waxwingslip.example/node/ledger"
 )
 
@@ -142,6 +143,11 @@
 func (s *Shard) appendUntilStored(number int, records ...keyedlog.Record) bool {
 	var backoff ledger.Backoff
 	for s.ctx.Err() == nil {
+		if !s.auth.MayStart() {
+			// The shard may have been lost long ago, and what is announced may have ended since.
+			ctxtime.Sleep(s.ctx, renewalPause)
+			continue
+		}
 		_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 			Partition: keyedlog.Partition{Topic: JobsTopic, Number: number}, Records: records})
 		if err == nil {
--- a/node/shard/jobmove_test.go
+++ b/node/shard/jobmove_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"waxwingslip.example/core/resource"
 	workerfake "waxwingslip.example/external/jobworker/fake"
 	"waxwingslip.example/external/keyedlog"
+	storefake "waxwingslip.example/external/keyedlog/fake"
 )
 
 // runOccupied calls f with a cluster of two shards, of which shard 1 holds the only worker of kind b, x9, with a long-running
@@ -84,6 +86,51 @@
 	})
 }
 
+// Guards against an owner that announces a move long after it has lost the shard: the job would run again in the other
+// shard, which has forgotten it meanwhile.
+func TestCutOffOwnerAnnouncesNothing(t *testing.T) {
+	for i := range 12 {
+		t.Run(fmt.Sprintf("%d", i), func(t *testing.T) {
+			runOccupied(t, func(c *cluster, is *is.I) {
+				var mu sync.Mutex
+				cut, over := "", false
+				c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
+					mu.Lock()
+					defer mu.Unlock()
+					if cut == "" && method == "append" && p == (keyedlog.Partition{Topic: "keyed.jobs", Number: 1}) && caller != "operator" {
+						cut = caller
+					}
+					return storefake.Fault{Hang: caller == cut && !over}
+				})
+				c.fleet.SetFault(func(id, _ string) workerfake.Fault { // the workers cannot tell it of its successor either
+					mu.Lock()
+					defer mu.Unlock()
+					return workerfake.Fault{Hang: id[0] == 'w' && cut != "" && !over}
+				})
+				c.acceptIn(0, twoSteps("job"))
+				first := c.ownerOf(0)
+				c.waitUntil("the job is completed", 30*time.Second, func() bool {
+					for _, d := range c.daemons {
+						if s := d.ownedShard(); d != first && d.number == 0 && s != nil && s.Loaded() {
+							state, err := s.State(t.Context(), "job")
+							return err == nil && state == jobs.StateCompleted
+						}
+					}
+					return false
+				})
+				time.Sleep(5*time.Minute + time.Duration(i)*300*time.Millisecond)
+				mu.Lock()
+				over = true
+				mu.Unlock()
+				time.Sleep(20 * time.Second)
+				for step := range 2 {
+					is.Equal(c.fleet.Starts(jobs.TaskID{Job: "job", Step: step}.String()), 1)
+				}
+			})
+		})
+	}
+}
+
 // Guards against jobs that run twice or never when they move while owners change and calls to the store fail.
 func TestMovesOfJobsBesideFaults(t *testing.T) {
 	for seed := range uint64(moveSeeds) {
