Test odd records of moves

Records with bytes that cannot be decoded, versions and shards out of range, and keys without parts leave other jobs running, across a change of owner.

--- a/node/shard/contain_test.go
+++ b/node/shard/contain_test.go
@@ -94,3 +94,36 @@
 		c.waitForState("a", jobs.StateCompleted, 10*time.Second)
 	})
 }
+
+// Guards against odd records of moves of workers and jobs that end an owner or keep other jobs from running.
+func TestOddRecordsOfMoves(t *testing.T) {
+	runCluster(t, 2, 0, oneSecondTask, func(c *cluster, is *is.I) {
+		jt := keyedlog.Partition{Topic: shard.JobsTopic}
+		for _, k := range []string{"w/", "w/x", "w/x/", "w/x/abc", "w/w0/-1", "w/w0/1", "p/", "p/nobody", "p/w", "w//1"} {
+			c.append(jt, keyedlog.Record{Key: k, Value: []byte{0xff, 0x01}})
+			c.append(jt, keyedlog.Record{Key: k, Value: encode(is, map[int]int64{1: -5, 2: -7})})
+			c.append(jt, keyedlog.Record{Key: k, Value: encode(is, map[int]int64{1: 1 << 62, 2: 1 << 62})})
+		}
+		for _, k := range []string{"m/", "m/zz", "m/y", "m/w9"} {
+			c.storeProgress(k, []byte{0xff})
+			if k != "m/" {
+				c.storeProgress(k, encode(is, map[int]int64{1: -4, 3: 9999, 4: -3}))
+			}
+		}
+		c.accept(&jobs.Spec{ID: "gone", Queue: "q", Service: service, MaxAttempts: 1, AcceptedMs: time.Now().UnixMilli(),
+			Steps: []jobs.Step{{Count: 1, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}}}})
+		c.storeProgress("gone", encode(is, &jobs.Progress{Outcome: jobs.Moved, MovedTo: 99}))
+		c.addDaemon("d0")
+		c.addDaemon("d1")
+		for _, job := range []string{"first", "second"} {
+			owner := c.owner()
+			c.submit(job, jobs.Step{}, 2)
+			c.waitForState(job, jobs.StateCompleted, 10*time.Second)
+			owner.cancel()
+			owner.done.Wait()
+			if job == "first" {
+				c.waitUntil("another daemon owns the shard", 5*time.Second, func() bool { return c.owner() != owner })
+			}
+		}
+	})
+}
