--- a/external/jobworker/fake/client.go
+++ b/external/jobworker/fake/client.go
@@ -41,7 +41,10 @@
 		w.startRun(s, o)
 		return nil
 	})
-	return clock, err
+	if err != nil {
+		return 0, err // a late request sets the clock after this
+	}
+	return clock, nil
 }
 
 func (w *Worker) startRun(s jobworker.Start, o Outcome) {
@@ -118,8 +121,11 @@
 			report, changed = w.report(), w.changed
 			return nil
 		})
-		if err != nil || len(report.Ended) > 0 || !time.Now().Before(deadline) {
-			return report, err
+		if err != nil {
+			return jobworker.Report{}, err // a late request sets the report after this
+		}
+		if len(report.Ended) > 0 || !time.Now().Before(deadline) {
+			return report, nil
 		}
 		t := time.NewTimer(time.Until(deadline))
 		select {
