--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -34,7 +34,7 @@
 // Config implements jobqueue.JobAPI.
 func (a *jobAPI) Config() *jobqueue.Config { return a.d.control.Config() }
 
-// shardOf returns the shard of a job, or the home shard of a worker. It never changes for an environment.
+// shardOf returns the home shard of a job or a worker. It never changes for an environment.
 func shardOf(id string, shards int) int { return int(xxhash.Sum64String(id) % uint64(shards)) }
 
 // errStarting refuses requests until the number of shards is known, which determines a job's shard.
--- a/node/shard/jobmove.go
+++ b/node/shard/jobmove.go
@@ -68,7 +68,8 @@
 	}
 	id := e.job.Spec.ID
 	// The progress is read with the job, or before it.
-	if !s.appendUntilStored(e.job.MovedTo, keyedlog.Record{Key: arrivedPrefix + id, Value: e.job.MovedProgress}, AcceptRecord(id, spec)) {
+	progress := keyedlog.Record{Key: arrivedPrefix + id, Value: e.job.MovedProgress}
+	if !s.appendUntilStored(e.job.MovedTo, progress, AcceptRecord(id, spec)) {
 		return
 	}
 	s.mu.Lock()
--- a/node/shard/lock_test.go
+++ b/node/shard/lock_test.go
@@ -25,7 +25,7 @@
 func (fullAuthority) MayRenew() bool { return true }
 
 // Guards against a deadlock: the daemon called Loaded while holding its lock, and the shard called the daemon's
-// Assigned while holding its own. The daemon then kept owning the shard without doing any work.
+// HomeShard while holding its own. The daemon then kept owning the shard without doing any work.
 func TestLoadedTakesNoLock(t *testing.T) {
 	is := is.New(t)
 	store := storefake.New().As("d0")
