Send hellos to daemons of the own zone that are not members

Callers and operators saw: a daemon that starts while the log is down isn't ready until the log is back, though a daemon of its zone has the configuration; others lose that contact after 15 s.

Cause: hellos go to members of the own zone, which are read from the log, to one daemon of each other zone and to addresses without a known zone. Once the VM list or a first response tells the zone of a seed, and the log no members, nobody sends a hello.

Change: daemons of the own zone that are not members get a hello every 5 s.

Measured: TestDaemonsOfOwnZoneWithoutLog fails without the change in both cases.

--- a/node/peers/peers.go
+++ b/node/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +19,9 @@
 const (
 	// zoneHelloInterval is the time between hellos to each daemon of the own zone.
 	zoneHelloInterval = time.Second
-	// otherZoneHelloInterval is the time between hellos to one daemon of each other zone. At target size, eight hellos
-	// of 154 B every 5 s cost 1 KB/s, including their responses and the incoming hellos.
+	// otherZoneHelloInterval is the time between hellos to one daemon of each other zone, and to the daemons of the own
+	// zone that its log does not list as members. At target size, eight hellos of 154 B every 5 s cost 1 KB/s, including
+	// their responses and the incoming hellos.
 	otherZoneHelloInterval = 5 * time.Second
 	// skipHelloWithin is the age of the newest hello of a daemon of the own zone below which no hello is sent to it. It
 	// is less than zoneHelloInterval, so that of two daemons the one that sent the last hello also sends the next.
@@ -111,7 +113,7 @@
 	zoneTicker, otherTicker := time.NewTicker(zoneHelloInterval), time.NewTicker(otherZoneHelloInterval)
 	defer zoneTicker.Stop()
 	defer otherTicker.Stop()
-	p.sendOtherZoneHellos(ctx)
+	p.sendOtherHellos(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -121,7 +123,7 @@
 			p.pullControl(ctx)
 		case <-otherTicker.C:
 			p.table.removeStale(time.Now())
-			p.sendOtherZoneHellos(ctx)
+			p.sendOtherHellos(ctx)
 		}
 	}
 }
@@ -139,16 +141,19 @@
 	}
 }
 
-// sendOtherZoneHellos sends a hello to one daemon of each other zone and to all daemons whose zone is not known yet.
-func (p *Peers) sendOtherZoneHellos(ctx context.Context) {
+// sendOtherHellos sends a hello to one daemon of each other zone and to all daemons whose zone is not known yet. It also
+// sends one to each daemon of the own zone that is not a member: while the log is down, a daemon that has just started
+// knows no members and needs its peers most.
+func (p *Peers) sendOtherHellos(ctx context.Context) {
 	now := time.Now()
+	members := p.cfg.ZoneMembers()
 	zones := map[string][]Peer{}
-	for _, q := range p.table.list(func(q Peer) bool { return q.Contact.Zone != p.cfg.Self.Zone }) {
+	for _, q := range p.table.list(func(q Peer) bool { return !slices.Contains(members, q.Contact.Address) }) {
 		zones[q.Contact.Zone] = append(zones[q.Contact.Zone], q)
 	}
 	for zone, list := range zones {
-		switch {
-		case zone == "":
+		switch zone {
+		case "", p.cfg.Self.Zone:
 			for _, q := range list {
 				go p.sendHello(ctx, q.Contact.Address)
 			}
--- a/node/peers/peers_test.go
+++ b/node/peers/peers_test.go
@@ -17,11 +17,19 @@
 type fakeNetwork struct {
 	daemons map[string]*Peers
 	calls   int
+	// lost is the number of calls to lose before the first one arrives.
+	lost int
 }
 
 // Call implements Caller.
-func (n *fakeNetwork) Call(ctx context.Context, address, _ string, req, resp any) error {
+func (n *fakeNetwork) Call(ctx context.Context, address, method string, req, resp any) error {
+	if method == methodTail {
+		return errors.New("not used")
+	}
 	n.calls++
+	if n.calls <= n.lost {
+		return errors.New("call lost")
+	}
 	response, err := n.daemons[address].onHello(ctx, "", req.(Hello))
 	*resp.(*Hello) = response
 	return err
@@ -68,16 +76,41 @@
 		is := is.New(t)
 		n := &fakeNetwork{daemons: map[string]*Peers{}}
 		n.add("y", "b", nil)
-		n.add("z", "a", nil, "b").sendOtherZoneHellos(t.Context())
+		n.add("z", "a", nil, "b").sendOtherHellos(t.Context())
 		synctest.Wait()
 		late := n.add("x", "c", nil, "a")
-		late.sendOtherZoneHellos(t.Context())
+		late.sendOtherHellos(t.Context())
 		synctest.Wait()
 		is.Equal(len(late.InZone("y")), 1)
 		is.Equal(len(n.daemons["a"].newHello("z", false).Contacts), 0)
 	})
 }
 
+// Guards against a daemon that starts while the log is down, knows no members of its zone for that reason, and stays
+// without its zone's daemons because the VM list came before the first hello, that hello was lost, or it is too old.
+func TestDaemonsOfOwnZoneWithoutLog(t *testing.T) {
+	for name, lost := range map[string]int{"first hello succeeds": 0, "first hello is lost": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := &fakeNetwork{daemons: map[string]*Peers{}, lost: lost}
+				n.add("z", "b", nil)
+				a := n.add("z", "a", nil, "b")
+				a.AddContacts(Contact{Zone: "z", Address: "b"})
+				ctx, stop := context.WithCancel(t.Context())
+				go a.Run(ctx)
+				time.Sleep(otherZoneHelloInterval + time.Second)
+				for range 2 * aliveFor / time.Second {
+					is.True(a.table.hasHelloWithin("b", aliveFor, time.Now()))
+					time.Sleep(time.Second)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against sending the pressure of a zone's workers and the interference model to other zones, whose link is
 // slow.
 func TestPressureStaysInItsZone(t *testing.T) {
