Tell the next owner in a release how long leases of lost workers may last

Cause: an owner without a report of a worker waits for the longest lease that an earlier owner may have granted, counted from its own claim (6.4 s). Each change of owner starts that wait anew.

Change: the record of a release tells how long the workers with runs that the owner could not reach may hold leases, by its own grants or by what its predecessor told it. Owners that go on, or end without a release, tell nothing, since they may have renewed a lease since their last record.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -83,6 +83,17 @@
 	return c.Known() && c.LowerBound(now) > g.untilMs+margin.Milliseconds()
 }
 
+// Remaining returns how long from the local time now, by any clock of the assumed drift, it takes at the most until every
+// lease granted expired margin ago; false if the worker's clock is not known.
+func (g *Grant) Remaining(c *WorkerClock, now, margin time.Duration) (time.Duration, bool) {
+	if !c.Known() {
+		return 0, false
+	}
+	const rounding = 2 * time.Millisecond
+	left := time.Duration(g.untilMs-c.LowerBound(now))*time.Millisecond + margin + rounding
+	return max(0, left*100/(100-DriftPercent)), true
+}
+
 // Authority is the right to renew leases, extended by each heartbeat that was read back from the log.
 type Authority struct {
 	granted bool
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// Guards against a remaining time after which the worker still honours a lease, by a clock that counts it faster.
+func TestRemainingOutlastsLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := genClock(t)
+		var g Grant
+		granted := c.receivedAt + genDuration(t, "granted", time.Minute)
+		until := c.Deadline(granted, genDuration(t, "lease", time.Minute))
+		g.Sent(until)
+		now := granted + genDuration(t, "later", 2*time.Minute)
+		left, ok := g.Remaining(&c.WorkerClock, now, 0)
+		if !ok {
+			t.Fatal("not known")
+		}
+		passed := left * 10_000 / time.Duration(genRate(t, "other clock"))
+		if at := c.trueMs(now + passed); at <= until {
+			t.Fatalf("%v remain at %v of a lease until %d ms, which is at %d ms then", left, now, until, at)
+		}
+	})
+}
+
 // Guards against grants that count as expired before the first report of the worker, or never.
 func TestGrantExpires(t *testing.T) {
 	is := is.New(t)
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -130,17 +130,18 @@
 
 // runShard runs a shard while this daemon owns it.
 func (d *Daemon) runShard(ctx context.Context, n int, ownership *shardlease.Ownership) {
-	leasesExpireAt := time.Duration(0)
+	leases := shard.EarlierLeases{ByWorker: ownership.LeasesUntil}
 	if ownership.PreviousRenewalsUntil > 0 {
-		leasesExpireAt = ownership.PreviousRenewalsUntil +
+		leases.All = ownership.PreviousRenewalsUntil +
 			d.shardDeps.Limits.MaxWorkerLease*100/(100-lease.DriftPercent) + leaseExpiryMargin
 	}
-	s := shard.New(d.shardDeps, n, ownership.Epoch, ownership, leasesExpireAt)
+	s := shard.New(d.shardDeps, n, ownership.Epoch, ownership, leases)
 	d.mu.Lock()
 	d.shards[n] = s
 	d.metrics.Gauge("shard_owned").Set(int64(len(d.shards)))
 	d.mu.Unlock()
 	s.Run(ctx)
+	ownership.SetReleasedLeases(s.LeaseExpiry())
 	d.mu.Lock()
 	delete(d.shards, n)
 	d.metrics.Gauge("shard_owned").Set(int64(len(d.shards)))
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -240,13 +240,14 @@
 		Store: deps.Store, Shard: number, Self: shardlease.Owner{Name: name, Address: name, Lifetime: time.Now().UnixNano() + int64(index)},
 		Now: now, Log: deps.Log, Preference: func() int { return index },
 		Lead: func(ctx context.Context, ownership *shardlease.Ownership) {
-			leasesExpireAt := time.Duration(0)
+			leases := shard.EarlierLeases{ByWorker: ownership.LeasesUntil}
 			if ownership.PreviousRenewalsUntil > 0 {
-				leasesExpireAt = ownership.PreviousRenewalsUntil + maxWorkerLease*102/100
+				leases.All = ownership.PreviousRenewalsUntil + maxWorkerLease*102/100
 			}
-			s := shard.New(deps, number, ownership.Epoch, ownership, leasesExpireAt)
+			s := shard.New(deps, number, ownership.Epoch, ownership, leases)
 			d.setShard(s)
 			s.Run(ctx)
+			ownership.SetReleasedLeases(s.LeaseExpiry())
 			d.setShard(nil)
 		},
 	})
--- a/node/shard/lock_test.go
+++ b/node/shard/lock_test.go
@@ -51,7 +51,7 @@
 	}
 	_, err := store.Append(t.Context(), keyedlog.Append{Partition: registry, Records: []keyedlog.Record{{Key: "w0", Value: []byte("up")}}})
 	is.NoErr(err)
-	s = shard.New(deps, 0, 1, fullAuthority{}, 0)
+	s = shard.New(deps, 0, 1, fullAuthority{}, shard.EarlierLeases{})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); s.Run(ctx) }()
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -160,8 +160,8 @@
 	log    zerolog.Logger
 	ctx    context.Context // ends when the shard is lost
 	cancel context.CancelFunc
-	// orphanLeaseExpiry is when all leases granted by the previous owner have certainly expired.
-	orphanLeaseExpiry time.Duration
+	// earlierLeases is when the leases granted by earlier owners have certainly expired.
+	earlierLeases EarlierLeases
 
 	jobsFollower *ledger.Follower
 	writer       *ledger.Writer
@@ -221,11 +221,10 @@
 // to the worker.
 const objectiveMissReserve = reportWait + objectiveMissedReportWait + 650*time.Millisecond
 
-// New returns a shard without jobs; Run loads them. All leases of the previous owner have expired by
-// orphanLeaseExpiry.
-func New(deps *Dependencies, number int, epoch int64, auth Authority, orphanLeaseExpiry time.Duration) *Shard {
+// New returns a shard without jobs; Run loads them.
+func New(deps *Dependencies, number int, epoch int64, auth Authority, earlierLeases EarlierLeases) *Shard {
 	s := &Shard{
-		number: number, epoch: epoch, deps: deps, auth: auth, orphanLeaseExpiry: orphanLeaseExpiry,
+		number: number, epoch: epoch, deps: deps, auth: auth, earlierLeases: earlierLeases,
 		log:  deps.Log.With().Int("shard", number).Int64("epoch", epoch).Logger(),
 		jobs: map[string]*jobEntry{}, workers: map[string]*worker{},
 		pressure: pressure.NewModel(deps.Limits.MaxObjectiveMiss - objectiveMissReserve),
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -334,11 +334,8 @@
 			}
 		}
 	}
-	if now < s.orphanLeaseExpiry {
-		return
-	}
 	for id, workerRuns := range s.runsByWorker {
-		if s.workers[id] != nil {
+		if s.workers[id] != nil || now < s.earlierLeases.expiry(id) {
 			continue
 		}
 		for _, r := range workerRuns {
@@ -366,7 +363,7 @@
 
 func (s *Shard) leaseExpired(w *worker, now time.Duration) bool {
 	if !w.adopted {
-		return now >= s.orphanLeaseExpiry
+		return now >= s.earlierLeases.expiry(w.info.ID)
 	}
 	return w.grant.ExpiredBy(&w.clock, now, leaseExpiryMargin)
 }
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -37,6 +37,8 @@
 	WorkerLeaseGrace = 6 * time.Second
 	// maxEarlierRenewalsMs limits the time that an owner's record may give for earlier owners.
 	maxEarlierRenewalsMs = int64(WorkerLeaseGrace / time.Millisecond)
+	// maxLeasesMs limits the time that an owner's record may give for the leases of a worker; longer ones are ignored.
+	maxLeasesMs = int64(time.Minute / time.Millisecond)
 	// pollWait is how long a read of the owner's record waits for a change.
 	pollWait = 700 * time.Millisecond
 	// renewTimeout limits one attempt of a renewal.
@@ -280,7 +282,8 @@
 	at, owner := m.endOffset, m.owner
 	m.successor = ""
 	m.mu.Unlock()
-	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt), now: m.opts.Now}
+	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt),
+		LeasesUntil: leasesUntil(owner, previousSeenAt), now: m.opts.Now}
 	value, err := m.encodeOwner(ownership, false)
 	if err != nil {
 		m.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
--- a/node/shardlease/owner.go
+++ b/node/shardlease/owner.go
@@ -24,6 +24,9 @@
 	// EarlierRenewalsMs is for how many milliseconds after this record was sent owners before this one may renew
 	// workers' leases. Nil stands for an unknown time, in the records of builds without the field.
 	EarlierRenewalsMs *int64 `cbor:"8,keyasint,omitempty"`
+	// LeasesMs gives, in the record of a release, for some workers by their ids for how many milliseconds after the record
+	// was sent they may hold leases that this owner or one before it granted.
+	LeasesMs map[string]int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // earlierRenewals returns for how long after the record was sent earlier owners may renew workers' leases.
@@ -39,6 +42,8 @@
 	Epoch int64
 	// PreviousRenewalsUntil is until when any earlier owner may renew workers' leases; zero if there was none.
 	PreviousRenewalsUntil time.Duration
+	// LeasesUntil gives, for some workers by their ids, until when they may hold leases of any earlier owner.
+	LeasesUntil map[string]time.Duration
 
 	now func() time.Duration
 	// endOffset is the offset after the owner's newest record. Only the owner appends while it owns the shard, so a
@@ -47,8 +52,31 @@
 
 	mu        sync.Mutex
 	renewedAt time.Duration // when the last successful renewal was sent
+	// releasedLeases is until when some workers may hold leases of this or any earlier owner, after Lead has returned.
+	releasedLeases map[string]time.Duration
 }
 
+// SetReleasedLeases sets until when some workers, by their ids, may hold leases of this or any earlier owner. A release
+// passes it on to the next owner. Lead calls it after its last call to a worker.
+func (o *Ownership) SetReleasedLeases(until map[string]time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.releasedLeases = until
+}
+
+// leasesMs returns the released leases as times from now on.
+func (o *Ownership) leasesMs(now time.Duration) map[string]int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]int64{}
+	for worker, until := range o.releasedLeases {
+		out[worker] = millisecondsUp(max(until-now, 0))
+	}
+	return out
+}
+
+func millisecondsUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // MayStart reports whether runs may be started: no other daemon can own the shard now.
 func (o *Ownership) MayStart() bool { return o.now()-o.lastRenewal() < LeaseDuration }
 
@@ -87,15 +115,31 @@
 	return seenAt + WorkerLeaseGrace // not shorter than what is left to those before it
 }
 
+// leasesUntil returns until when some workers may hold leases of the owner of the newest record, which was read at seenAt,
+// and of all owners before it. Only a release tells it: an owner that has not released the shard may reach workers again.
+func leasesUntil(o *Owner, seenAt time.Duration) map[string]time.Duration {
+	if o == nil || !o.Released {
+		return nil
+	}
+	out := map[string]time.Duration{}
+	for worker, ms := range o.LeasesMs {
+		if ms >= 0 && ms <= maxLeasesMs {
+			out[worker] = seenAt + time.Duration(ms)*time.Millisecond
+		}
+	}
+	return out
+}
+
 // encodeOwner encodes this daemon's record.
 func (m *Manager) encodeOwner(ownership *Ownership, released bool) ([]byte, error) {
 	self := m.opts.Self
 	self.Epoch, self.Released = ownership.Epoch, released
 	left := max(ownership.PreviousRenewalsUntil-m.opts.Now(), 0)
-	leftMs := (left + time.Millisecond - 1).Milliseconds() // rounded up
+	leftMs := millisecondsUp(left)
 	self.EarlierRenewalsMs = &leftMs
 	if released {
 		self.Successor = m.handOverTo()
+		self.LeasesMs = ownership.leasesMs(m.opts.Now())
 	}
 	return cbor.Marshal(self)
 }
