Let the members of a gang resume from one checkpoint

Callers saw: a gang whose members got different checkpoints after a crash may never complete; an owner gave up its shard over a report that ends a gang and lists a new checkpoint of another member (both seen by the review, outside its cases).

Cause: checkpoints were kept for each task alone, and recorded without a look at whether the task still exists.

Ruled out: the order in a report (ends are applied first on purpose, so that their capacity is free).

Change: Job.SaveCheckpoint records a member's checkpoint for the whole gang and nothing for a task that is done; Bind evens out what other builds stored.

Measured: TestGangResumesFromOneCheckpoint and TestCheckpointAfterTheEndOfTheJob fail without the change. One run of node/shard with the race detector failed during this work, without a kept log; 25 runs since passed.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -163,16 +163,46 @@
 	return true
 }
 
-// Bind assigns the next run of a waiting task to a worker. Members of a gang pass the same run.
+// Bind assigns the next run of a waiting task to a worker. Members of a gang pass the same run and get the same checkpoint.
 func (j *Job) Bind(id TaskID, worker string, run int64) error {
 	t := j.Task(id)
 	if t == nil || t.Phase != Waiting || run <= t.Run || j.Outcome != Unfinished {
 		return errors.Errorf("bind %s: run %d is not the next run of a waiting task", id, run)
 	}
 	t.Phase, t.Worker, t.Run = Bound, worker, run
+	if j.Spec.Steps[id.Step].Gang {
+		t.Checkpoint = gangCheckpoint(j.Occurrence(id.Occurrence).Steps[id.Step])
+	}
 	return nil
 }
 
+// gangCheckpoint returns the checkpoint from which a gang resumes. Progress that other builds stored may hold different ones.
+func gangCheckpoint(tasks []Task) string {
+	for i := range tasks {
+		if tasks[i].Checkpoint != "" {
+			return tasks[i].Checkpoint
+		}
+	}
+	return ""
+}
+
+// SaveCheckpoint records a newer checkpoint of a task. That of one member of a gang holds for all of them, since they have
+// to resume from the same. It has no effect on a task that is done: reports of its runs may come later.
+func (j *Job) SaveCheckpoint(id TaskID, checkpoint string) {
+	t := j.Task(id)
+	if t == nil || t.Phase == Done {
+		return
+	}
+	if !j.Spec.Steps[id.Step].Gang {
+		t.Checkpoint = checkpoint
+		return
+	}
+	tasks := j.Occurrence(id.Occurrence).Steps[id.Step]
+	for i := range tasks {
+		tasks[i].Checkpoint = checkpoint
+	}
+}
+
 // Begin records that a task runs or has run, and reports whether it is the first of the job. A binding is no proof: the
 // worker may refuse the start.
 func (j *Job) Begin() bool {
@@ -225,7 +255,7 @@
 		return false
 	}
 	if checkpoint != "" {
-		t.Checkpoint = checkpoint
+		j.SaveCheckpoint(id, checkpoint)
 	}
 	step := &j.Spec.Steps[id.Step]
 	t.Phase, t.Worker = Waiting, ""
--- a/core/jobs/job_test.go
+++ b/core/jobs/job_test.go
@@ -126,6 +126,36 @@
 	is.Equal(j.State(), StateFailed) // a different member failed in each of the gang's two attempts
 }
 
+// Guards against members of a gang that resume from different checkpoints, and a report of a run whose job is done.
+func TestGangCheckpoint(t *testing.T) {
+	is := is.New(t)
+	j := newBegunJob(newSpec(Step{Count: 3, Gang: true}))
+	bind := func(run int64) {
+		for i := range 3 {
+			is.NoErr(j.Bind(taskID(0, 0, i), "w", run))
+		}
+	}
+	expect := func(checkpoint string) {
+		for i := range 3 {
+			is.Equal(j.Task(taskID(0, 0, i)).Checkpoint, checkpoint)
+		}
+	}
+	bind(1)
+	j.SaveCheckpoint(taskID(0, 0, 1), "a")
+	j.SaveCheckpoint(taskID(0, 0, 2), "b")
+	expect("b")
+	for i, saved := range []string{"c", "", "d"} {
+		is.True(j.End(taskID(0, 0, i), 1, EndStopped, saved, 0))
+	}
+	expect("d")
+	j.Task(taskID(0, 0, 0)).Checkpoint = "of another build"
+	bind(2)
+	expect("of another build")
+	is.True(j.End(taskID(0, 0, 0), 2, EndDone, "", 0))
+	j.SaveCheckpoint(taskID(0, 0, 1), "late") // the job is done
+	is.Equal(j.Task(taskID(0, 0, 1)), nil)
+}
+
 // Guards against occurrences that begin early, are skipped, or end the job before the last one.
 func TestOccurrences(t *testing.T) {
 	is := is.New(t)
--- a/external/jobworker/fake/client.go
+++ b/external/jobworker/fake/client.go
@@ -53,6 +53,7 @@
 	w.runs[s.Task] = a
 	f.active[s.Task]++
 	f.starts[s.Task]++
+	f.resumedFrom[s.Task] = s.Checkpoint
 	if f.active[s.Task] > 1 {
 		f.violations = append(f.violations, fmt.Sprintf("two runs of %s at once, run %d on %s", s.Task, s.Run, w.info.ID))
 	}
@@ -157,11 +158,19 @@
 			percent = int(100 * time.Since(a.startedAt) / a.outcome.Duration)
 		}
 		r.Running = append(r.Running, jobworker.Run{Task: task, Run: a.number, Percent: min(percent, 100),
-			Measurement: w.measurement(task)})
+			Checkpoint: a.checkpoint(task), Measurement: w.measurement(task)})
 	}
 	return r
 }
 
+// checkpoint returns the newest checkpoint of a run, empty before the first.
+func (a *activeRun) checkpoint(task string) string {
+	if every := a.outcome.CheckpointEvery; every > 0 && time.Since(a.startedAt) >= every {
+		return fmt.Sprintf("%s#%d", task, time.Since(a.startedAt)/every)
+	}
+	return ""
+}
+
 // measurement returns the measurement that the worker reports for a run. The caller holds mu.
 func (w *Worker) measurement(task string) int64 {
 	outcome := w.runs[task].outcome
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -27,6 +27,8 @@
 	Measurement int64
 	// Paced scales Measurement, the processor time in use, with the pace.
 	Paced bool
+	// CheckpointEvery is the time between the checkpoints that the worker reports for the run; 0 for none.
+	CheckpointEvery time.Duration
 	// Tail, if set, returns the tail latency to report while paced runs use that much processor time.
 	Tail func(millicores int64) int64
 }
@@ -53,17 +55,20 @@
 	fault         func(worker, method string) Fault
 	acceptsTicket func(worker, task, ticket string) bool
 	// active counts the runs of each task on workers that are up.
-	active     map[string]int
-	done       map[string]bool
-	starts     map[string]int
-	violations []string
+	active map[string]int
+	done   map[string]bool
+	starts map[string]int
+	// resumedFrom holds the checkpoints of the newest starts.
+	resumedFrom map[string]string
+	violations  []string
 	// incarnations counts the starts of all workers.
 	incarnations int64
 }
 
 // NewFleet returns a fleet without workers. The outcome function determines the course of each run.
 func NewFleet(outcome func(jobs.TaskID, int64) Outcome) *Fleet {
-	return &Fleet{workers: map[string]*Worker{}, outcome: outcome, active: map[string]int{}, done: map[string]bool{}, starts: map[string]int{}}
+	return &Fleet{workers: map[string]*Worker{}, outcome: outcome, active: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
+		resumedFrom: map[string]string{}}
 }
 
 // SetFault sets the function that returns the fault of each request; nil means none. Method is start, stop, hold or
@@ -95,6 +100,13 @@
 	return f.starts[task]
 }
 
+// ResumedFrom returns the checkpoint that the newest start of a task carried.
+func (f *Fleet) ResumedFrom(task string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.resumedFrom[task]
+}
+
 // Running returns the number of active runs of a task.
 func (f *Fleet) Running(task string) int {
 	f.mu.Lock()
--- a/node/shard/kinds_test.go
+++ b/node/shard/kinds_test.go
@@ -30,6 +30,51 @@
 	})
 }
 
+// checkpointingTask is the outcome of endless tasks with a checkpoint every 200 ms; the first of each job ends after a
+// second instead.
+func checkpointingTask(id jobs.TaskID, _ int64) workerfake.Outcome {
+	o := endlessTask(id, 0)
+	o.CheckpointEvery = 200 * time.Millisecond
+	if id.Index == 0 && id.Job == "ends" {
+		o.UntilStopped, o.Duration = false, time.Second
+	}
+	return o
+}
+
+// Guards against members of a gang that resume from different checkpoints: all have to carry the same (seen by the review).
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	runCluster(t, 3, 1, checkpointingTask, func(c *cluster, is *is.I) {
+		c.submit("gang", jobs.Step{Gang: true, Checkpointing: true, MaxPerWorker: 1}, 3)
+		c.waitUntil("the gang runs", 3*time.Second, func() bool { return c.allRunning("gang", 3) })
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			c.fleet.Crash(fmt.Sprintf("w%d", i))
+		}
+		for i := range 3 {
+			c.fleet.Restart(fmt.Sprintf("w%d", i))
+		}
+		c.waitUntil("the gang runs again", 10*time.Second, func() bool { return c.allRunning("gang", 3) })
+		resumedFrom := c.fleet.ResumedFrom(task("gang", 0))
+		is.True(resumedFrom != "")
+		for i := range 3 {
+			is.Equal(c.fleet.ResumedFrom(task("gang", i)), resumedFrom)
+		}
+	})
+}
+
+// Guards against an owner that gives up its shard over a report that ends a job and lists another run of it, with a new
+// checkpoint (seen by the review).
+func TestCheckpointAfterTheEndOfTheJob(t *testing.T) {
+	runCluster(t, 1, 1, checkpointingTask, func(c *cluster, is *is.I) {
+		s := c.owner().ownedShard()
+		c.submit("ends", jobs.Step{Gang: true, Checkpointing: true}, 2)
+		c.waitForState("ends", jobs.StateCompleted, 5*time.Second)
+		time.Sleep(3 * time.Second)
+		is.True(c.owner().ownedShard() == s)
+		is.Equal(c.fleet.Running(task("ends", 1)), 0)
+	})
+}
+
 // Guards against occurrences of a scheduled job that start before their time, twice, or not at all when the owner
 // changes.
 func TestScheduledJobRunsEachOccurrenceOnce(t *testing.T) {
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -124,7 +124,7 @@
 	if listedRun.Checkpoint != "" && listedRun.Checkpoint != r.checkpoint {
 		r.checkpoint = listedRun.Checkpoint
 		if e := s.jobs[r.id.Job]; e != nil {
-			e.job.Task(r.id).Checkpoint = listedRun.Checkpoint
+			e.job.SaveCheckpoint(r.id, listedRun.Checkpoint)
 		}
 	}
 	if e := s.jobs[r.id.Job]; r.stage == running && (e == nil || e.job.Outcome != jobs.Unfinished) {
