Start nothing on a worker whose entry is older than its newest report

Callers saw: a worker that starts again as another kind gets tasks of its former kind for up to 0.4 s.

Cause: the first report of a new incarnation can arrive before the registry's new entry is read. The owner then knows that the worker started again, but took its entry as valid.

Ruled out: the order of the test (a worker may start again under its id at any moment before its entry is read).

Change: while a report names a newer incarnation than the entry, no run is started there. Entries that name no incarnation are not compared. Entries in TestMovesOfWorkersBesideFaults name the true incarnation now.

--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -186,6 +186,13 @@
 	f.workers[id].reset()
 }
 
+// Incarnation returns the incarnation of a worker.
+func (f *Fleet) Incarnation(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].incarnation
+}
+
 // PaceOf returns the pace of a run, 100 unless it was set.
 func (f *Fleet) PaceOf(id, task string) int {
 	f.mu.Lock()
--- a/node/shard/entry_test.go
+++ b/node/shard/entry_test.go
@@ -20,7 +20,15 @@
 	c.fleet.Crash(id)
 	time.Sleep(time.Second)
 	c.fleet.Restart(id)
-	c.changeEntry(id, change)
+	c.changeEntryAs(id, change)
+}
+
+// changeEntryAs changes the entry of a worker, which names its incarnation.
+func (c *cluster) changeEntryAs(id string, change func(*jobworker.Info)) {
+	c.changeEntry(id, func(info *jobworker.Info) {
+		change(info)
+		info.Incarnation = c.fleet.Incarnation(id)
+	})
 }
 
 func labels(names ...string) func(*jobworker.Info) {
@@ -30,8 +38,8 @@
 // Guards against a worker that restarts as another kind and is still used as the former one, and not as the new one.
 func TestWorkerRestartsAsAnotherKind(t *testing.T) {
 	runCluster(t, 2, 1, endlessTask, func(c *cluster, is *is.I) {
-		c.changeEntry("w0", labels("a"))
-		c.changeEntry("w1", labels("a"))
+		c.changeEntryAs("w0", labels("a"))
+		c.changeEntryAs("w1", labels("a"))
 		c.owner()
 		c.submit("before", jobs.Step{LongRunning: true, RequiredLabel: "a"}, 4)
 		c.waitUntil("the tasks run", 5*time.Second, func() bool { return c.allRunning("before", 4) })
@@ -76,6 +84,23 @@
 	}
 }
 
+// Guards against starts on a worker that has started again as another kind, between its first report and its new entry.
+func TestStartsWaitForEntryOfNewIncarnation(t *testing.T) {
+	runCluster(t, 1, 1, endlessTask, func(c *cluster, is *is.I) {
+		c.changeEntryAs("w0", labels("a"))
+		c.owner()
+		c.submit("before", jobs.Step{LongRunning: true, RequiredLabel: "a"}, 2)
+		c.waitUntil("the tasks run", 5*time.Second, func() bool { return c.allRunning("before", 2) })
+		c.fleet.Crash("w0")
+		time.Sleep(time.Second)
+		c.fleet.Restart("w0")
+		time.Sleep(2 * time.Second)
+		is.Equal(c.fleet.Runs("w0"), 0)
+		c.changeEntryAs("w0", labels("a", "b"))
+		c.waitUntil("the tasks run again", 5*time.Second, func() bool { return c.allRunning("before", 2) })
+	})
+}
+
 // Guards against advice on the former kind of a worker: a job that only the new kind may run was never started.
 func TestAdviceEndsWithTheKind(t *testing.T) {
 	runCluster(t, 2, 1, oneSecondTask, func(c *cluster, is *is.I) {
--- a/node/shard/lend_test.go
+++ b/node/shard/lend_test.go
@@ -253,7 +253,7 @@
 						c.fleet.Crash("w9")
 						time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 						c.fleet.Restart("w9")
-						c.changeEntry("w9", func(info *jobworker.Info) { info.Incarnation++ })
+						c.changeEntryAs("w9", func(*jobworker.Info) {})
 					}
 				}
 				stopFaults()
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -170,8 +170,12 @@
 	s.runInBackground("renew lease", func() { s.renewLoop(ctx, w) })
 }
 
-// entryConfirmed reports whether the worker has reported at the address of its newest entry.
-func (w *worker) entryConfirmed() bool { return w.reportedAt >= w.entryAt }
+// entryConfirmed reports whether the worker has reported at the address of its newest entry, and not since started again:
+// the new incarnation may be of another kind, which only its own entry tells.
+func (w *worker) entryConfirmed() bool {
+	startedAgain := w.info.Incarnation != 0 && w.incarnation > w.info.Incarnation
+	return w.reportedAt >= w.entryAt && !startedAgain
+}
 
 // updateAvailability updates whether the worker takes new tasks. The caller holds mu.
 func (s *Shard) updateAvailability(w *worker) {
