Let the callers of the process tests take a new key after "not-run"

Cause: the test. docs/requests.md says of `not-run`: none will run under this key, try again with a new one. The caller repeated the former key for 30 s.

Change: after `not-run` a caller takes a new key for the same request. This is as strict: a request has to be answered within the same 30 s, and one that ran under the former key is executed twice now, which fails the test.

--- a/cmd/e2e/callers_test.go
+++ b/cmd/e2e/callers_test.go
@@ -123,14 +123,15 @@
 
 // sendWithRetries sends one request and retries it with the same key or path through the next daemon until it is
 // answered. A keyed request is retried after the outcome "unknown" too: its claim decides whether the first attempt
-// counts.
+// counts. The outcome "not-run" is final for its key, so the next attempt has a new one; a request that did run under the
+// former key is executed twice then.
 func sendWithRetries(daemons []*daemonProcess, startIndex int, keyed bool) result {
 	r := result{id: uuid.Must(uuid.NewV7()).String(), keyed: keyed}
-	start := time.Now()
+	key, start := r.id, time.Now()
 	for ; time.Since(start) < retryTimeout; r.tries++ {
 		d := daemons[(startIndex+r.tries)%len(daemons)]
 		if keyed {
-			r.last = sendRequest(d, http.MethodPost, "/charge/"+r.id, r.id, "charge "+r.id)
+			r.last = sendRequest(d, http.MethodPost, "/charge/"+r.id, key, "charge "+r.id)
 		} else {
 			r.last = sendRequest(d, http.MethodGet, "/read/"+r.id, "", "")
 		}
@@ -140,6 +141,9 @@
 		if keyed && r.last.outcome == string(gateway.OutcomeUnknown) && time.Since(start) > unknownRetryTimeout {
 			return r // the result was lost with the daemon that held it
 		}
+		if keyed && r.last.outcome == string(gateway.OutcomeNotRun) {
+			key = uuid.Must(uuid.NewV7()).String()
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	return r
