Let the ended owner of TestReleaseTellsLeases store nothing more

Cause: the test. An owner whose context ends may still release the shard, which is right, because its work has stopped; whether it does depends on which of the two it sees first. The case stands for a killed process, so its appends get no response now. What is checked stays the same.

--- a/node/shardlease/leases_test.go
+++ b/node/shardlease/leases_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"waxwingslip.example/external/keyedlog"
 	storefake "waxwingslip.example/external/keyedlog/fake"
 	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/shardlease"
@@ -43,6 +44,10 @@
 				if released {
 					first.Drain()
 				} else {
+					// A process that is killed stores nothing more.
+					store.SetFault(func(caller, method string, _ keyedlog.Partition) storefake.Fault {
+						return storefake.Fault{Hang: caller == "first" && method == "append"}
+					})
 					end()
 				}
 				second := startProcess(t, store, now, "second", 2)
