Wait longer for handshakes of a busy daemon

Cause: a dial was given up after 700 ms and begun again, whatever the peer had done for it. A handshake costs the peer 2.1 ms of processor time, 30 times a call to a worker, so 17 daemons kept an owner of 0.069 cores busy for good. Connections were lost after 3 s without a packet, and restarted daemons did not reset those of their former process, since their keys are new.

Change: the limit of a dial doubles after each one that timed out, up to 2.8 s; connections last 6 s without a packet; the key of stateless resets is derived from the authority's key and the daemon's name.

TestSlowHandshakeIsAwaited and TestRestartWithNewKeyResetsConnections fail without the change ("circuit breaker is open" for 10 s; "context deadline exceeded" for 10 s) and pass with it.

--- a/node/hosted/join.go
+++ b/node/hosted/join.go
@@ -29,11 +29,12 @@
 	capacityKey = "owner-cores"
 )
 
-// peerTiming lets a query find a new owner within its time limit: an unresponsive connection to a daemon that is gone
-// must not block several attempts.
+// peerTiming lets a query find a new owner within its time limit: a dial to a daemon that is gone must not block several
+// attempts. An owner that is short of processor time or on a full link gets longer for handshakes, and keeps its
+// connections. A process that has started again resets those of the one before it.
 var peerTiming = peer.Timing{
-	Dial: 700 * time.Millisecond, PeerTimeout: 3 * time.Second, RedialMax: 500 * time.Millisecond,
-	BreakerOpen: 200 * time.Millisecond,
+	Dial: 700 * time.Millisecond, DialMax: 2800 * time.Millisecond, PeerTimeout: 6 * time.Second,
+	RedialMax: 500 * time.Millisecond, BreakerOpen: 200 * time.Millisecond,
 }
 
 // Certificates of daemons. Their keys stay in memory.
@@ -87,6 +88,11 @@
 		return err
 	}
 	credentials := peer.NewCredentials(cert, authority.Roots())
+	resetSecret, err := authority.ResetSecret(d.settings.Name)
+	if err != nil {
+		return err
+	}
+	credentials.SetResetSecret(resetSecret)
 	host, _, err := net.SplitHostPort(d.settings.Listen.Peers)
 	if err != nil {
 		return errors.Wrap(err, "parse peer listen address")
--- a/node/peer/credentials.go
+++ b/node/peer/credentials.go
@@ -38,6 +38,8 @@
 	cert      tls.Certificate
 	pool      *x509.CertPool
 	lastErr   error
+	// resetSecret replaces the private key as the source of the stateless reset key; nil if it was not set.
+	resetSecret []byte
 }
 
 // LoadCredentials returns the credentials in the files.
@@ -54,6 +56,10 @@
 	return &Credentials{now: time.Now, cert: cert, pool: roots}
 }
 
+// SetResetSecret sets the secret from which the stateless reset key is derived. A daemon whose private key changes with
+// each start needs one that stays the same. It is called before the credentials are used.
+func (c *Credentials) SetResetSecret(secret []byte) { c.resetSecret = secret }
+
 // Replace puts another identity and authority into force for later handshakes.
 func (c *Credentials) Replace(cert tls.Certificate, roots *x509.CertPool) {
 	c.mu.Lock()
@@ -190,15 +196,19 @@
 	}
 }
 
-// resetKey derives the stateless reset key from the private key, so that it is the same after a restart. Callers of
-// the previous process then detect at once that their connections are lost.
+// resetKey derives the stateless reset key from the reset secret or, without one, from the private key, so that it is the
+// same after a restart. Callers of the previous process then detect at once that their connections are lost.
 func (c *Credentials) resetKey() (*quic.StatelessResetKey, error) {
-	cert, _ := c.current()
-	der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
-	if err != nil {
-		return nil, errors.Wrap(err, "derive reset key")
+	secret := c.resetSecret
+	if secret == nil {
+		cert, _ := c.current()
+		der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+		if err != nil {
+			return nil, errors.Wrap(err, "derive reset key")
+		}
+		secret = der
 	}
-	mac := hmac.New(sha256.New, der)
+	mac := hmac.New(sha256.New, secret)
 	mac.Write([]byte("waxwingslip stateless reset"))
 	key := quic.StatelessResetKey(mac.Sum(nil))
 	return &key, nil
--- a/node/peer/devcert/devcert.go
+++ b/node/peer/devcert/devcert.go
@@ -5,7 +5,9 @@
 import (
 	"crypto/ecdsa"
 	"crypto/elliptic"
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -101,6 +103,18 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, errors.Wrapf(err, "parse certificate of %s", name)
 }
 
+// ResetSecret returns the secret of a daemon for peer.Credentials.SetResetSecret. It is the same in each of the daemon's
+// processes.
+func (a *Authority) ResetSecret(name string) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, errors.Wrapf(err, "derive reset secret of %s", name)
+	}
+	mac := hmac.New(sha256.New, der)
+	mac.Write([]byte("reset secret of " + name))
+	return mac.Sum(nil), nil
+}
+
 // Roots returns a pool with the authority's certificate.
 func (a *Authority) Roots() *x509.CertPool {
 	pool := x509.NewCertPool()
--- a/node/peer/failure_test.go
+++ b/node/peer/failure_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,10 +47,83 @@
 	eventually(t, func() error { return p.echo(ctx, "c") })
 }
 
+// Guards against calls that wait for the loss of a connection to the former process of a daemon whose key changes with each
+// start.
+func TestRestartWithNewKeyResetsConnections(t *testing.T) {
+	is := is.New(t)
+	authority, err := devcert.NewAuthority()
+	is.NoErr(err)
+	secret, err := authority.ResetSecret("server")
+	is.NoErr(err)
+	slow := timing
+	slow.PeerTimeout = 20 * time.Second
+	address := "127.0.0.1:0"
+	serve := func() *peer.Server {
+		cert, err := authority.Issue("server", time.Hour)
+		is.NoErr(err)
+		c := peer.NewCredentials(cert, authority.Roots())
+		c.SetResetSecret(secret)
+		s, err := peer.NewServer(peer.ServerOptions{Address: address, Credentials: c, Timing: slow})
+		is.NoErr(err)
+		peer.HandleCall(s, "echo", func(_ context.Context, _, q string) (string, error) { return q, nil })
+		is.NoErr(s.Serve())
+		return s
+	}
+	first := serve()
+	r := newRelay(t, first.Address())
+	cert, err := authority.Issue("client", time.Hour)
+	is.NoErr(err)
+	client, err := peer.NewTransport(peer.Options{LocalAddress: "127.0.0.1:0", Credentials: peer.NewCredentials(cert, authority.Roots()),
+		Timing: slow})
+	is.NoErr(err)
+	defer client.Close()
+	echo := func() error {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		var got string
+		return client.Call(ctx, r.front.LocalAddr().String(), "echo", "x", &got)
+	}
+	is.NoErr(echo())
+
+	// The process ends without a word: its last packets are lost.
+	address = first.Address()
+	r.cut.Store(true)
+	first.Close()
+	r.cut.Store(false)
+	second := serve()
+	defer second.Close()
+	started := time.Now()
+	eventually(t, echo)
+	is.True(time.Since(started) < slow.PeerTimeout/4)
+}
+
+// Guards against a busy peer that nobody reaches any more: each handshake was given up after the same short time and begun
+// again, which took the peer's time from those that it was about to complete (ambon-mist-large trouble-1, small twin).
+func TestSlowHandshakeIsAwaited(t *testing.T) {
+	p := connect(t, nil)
+	r := newRelay(t, p.address)
+	r.delay.Store(int64(400 * time.Millisecond))
+	patient := timing
+	patient.Dial, patient.DialMax, patient.PeerTimeout = 300*time.Millisecond, 3*time.Second, 5*time.Second
+	client, err := peer.NewTransport(peer.Options{LocalAddress: "127.0.0.1:0", Credentials: credentials(t, p.authority, "client"),
+		Timing: patient})
+	p.NoErr(err)
+	defer client.Close()
+	eventually(t, func() error {
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		var got string
+		return client.Call(ctx, r.front.LocalAddr().String(), "echo", "x", &got)
+	})
+	p.True(client.Counters.Dials.Value() <= 5)
+}
+
 // relay passes packets between a client and a server until it is frozen.
 type relay struct {
 	front, back *net.UDPConn
 	frozen      chan struct{}
+	cut         atomic.Bool  // packets are lost
+	delay       atomic.Int64 // of each packet, in ns
 }
 
 func newRelay(t *testing.T, target string) *relay {
@@ -100,7 +174,11 @@
 		select {
 		case <-r.frozen:
 		default:
-			_, _ = to.WriteToUDP(buf[:n], target)
+			if r.cut.Load() {
+				continue
+			}
+			packet := bytes.Clone(buf[:n])
+			time.AfterFunc(time.Duration(r.delay.Load()), func() { _, _ = to.WriteToUDP(packet, target) })
 		}
 	}
 }
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -26,6 +26,8 @@
 	conn    *trackedConn
 	dialing chan struct{} // closed when the running dial ends, nil if none runs
 	dialErr error
+	// dialLimit limits the next dial.
+	dialLimit time.Duration
 	// retryAt is the time before which no new dial starts. It is set at each dial and cleared by the first
 	// response, not by the dial, because a peer that refuses our certificate does so only after the dial succeeded.
 	retryAt time.Time
@@ -37,7 +39,7 @@
 	b.InitialInterval, b.MaxInterval = t.opts.Timing.RedialMin, t.opts.Timing.RedialMax
 	b.Reset()
 	return &link{
-		transport: t, address: address, backoff: b,
+		transport: t, address: address, backoff: b, dialLimit: t.opts.Timing.Dial,
 		breaker: gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
 			Name: address, MaxRequests: 1, Timeout: t.opts.Timing.BreakerOpen,
 			ReadyToTrip: func(c gobreaker.Counts) bool { return c.ConsecutiveFailures >= breakerFailures },
@@ -117,13 +119,14 @@
 		return errors.Wrapf(err, "next attempt in %s", wait.Round(time.Millisecond))
 	}
 	l.retryAt = time.Now().Add(l.backoff.NextBackOff())
-	done := make(chan struct{})
+	done, limit := make(chan struct{}), l.dialLimit
 	l.dialing = done
 	started := l.transport.goTask(func() {
-		conn, err := l.dial()
+		conn, err := l.dial(limit)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.conn, l.dialErr, l.dialing = conn, err, nil
+		l.dialLimit = nextDialLimit(l.transport.opts.Timing, limit, err)
 		close(done)
 	})
 	if !started {
@@ -133,18 +136,31 @@
 	return nil
 }
 
-// dial connects to the peer. It is not limited by the context of the call that started it.
-func (l *link) dial() (*trackedConn, error) {
+// nextDialLimit returns the limit of the dial after one with a limit and a result. It falls slowly, since a peer that is
+// busy stays so for a while.
+func nextDialLimit(t Timing, limit time.Duration, err error) time.Duration {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return max(t.Dial, limit/2)
+	case errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout():
+		return min(2*limit, t.DialMax)
+	}
+	return limit
+}
+
+// dial connects to the peer within a limit. It is not limited by the context of the call that started it.
+func (l *link) dial(limit time.Duration) (*trackedConn, error) {
 	t := l.transport
 	t.Counters.Dials.Add(1)
-	ctx, cancel := context.WithTimeout(t.ctx, t.opts.Timing.Dial)
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
 	defer cancel()
 	address, err := net.ResolveUDPAddr("udp", l.address)
 	if err != nil {
 		t.Counters.DialFailures.Add(1)
 		return nil, errors.Wrap(err, "address")
 	}
-	qc, err := t.quic.Dial(ctx, address, t.opts.Credentials.clientTLS(), t.quicConfig())
+	qc, err := t.quic.Dial(ctx, address, t.opts.Credentials.clientTLS(), t.quicConfig(limit))
 	if err != nil {
 		t.Counters.DialFailures.Add(1)
 		return nil, errors.Wrap(err, "dial")
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -135,7 +135,7 @@
 // Serve starts serving calls and returns.
 func (s *Server) Serve() error {
 	l, err := s.quic.Listen(s.opts.Credentials.serverTLS(), flowControl(&quic.Config{
-		HandshakeIdleTimeout:  s.opts.Timing.Dial,
+		HandshakeIdleTimeout:  s.opts.Timing.DialMax,
 		MaxIdleTimeout:        s.opts.Timing.PeerTimeout,
 		MaxIncomingStreams:    int64(s.opts.MaxStreams),
 		MaxIncomingUniStreams: -1,
--- a/node/peer/transport.go
+++ b/node/peer/transport.go
@@ -14,8 +14,11 @@
 
 // Timing holds the time limits of a Transport or Server. Zero values mean the defaults.
 type Timing struct {
-	// Dial limits a connection attempt; default 2 s.
-	Dial time.Duration
+	// Dial limits a connection attempt; default 2 s. After an attempt that timed out, the limit of the next one doubles,
+	// up to DialMax; default Dial. A handshake costs a busy peer more than most calls, so one that it is about to complete
+	// should not be given up and begun again.
+	Dial    time.Duration
+	DialMax time.Duration
 	// Call limits a Call whose context has no deadline; default 5 s.
 	Call time.Duration
 	// PeerTimeout is the time without any packet after which a connection is considered lost; default 10 s. Keep-alive
@@ -37,6 +40,7 @@
 		}
 	}
 	set(&t.Dial, 2*time.Second)
+	set(&t.DialMax, t.Dial)
 	set(&t.Call, 5*time.Second)
 	set(&t.PeerTimeout, 10*time.Second)
 	set(&t.Idle, 30*time.Second)
@@ -127,9 +131,10 @@
 	return udp, errors.Wrapf(err, "listen at %s", address)
 }
 
-func (t *Transport) quicConfig() *quic.Config {
+// quicConfig returns the configuration of a connection whose handshake has a time limit.
+func (t *Transport) quicConfig(dialLimit time.Duration) *quic.Config {
 	return flowControl(&quic.Config{
-		HandshakeIdleTimeout:  t.opts.Timing.Dial,
+		HandshakeIdleTimeout:  dialLimit,
 		MaxIdleTimeout:        t.opts.Timing.PeerTimeout,
 		KeepAlivePeriod:       t.opts.Timing.PeerTimeout / 3,
 		MaxIncomingStreams:    -1, // only callers open streams
