Count and show jobs by what workers have confirmed

Callers saw `waiting` too low while a job moved between shards, ids that nobody had submitted as cancelled, and jobs as waiting of which a worker had reported a run late.

Causes: the home shard stopped counting a job when it decided on the move, the other began once it had read it; a cancelling without a job was kept as a cancelled job; late ends counted only if they changed the task; any listed end counted as proof of a run; and records of builds before carry the flag from a binding.

Ruled out: ErrStaleRun at a repeat of a start (the job does not count as begun by it); owners that are cut off.

Change: owners answer with how far they have read and with the jobs that left; a moved job is counted by its home until the other owner has read its announcement. A job known by its cancelling alone is unknown to callers. Reports confirm jobs also for runs that are no longer tracked; a stop without a checkpoint does not. Begun has a new key, and of progress that earlier builds stored only ends and checkpoints count.

Before: TestMovingJobIsCountedOnce (announced late, read late: 0 != 1), TestCancelledUnknownJobIsNotShown (cancelled != unknown) and TestLateReportShowsThatJobHasBegun fail. After: they pass, and so do TestBegunInProgressOfEarlierBuilds and TestEarlierBuildsReadBegun.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -72,8 +72,9 @@
 	Next int `cbor:"3,keyasint,omitempty"`
 	// Occurrences are those that began and have not ended.
 	Occurrences []*Occurrence `cbor:"4,keyasint,omitempty"`
-	// Begun is whether any task has ever run.
-	Begun bool `cbor:"5,keyasint,omitempty"`
+	// BegunOrBound is Begun for builds that do not know its key. Earlier ones set it once a task was bound, so that it proves
+	// nothing. Only EncodeProgress and DecodeProgress use it.
+	BegunOrBound bool `cbor:"5,keyasint,omitempty"`
 	// Unreported lists runs that were taken to have ended although no worker reported their end, oldest first.
 	Unreported []TaskRun `cbor:"6,keyasint,omitempty"`
 	// MovedTo is the shard to which a job with the outcome Moved was moved, and MovedProgress its encoded progress before
@@ -81,6 +82,10 @@
 	MovedTo       int    `cbor:"7,keyasint,omitempty"`
 	MovedProgress []byte `cbor:"8,keyasint,omitempty"`
 	MoveAnnounced bool   `cbor:"9,keyasint,omitempty"`
+	// Begun is whether a worker has confirmed a run of any task.
+	Begun bool `cbor:"10,keyasint,omitempty"`
+	// MoveOffset is the offset at which the job was added to the commands of the shard MovedTo; 0 if it is not known.
+	MoveOffset int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // TaskRun identifies a run of a task of a job.
@@ -233,8 +238,8 @@
 	EndNotStarted
 )
 
-// ran reports whether only a run that was started can end so.
-func (k EndKind) ran() bool {
+// Ran reports whether only a run that was started can end so. A run can be stopped before its start arrives.
+func (k EndKind) Ran() bool {
 	switch k {
 	case EndStopped, EndLost, EndNotStarted:
 		return false
@@ -259,7 +264,7 @@
 	}
 	step := &j.Spec.Steps[id.Step]
 	t.Phase, t.Worker = Waiting, ""
-	j.Begun = j.Begun || kind.ran()
+	j.Begun = j.Begun || kind.Ran()
 	switch kind {
 	case EndDone:
 		if step.LongRunning {
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,23 +137,33 @@
 
 // Waiting implements jobqueue.JobAPI.
 func (a *jobAPI) Waiting(ctx context.Context, queue string) (int, error) {
-	total, shards := 0, a.d.shardCount()
+	shards := a.d.shardCount()
 	if shards == 0 {
 		return 0, errStarting()
 	}
-	for n := range shards {
-		count := 0
+	counts := make([]shard.Count, shards)
+	for n := range counts {
 		err := a.query(ctx, n,
-			func(_ context.Context, s *shard.Shard) (err error) { count, err = s.Waiting(queue); return },
-			func(ctx context.Context, address string) error {
-				return a.d.peers.Call(ctx, address, methodWaiting, waitingQuery{n, queue}, &count)
+			func(_ context.Context, s *shard.Shard) (err error) { counts[n], err = s.Waiting(queue); return },
+			func(ctx context.Context, address string) (err error) {
+				counts[n], err = a.d.countAt(ctx, address, waitingQuery{n, queue})
+				return err
 			})
 		if err != nil {
 			return 0, err
 		}
-		total += count
 	}
-	return total, nil
+	return shard.TotalWaiting(counts), nil
+}
+
+// countAt asks the owner of a shard for the jobs of a queue that wait.
+func (d *Daemon) countAt(ctx context.Context, address string, q waitingQuery) (c shard.Count, err error) {
+	err = d.peers.Call(ctx, address, methodCount, q, &c)
+	if code, answered := peer.CodeOf(err); answered && code == peer.CodeUnknownMethod {
+		err = d.peers.Call(ctx, address, methodWaiting, q, &c.Waiting)
+		c.ReadTo = math.MaxInt64 // builds without the method count a moved job from its announcement on
+	}
+	return c, err
 }
 
 // query calls the owner of a shard, locally if that is this daemon, until a call succeeds, the time is up or the store
@@ -192,8 +203,10 @@
 
 // Methods that daemons call on each other.
 const (
-	methodStore   = "command.store"
-	methodState   = "job.state"
+	methodStore = "command.store"
+	methodState = "job.state"
+	methodCount = "queue.count"
+	// methodWaiting is methodCount of earlier builds. It returns the number alone.
 	methodWaiting = "queue.waiting"
 	methodMove    = "shard.move"
 	methodLend    = "shard.lend"
@@ -240,12 +253,17 @@
 		}
 		return ownedShard.State(ctx, q.Job)
 	})
-	peer.HandleCall(s, methodWaiting, func(_ context.Context, _ string, q waitingQuery) (int, error) {
+	count := func(q waitingQuery) (shard.Count, error) {
 		ownedShard, err := d.requireOwnedShard(q.Shard)
 		if err != nil {
-			return 0, err
+			return shard.Count{}, err
 		}
 		return ownedShard.Waiting(q.Queue)
+	}
+	peer.HandleCall(s, methodCount, func(_ context.Context, _ string, q waitingQuery) (shard.Count, error) { return count(q) })
+	peer.HandleCall(s, methodWaiting, func(_ context.Context, _ string, q waitingQuery) (int, error) {
+		c, err := count(q)
+		return c.Waiting, err
 	})
 	peer.HandleCall(s, methodLend, func(_ context.Context, _ string, req lendRequest) (shard.Loan, error) {
 		ownedShard, err := d.requireOwnedShard(req.Shard)
--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -78,6 +78,13 @@
 	return newest
 }
 
+// Next returns the offset of the first record that is not applied.
+func (f *Follower) Next() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
 // Poll reads new records once. It calls Load instead before the first read and after records were trimmed. It may be
 // called while another Poll waits.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/keyedlog"
 	"waxwingslip.example/node/ctxtime"
@@ -121,7 +119,7 @@
 			delete(s.dirty, id)
 			continue
 		}
-		value, err := cbor.Marshal(&e.job.Progress)
+		value, err := jobs.EncodeProgress(&e.job.Progress)
 		if err != nil {
 			// Progress holds only numbers and strings, so this is a programming error.
 			s.log.Error().Err(err).Str("job", id).Msg("progress of job cannot be encoded")
--- a/node/shard/holding.go
+++ b/node/shard/holding.go
@@ -126,10 +126,14 @@
 		s.log.Error().Err(err).Str("worker", id).Msg("moved worker cannot be encoded")
 		return
 	}
-	announced := s.appendUntilStored(m.To, keyedlog.Record{Key: takenKey(id, m.Version+1), Value: value})
-	if !announced || m.Version > 0 && !s.appendUntilStored(s.number, keyedlog.Record{Key: takenKey(id, m.Version)}) {
+	if _, ok := s.appendUntilStored(m.To, keyedlog.Record{Key: takenKey(id, m.Version+1), Value: value}); !ok {
 		return
 	}
+	if m.Version > 0 {
+		if _, ok := s.appendUntilStored(s.number, keyedlog.Record{Key: takenKey(id, m.Version)}); !ok {
+			return
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.moved[id] == m {
@@ -139,8 +143,8 @@
 }
 
 // appendUntilStored appends records to the jobs topic of a shard and repeats that until they are stored or this shard is
-// lost.
-func (s *Shard) appendUntilStored(number int, records ...keyedlog.Record) bool {
+// lost. It returns the offset of the first record, and whether they are stored.
+func (s *Shard) appendUntilStored(number int, records ...keyedlog.Record) (int64, bool) {
 	var backoff ledger.Backoff
 	for s.ctx.Err() == nil {
 		if !s.auth.MayStart() {
@@ -148,15 +152,15 @@
 			ctxtime.Sleep(s.ctx, renewalPause)
 			continue
 		}
-		_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
+		offset, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 			Partition: keyedlog.Partition{Topic: JobsTopic, Number: number}, Records: records})
 		if err == nil {
-			return true
+			return offset, true
 		}
 		s.log.Warn().Err(err).Str("key", records[0].Key).Int("of_shard", number).Msg("storing a move failed, retrying")
 		backoff.Sleep(s.ctx)
 	}
-	return false
+	return 0, false
 }
 
 // announceMoves announces the moves of previous owners that may not be announced. The caller holds mu.
--- a/node/shard/jobmove.go
+++ b/node/shard/jobmove.go
@@ -12,9 +12,9 @@
 	"waxwingslip.example/node/ctxtime"
 )
 
-// A job moves to another shard if only workers there may run its tasks and they cannot move. Its home shard stores the
-// move as the job's outcome, under its epoch, before it adds the job with its progress to the commands of the other shard;
-// so at most one shard runs the job. The home shard stays the one that is asked for the job's state and that reads its
+// A job moves to another shard if only workers there may run its tasks and they cannot move, or if nothing of it runs and
+// the other shard has room and nothing that waits. Its home shard stores the move as the job's outcome, under its epoch,
+// before it adds the job with its progress to the commands of the other shard; so at most one shard runs the job. The home shard stays the one that is asked for the job's state and that reads its
 // cancellation, and passes both on.
 
 const (
@@ -46,7 +46,7 @@
 	if e == nil || !s.mayMove(e, waited) {
 		return
 	}
-	progress, err := cbor.Marshal(&e.job.Progress)
+	progress, err := jobs.EncodeProgress(&e.job.Progress)
 	if err != nil || !e.job.Move(to, s.deps.WallTime().UnixMilli()) {
 		s.log.Error().Err(err).Str("job", id).Msg("job cannot move")
 		return
@@ -69,12 +69,13 @@
 	id := e.job.Spec.ID
 	// The progress is read with the job, or before it.
 	progress := keyedlog.Record{Key: arrivedPrefix + id, Value: e.job.MovedProgress}
-	if !s.appendUntilStored(e.job.MovedTo, progress, AcceptRecord(id, spec)) {
+	offset, ok := s.appendUntilStored(e.job.MovedTo, progress, AcceptRecord(id, spec))
+	if !ok {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.job.MoveAnnounced, e.job.MovedProgress = true, nil
+	e.job.MoveAnnounced, e.job.MovedProgress, e.job.MoveOffset = true, nil, offset+1 // of the second record
 	s.markDirty(e)
 	s.passOnCancel(e)
 }
@@ -104,9 +105,9 @@
 
 // applyArrived applies the progress of a job that was moved to this shard. The caller holds mu.
 func (s *Shard) applyArrived(r keyedlog.Record) error {
-	p := &jobs.Progress{}
-	if err := cbor.Unmarshal(r.Value, p); err != nil {
-		return errors.Wrap(err, "decode progress of moved job")
+	p, err := jobs.DecodeProgress(r.Value)
+	if err != nil {
+		return errors.WithMessage(err, "moved job")
 	}
 	s.arrived[r.Key[len(arrivedPrefix):]] = p
 	return nil
--- a/node/shard/kinds_test.go
+++ b/node/shard/kinds_test.go
@@ -162,7 +162,7 @@
 		check := func() {
 			waiting, err := c.owner().ownedShard().Waiting("q")
 			is.NoErr(err)
-			is.Equal(waiting, 5)
+			is.Equal(waiting.Waiting, 5)
 			for i := range 5 {
 				is.Equal(c.state(fmt.Sprintf("job%d", i)), jobs.StatePending)
 			}
@@ -180,6 +180,6 @@
 		}
 		waiting, err := c.owner().ownedShard().Waiting("q")
 		is.NoErr(err)
-		is.Equal(waiting, 0)
+		is.Equal(waiting.Waiting, 0)
 	})
 }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -101,10 +101,9 @@
 			s.decodeMove(r)
 			continue
 		}
-		p := &jobs.Progress{}
-		if err := cbor.Unmarshal(r.Value, p); err != nil {
+		p, err := jobs.DecodeProgress(r.Value)
+		if err != nil {
 			s.log.Error().Err(err).Str("job", r.Key).Int64("offset", r.Offset).Msg("stored progress of job cannot be decoded")
-			p = nil
 		}
 		into[r.Key] = p
 	}
@@ -162,8 +161,9 @@
 			e.cancelRequested = true
 			continue
 		}
-		// A retry may accept the job later; it stays cancelled.
-		s.jobs[id] = &jobEntry{job: cancelledPlaceholder(id, s.deps.WallTime().UnixMilli()), storedState: jobs.StateCancelled,
+		// A retry may submit the job later; it stays cancelled. Until then callers do not see it: nobody may have submitted
+		// it at all.
+		s.jobs[id] = &jobEntry{job: cancelledPlaceholder(id, s.deps.WallTime().UnixMilli()), storedState: jobs.StateUnknown,
 			cancelRequested: true}
 	}
 	if s.loaded {
@@ -181,8 +181,11 @@
 
 func (s *Shard) acceptJob(r keyedlog.Record) error {
 	id := r.Key[len(acceptedPrefix):]
-	if s.jobs[id] != nil {
-		return nil // a duplicate, or cancelled before it was accepted
+	if e := s.jobs[id]; e != nil {
+		if e.storedState == jobs.StateUnknown {
+			e.storedState = jobs.StateCancelled // it was cancelled before it was accepted
+		}
+		return nil
 	}
 	spec := &jobs.Spec{}
 	err := cbor.Unmarshal(r.Value, spec)
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -37,20 +38,65 @@
 	return jobs.StateUnknown
 }
 
-// Waiting returns the number of accepted jobs of a queue of which no task has started, scheduled jobs excluded.
-func (s *Shard) Waiting(queue string) (int, error) {
+// Count is what the owner of a shard knows of the jobs of a queue that wait: accepted jobs of which no worker has confirmed
+// a run, scheduled jobs excluded.
+type Count struct {
+	// Waiting is the number of such jobs in the shard.
+	Waiting int `cbor:"1,keyasint"`
+	// ReadTo is the offset up to which the owner has read the shard's commands.
+	ReadTo int64 `cbor:"2,keyasint"`
+	// Leaving lists such jobs that lately moved to other shards.
+	Leaving []Leaving `cbor:"3,keyasint,omitempty"`
+}
+
+// Leaving is a job that moved to another shard.
+type Leaving struct {
+	_  struct{} `cbor:",toarray"`
+	To int
+	// Offset is where the job stands among the commands of the other shard; 0 until it does.
+	Offset int64
+}
+
+// TotalWaiting returns the number of jobs that wait from the counts of all shards, by their numbers. A job that moves is
+// counted once: by the owner of its former shard until that of the other has read it.
+func TotalWaiting(counts []Count) int {
+	total := 0
+	for i := range counts {
+		total += counts[i].Waiting
+		for _, l := range counts[i].Leaving {
+			if l.To >= 0 && l.To < len(counts) && (l.Offset == 0 || counts[l.To].ReadTo <= l.Offset) {
+				total++
+			}
+		}
+	}
+	return total
+}
+
+// leavingTime is how long a job that moved is listed in counts. An owner that has not read a command by then answers no
+// query either.
+const leavingTime = time.Minute
+
+// Waiting returns what this owner knows of the jobs of a queue that wait.
+func (s *Shard) Waiting(queue string) (Count, error) {
 	if !s.auth.MayRenew() {
-		return 0, ErrStale
+		return Count{}, ErrStale
 	}
+	c := Count{ReadTo: s.jobsFollower.Next()} // before the lock: commands are applied under both
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
+	leftAfter := s.deps.WallTime().Add(-leavingTime).UnixMilli()
 	for _, e := range s.jobs {
-		if e.job.Spec.Queue == queue && e.job.Outcome == jobs.Unfinished && !e.job.Begun && e.job.Spec.Repeat == 0 {
-			n++
+		if e.job.Spec.Queue != queue || e.job.Begun || e.job.Spec.Repeat > 0 {
+			continue
+		}
+		switch {
+		case e.job.Outcome == jobs.Unfinished:
+			c.Waiting++
+		case e.job.Outcome == jobs.Moved && (!e.job.MoveAnnounced || e.job.MoveOffset > 0 && e.job.EndedMs > leftAfter):
+			c.Leaving = append(c.Leaving, Leaving{To: e.job.MovedTo, Offset: e.job.MoveOffset})
 		}
 	}
-	return n, nil
+	return c, nil
 }
 
 // Loaded reports whether all jobs have been read. It takes no lock, so that callers may hold locks of their own.
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -51,7 +51,9 @@
 		s.applyLateEnd(w, e)
 		return
 	}
-	s.recordBegun(r)
+	if e.Kind.Ran() || e.Checkpoint != "" {
+		s.recordBegun(r.id)
+	}
 	switch e.Kind {
 	case jobs.EndDone:
 		s.deps.Counters.EndsDone.Inc()
@@ -65,16 +67,32 @@
 	s.endRun(r, e.Kind, e.Checkpoint, "")
 }
 
-// recordBegun records that a run's worker has confirmed it. The caller holds mu.
-func (s *Shard) recordBegun(r *run) {
-	if e := s.jobs[r.id.Job]; e != nil && e.job.Begin() {
+// recordBegun records that a worker has confirmed a run of a task. The caller holds mu.
+func (s *Shard) recordBegun(id jobs.TaskID) {
+	if e := s.jobs[id.Job]; e != nil && e.setAside == "" && e.job.Outcome == jobs.Unfinished && e.job.Begin() {
 		s.markDirty(e)
 	}
 }
 
+// recordBegunByName is recordBegun for a run that the shard has no record of any more. The caller holds mu.
+func (s *Shard) recordBegunByName(task string, number int64) {
+	id, err := jobs.ParseTaskID(task)
+	if err != nil {
+		return
+	}
+	if e := s.jobs[id.Job]; e != nil {
+		if t := e.job.Task(id); t != nil && number <= t.Run {
+			s.recordBegun(id)
+		}
+	}
+}
+
 // applyLateEnd applies the end of a run that was settled before the worker reported it: the worker did not respond until
 // its lease had expired, or a previous owner settled the run. Results count; work that was done is not done again.
 func (s *Shard) applyLateEnd(w *worker, end *jobworker.End) {
+	if end.Kind.Ran() || end.Checkpoint != "" {
+		s.recordBegunByName(end.Task, end.Run) // it ran, whatever was taken to have happened
+	}
 	id, err := jobs.ParseTaskID(end.Task)
 	if err != nil {
 		return
@@ -83,7 +101,6 @@
 	if e == nil || e.setAside != "" || !e.job.LateEnd(id, end.Run, end.Kind, s.deps.WallTime().UnixMilli()) {
 		return
 	}
-	e.job.Begin() // it ran, whatever was taken to have happened
 	s.deps.Counters.EndsLate.Inc()
 	s.log.Info().Str("job", id.Job).Str("task", end.Task).Int64("run", end.Run).Str("worker", w.info.ID).
 		Stringer("kind", end.Kind).Msg("end reported late")
@@ -114,13 +131,14 @@
 	if r == nil || r.number != listedRun.Run || r.workerID != w.info.ID {
 		s.log.Warn().Str("task", listedRun.Task).Int64("run", listedRun.Run).Str("worker", w.info.ID).
 			Msg("worker lists an unexpected run, stopping it")
+		s.recordBegunByName(listedRun.Task, listedRun.Run)
 		s.stopUnexpectedRun(w, listedRun.Task, listedRun.Run)
 		return nil
 	}
 	if r.stage == starting || r.stage == committing {
 		r.stage, r.respondedAt = running, s.deps.Now()
 	}
-	s.recordBegun(r)
+	s.recordBegun(r.id)
 	if listedRun.Checkpoint != "" && listedRun.Checkpoint != r.checkpoint {
 		r.checkpoint = listedRun.Checkpoint
 		if e := s.jobs[r.id.Job]; e != nil {
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -108,7 +108,7 @@
 	switch {
 	case err == nil:
 		r.stage, r.respondedAt = running, s.deps.Now()
-		s.recordBegun(r)
+		s.recordBegun(r.id)
 		if s.fleet.Disturbs(r.workerID, r.step) {
 			s.setPace(w, r, 0) // reports raise it as far as the serving tasks tolerate it
 		}
