Move one filling task at a time to a worker

Cause: all halted tasks of a worker saw the same better place and left for it. Most found it taken, were placed elsewhere and halted, and left again. Each report searched anew, and changed paces before the effect of the last change was measured.

TestFillingTasksMoveOneAtATime fails without the change ("not true: away <= 1").

--- a/node/shard/guard.go
+++ b/node/shard/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/pressure"
 )
 
@@ -43,7 +44,8 @@
 	}
 	for i, pace := range s.pressure.Plan(serving, filling) {
 		r := fillingRuns[i]
-		if pace != r.pace {
+		// Until its effect is measured, a pace changes again only to relieve a serving task that is over its objective.
+		if measured := s.deps.Now()-r.pacedAt >= measurementWindow; pace != r.pace && (measured || pace < r.pace && w.objectiveMissed) {
 			s.setPace(w, r, pace)
 		}
 		s.moveIfSlow(w, r)
@@ -84,7 +86,7 @@
 // setPace sends the pace of a run to its worker. The caller holds mu.
 func (s *Shard) setPace(w *worker, r *run, pace int) {
 	previous := r.pace
-	r.pace, r.progressAt = pace, s.deps.Now()
+	r.pace, r.pacedAt, r.progressAt = pace, s.deps.Now(), s.deps.Now()
 	s.deps.Counters.Paces.Inc()
 	s.log.Debug().Str("job", r.id.Job).Str("task", r.name).Str("worker", w.info.ID).Int("pace", pace).
 		Int("previous", previous).Msg("pace set")
@@ -114,8 +116,9 @@
 	maxUnsavedMovePercent = 10
 )
 
-// moveIfSlow stops a filling task whose pace stays low if the serving tasks of another worker tolerate it. The caller
-// holds mu.
+// moveIfSlow stops a filling task whose pace stays low if the serving tasks of another worker tolerate it. One task at a
+// time leaves for a worker: there may be room for no more, and those that found none would be halted elsewhere and move
+// again. The caller holds mu.
 func (s *Shard) moveIfSlow(w *worker, r *run) {
 	now := s.deps.Now()
 	if r.pace >= slowPacePercent || r.pace == unknownPace {
@@ -131,9 +134,30 @@
 		return
 	}
 	request := s.placementRequest(e, r.id)
-	if target := s.fleet.Place(&request); target != nil && target.ID != w.info.ID {
+	r.slowSince = now // a search costs as much as placing a task, and no report changes its result much
+	if target := s.fleet.Place(&request); target != nil && target.ID != w.info.ID && !s.expectsMove(target.ID) {
+		s.moveTargets[target.ID] = r
 		s.log.Info().Str("job", r.id.Job).Str("task", r.name).Str("worker", w.info.ID).Str("better", target.ID).
 			Int("pace", r.pace).Int("percent", r.percent).Msg("filling task moves")
 		s.stopRun(w, r)
 	}
 }
+
+// expectsMove reports whether a filling task that leaves its worker for this one has not been bound again. The caller holds
+// mu.
+func (s *Shard) expectsMove(id string) bool {
+	r := s.moveTargets[id]
+	if r == nil {
+		return false
+	}
+	if s.runs[r.name] == r {
+		return true // it is being stopped
+	}
+	if e := s.jobs[r.id.Job]; e != nil && e.job.Outcome == jobs.Unfinished {
+		if t := e.job.Task(r.id); t != nil && t.Phase == jobs.Waiting && t.Run == r.number {
+			return true // it waits for the next plan
+		}
+	}
+	delete(s.moveTargets, id)
+	return false
+}
--- a/node/shard/guard_test.go
+++ b/node/shard/guard_test.go
@@ -67,3 +67,27 @@
 		is.Equal(c.fleet.Starts(task("second", 0)), 0)
 	})
 }
+
+// Guards against filling tasks that all leave a worker for the same place, in which there may be room for one: the others
+// were halted elsewhere and moved again, for as long as serving tasks were over their objectives (ambon-mist-large
+// trouble-1, small twin: 842 moves in one shard).
+func TestFillingTasksMoveOneAtATime(t *testing.T) {
+	runCluster(t, 1, 1, highTailTask, func(c *cluster, is *is.I) {
+		const fills = 4
+		c.owner()
+		c.submit("serve", jobs.Step{LongRunning: true, Image: "s", TailTargetMs: 20}, 1)
+		c.submit("fill", jobs.Step{Fills: true, Image: "f", Checkpointing: true}, fills)
+		c.waitUntil("the filling tasks run", 4*time.Second, func() bool { return c.allRunning("fill", fills) })
+		time.Sleep(4 * time.Second)
+		is.Equal(c.fleet.PaceOf("w0", task("fill", 0)), 0)
+		c.addWorker("w1")
+		for startedAt := time.Now(); c.fleet.Runs("w1") < fills; time.Sleep(time.Millisecond) {
+			away := 0
+			for i := range fills {
+				away += 1 - c.fleet.Running(task("fill", i))
+			}
+			is.True(away <= 1)
+			is.True(time.Since(startedAt) < 30*time.Second)
+		}
+	})
+}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -140,6 +140,8 @@
 	measurement int64 // jobworker.Run.Measurement of the newest report
 	// pace is the newest percentage sent to the worker, or unknownPace.
 	pace int
+	// pacedAt is when a pace was last sent; zero before the first.
+	pacedAt time.Duration
 	// overTargetSince is when a serving task's tail latency rose above its objective; zero while it is not above.
 	overTargetSince time.Duration
 	// slowSince is when the pace fell below slowPacePercent; zero while it is not below.
@@ -188,6 +190,8 @@
 	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
 	shortages map[string]*shortage
 	plans     int
+	// moveTargets holds, by the id of the worker for which it leaves its own, the newest filling task that moves there.
+	moveTargets map[string]*run
 	// runsByWorker indexes runs by the worker's id.
 	runsByWorker map[string]map[string]*run
 	pressure     *pressure.Model
@@ -231,7 +235,7 @@
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
 		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
 		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
-		advice: map[string]*advice{}, dirty: map[string]struct{}{},
+		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
 	s.fleet = packing.NewFleet(s.pressure)
