Plan tasks that have run before all others

Cause: very late jobs come after all others of their priority, so that under load nothing is left for a task that would end its job.

Ruled out: the delay after a failure (none for short tasks), the worker that is avoided.

Change: each plan binds the waiting tasks that have run before, and then all others, both in the order of urgency.

--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -52,6 +52,7 @@
 		}
 		e.job.Progress = *p
 		e.storedState = e.job.State()
+		e.mayHaveRestarts = true
 		s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
 	}
 	s.applyCancels()
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -60,8 +60,16 @@
 	}
 	slices.SortFunc(waiting, compareUrgency)
 	s.updateDemand(waiting, now)
+	// Tasks that have run go first, whatever the state of their jobs: a job of which only such a task is left ends with it.
 	for _, e := range waiting {
-		s.forJob("plan job", e, func() { s.planJob(e, config, now) })
+		if e.mayHaveRestarts {
+			s.forJob("plan restarts", e, func() { s.planJob(e, config, now, restartsOnly) })
+		}
+	}
+	for _, e := range waiting {
+		if e.mayHaveReady {
+			s.forJob("plan job", e, func() { s.planJob(e, config, now, allTasks) })
+		}
 	}
 	s.planLongRunningRounds(waiting, config, now)
 	s.endShortages()
@@ -74,7 +82,7 @@
 		bound = 0
 		for _, e := range waiting {
 			if e.longRunning && e.mayHaveReady {
-				s.forJob("plan job", e, func() { bound += s.planJob(e, config, now) })
+				s.forJob("plan job", e, func() { bound += s.planJob(e, config, now, allTasks) })
 			}
 		}
 	}
@@ -127,9 +135,18 @@
 	return 1
 }
 
-// planJob binds the waiting tasks of a job, but only one new long-running task per step, and returns how many it bound.
-// The caller holds mu.
-func (s *Shard) planJob(e *jobEntry, config *jobqueue.Config, now time.Duration) int {
+// taskSelection selects the waiting tasks that are planned.
+type taskSelection uint8
+
+const (
+	allTasks taskSelection = iota
+	// restartsOnly selects tasks that have run before.
+	restartsOnly
+)
+
+// planJob binds the selected waiting tasks of a job, but only one new long-running task per step, and returns how many it
+// bound. The caller holds mu.
+func (s *Shard) planJob(e *jobEntry, config *jobqueue.Config, now time.Duration, selected taskSelection) int {
 	remaining, bound := false, 0
 	s.placements = s.placements[:0]
 	for _, o := range e.job.Occurrences {
@@ -137,12 +154,12 @@
 			if !e.job.Ready(o, step) {
 				continue
 			}
-			n, more := s.planStep(e, o, step, now)
+			n, more := s.planStep(e, o, step, now, selected)
 			bound += n
 			remaining = remaining || more
 		}
 	}
-	e.mayHaveReady = remaining
+	e.mayHaveReady, e.mayHaveRestarts = remaining, remaining && slices.ContainsFunc(e.job.Occurrences, anyWaitsAgain)
 	if bound > 0 {
 		s.log.Info().Str("job", e.job.Spec.ID).Int("tasks", bound).Strs("on", s.placements).Bool("more", remaining).
 			Int64("age_ms", s.deps.WallTime().UnixMilli()-e.job.Spec.AcceptedMs).
@@ -165,15 +182,15 @@
 
 // planStep binds the waiting tasks of a step and reports how many it bound and whether some still wait. The caller
 // holds mu.
-func (s *Shard) planStep(e *jobEntry, o *jobs.Occurrence, step int, now time.Duration) (int, bool) {
+func (s *Shard) planStep(e *jobEntry, o *jobs.Occurrence, step int, now time.Duration, selected taskSelection) (int, bool) {
 	request := s.placementRequest(e, jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step})
 	queue := s.queueOf(e)
 	if queue == nil || queue.Advice == nil {
-		return s.placeStep(e, o, step, &request, now)
+		return s.placeStep(e, o, step, &request, now, selected)
 	}
 	unrestricted := request // candidates to request advice on
 	s.requireTicket(&request, now)
-	bound, remaining := s.placeStep(e, o, step, &request, now)
+	bound, remaining := s.placeStep(e, o, step, &request, now, selected)
 	if remaining {
 		s.requestAdvice(queue, &unrestricted, now)
 	}
@@ -188,9 +205,9 @@
 	return nil
 }
 
-// placeStep binds the waiting tasks of a step to workers that the request allows. The caller holds mu.
-func (s *Shard) placeStep(e *jobEntry, o *jobs.Occurrence, step int, request *packing.Request,
-	now time.Duration) (int, bool) {
+// placeStep binds the selected waiting tasks of a step to workers that the request allows. The caller holds mu.
+func (s *Shard) placeStep(e *jobEntry, o *jobs.Occurrence, step int, request *packing.Request, now time.Duration,
+	selected taskSelection) (int, bool) {
 	spec := &e.job.Spec.Steps[step]
 	if spec.Gang {
 		return s.planGang(e, o, step, request, now)
@@ -202,7 +219,7 @@
 		if o.Steps[step][i].Phase != jobs.Waiting {
 			continue
 		}
-		if restarts && o.Steps[step][i].Run == 0 {
+		if (restarts || selected == restartsOnly) && o.Steps[step][i].Run == 0 {
 			remaining = true // a new task would take the place of one that has run
 			continue
 		}
@@ -237,6 +254,11 @@
 // waitsAgain reports whether a task waits that has run before.
 func waitsAgain(t jobs.Task) bool { return t.Phase == jobs.Waiting && t.Run > 0 }
 
+// anyWaitsAgain reports whether any task of an occurrence waits that has run before.
+func anyWaitsAgain(o *jobs.Occurrence) bool {
+	return slices.ContainsFunc(o.Steps, func(tasks []jobs.Task) bool { return slices.ContainsFunc(tasks, waitsAgain) })
+}
+
 // Limits of how long filling tasks wait for workers on which they disturb no serving task.
 const (
 	// urgentAfterMs is the age of a job above which its filling tasks run on any worker, at a limited pace.
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -199,7 +199,7 @@
 	if e.job.Outcome != jobs.Unfinished {
 		s.stopJobRuns(e)
 	}
-	e.mayHaveReady = true
+	e.mayHaveReady, e.mayHaveRestarts = true, e.mayHaveRestarts || kind != jobs.EndDone
 	s.markDirty(e)
 	signal(s.planSignal)
 }
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -94,8 +94,8 @@
 	job *jobs.Job
 	// storedState is the newest stored state, the only one that callers see.
 	storedState jobs.State
-	// mayHaveReady is set if some task may be ready to be bound.
-	mayHaveReady bool
+	// mayHaveReady is set if some task may be ready to be bound, and mayHaveRestarts if one that has run before may be.
+	mayHaveReady, mayHaveRestarts bool
 	// dueMs is the time by which the job should end; it orders the jobs of a plan.
 	dueMs int64
 	// criticalPathMs is the estimated time of the longest chain of steps.
