Move jobs of which nothing runs to idle shards

Cause: a shard that lacks capacity gets workers of others, but only idle ones, and where long-running tasks run on each worker none is. A job itself moved only if its shard had no worker of the kind at all.

Change: a request for workers says whether the job may move. An owner takes it if a task fits there now, nothing waits for capacity, and it was not late with a start in the last 3 s. Long-running tasks keep to workers that move, since more decides where they fit.

TestJobMovesToAnIdleShard/idle fails without the change ("condition not met after 8s").

--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -161,7 +161,9 @@
 			continue
 		}
 		n := Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step, Tasks: sh.waiting(), NoneSuits: noneSuits,
-			Restarts: restarts}
+			Restarts: restarts,
+			// Whether long-running tasks fit depends on more than free capacity.
+			MayMove: !noneSuits && !sh.request.Step.LongRunning && s.mayMove(sh.entry, now-sh.since)}
 		if q := s.queueOf(sh.entry); q != nil {
 			n.Regions = q.Regions
 		}
@@ -229,6 +231,10 @@
 			s.log.Debug().Err(err).Int("of_shard", other).Msg("request for workers failed")
 			continue
 		}
+		if l.Takes {
+			s.moveJob(n.job, n.waited, other)
+			return
+		}
 		total.Room += l.Room
 		total.Promised += l.Promised
 		if l.Fits && fitsIn < 0 {
--- a/node/shard/jobmove_test.go
+++ b/node/shard/jobmove_test.go
@@ -158,3 +158,46 @@
 		})
 	}
 }
+
+// Guards against jobs that wait for a full shard although another one is idle, because the workers there run long-running
+// tasks and cannot move (ambon-mist-large trouble-1, small twin).
+func TestJobMovesToAnIdleShard(t *testing.T) {
+	outcome := func(id jobs.TaskID, n int64) workerfake.Outcome {
+		if strings.HasPrefix(id.Job, "lasting") {
+			return endlessTask(id, n)
+		}
+		return oneSecondTask(id, n)
+	}
+	for name, idle := range map[string]bool{"idle": true, "full as well": false} {
+		t.Run(name, func(t *testing.T) {
+			runShards(t, 1, outcome, func(c *cluster, is *is.I) {
+				c.submitIn(1, "lasting1", jobs.Step{Count: 1, LongRunning: true})
+				c.waitUntil("the long-running task runs", 10*time.Second, func() bool { return c.allRunning("lasting1", 1) })
+				c.submitIn(0, "lasting0", jobs.Step{Count: 10})
+				c.waitUntil("shard 0 is full", 10*time.Second, func() bool { return c.allRunning("lasting0", 10) })
+				if !idle {
+					c.submitIn(1, "lasting2", jobs.Step{Count: 20})
+					time.Sleep(2 * time.Second)
+				}
+				c.acceptIn(0, &jobs.Spec{ID: "job", Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
+					AcceptedMs: time.Now().UnixMilli(), Steps: []jobs.Step{
+						{Count: 3, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}},
+						{Count: 2, Size: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}, After: []int{0}}}})
+				if !idle {
+					time.Sleep(10 * time.Second)
+					is.Equal(c.fleet.Starts(task("job", 0)), 0)
+					page, err := c.operatorStore.Newest(t.Context(), keyedlog.Partition{Topic: "keyed.jobs", Number: 1}, "")
+					is.NoErr(err)
+					for _, r := range page.Records {
+						is.True(!strings.HasSuffix(r.Key, "/job")) // it waits where it is
+					}
+					return
+				}
+				c.waitForState("job", jobs.StateCompleted, 8*time.Second)
+				for i := range 3 {
+					is.Equal(c.fleet.Starts(task("job", i)), 1)
+				}
+			})
+		})
+	}
+}
--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -25,6 +25,8 @@
 	NoneSuits bool `cbor:"6,keyasint,omitempty"`
 	// Restarts is set if long-running tasks wait that have run before. They have to run again however busy the fleet is.
 	Restarts bool `cbor:"7,keyasint,omitempty"`
+	// MayMove is set if the job may move to the lender instead, see Loan.Takes.
+	MayMove bool `cbor:"8,keyasint,omitempty"`
 }
 
 // maxLentForRestarts limits the workers that a shard lends at a time to long-running tasks that have run before.
@@ -48,6 +50,9 @@
 	Promised int `cbor:"2,keyasint"`
 	// Fits is set if a task fits on a worker of the lender now, besides those that run there.
 	Fits bool `cbor:"3,keyasint,omitempty"`
+	// Takes is set, and nothing else is lent, if the job should move to the lender: a task fits there now, nothing waits for
+	// capacity, and the owner is not behind with starts.
+	Takes bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Lend moves workers that this shard can do without to the shard that needs them.
@@ -68,6 +73,9 @@
 		return Loan{}, errors.Errorf("request of shard %d for %d tasks is not valid", n.Shard, n.Tasks)
 	}
 	request := packing.Request{Step: &n.Step, Service: n.Service, Allowed: s.inRegions(n.Regions)}
+	if n.MayMove && len(s.shortages) == 0 && !s.behind() && s.fleet.Place(&request) != nil {
+		return Loan{Fits: true, Takes: true}, nil
+	}
 	limit, now, l := s.lendable(n), s.deps.Now(), Loan{}
 	for _, p := range s.fleet.Spare(&request) {
 		w := s.workers[p.ID]
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -215,6 +215,8 @@
 	// sweptAt is when the newest sweep began. stalledAt is the end of the newest period in which this daemon did not
 	// run, or was too slow to read the responses of workers.
 	sweptAt, stalledAt time.Duration
+	// lateStartAt is when a worker last responded to a late start.
+	lateStartAt time.Duration
 
 	commitSignal chan struct{}
 	planSignal   chan struct{}
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -21,6 +21,18 @@
 	refusalPause = 300 * time.Millisecond
 )
 
+// Signs of an owner that has more to do than it has processor time, or link, for.
+const (
+	// lateStartDelay is the time from the binding of a task to the response to its start above which the start is late. It
+	// covers an append and two calls between regions with a lost packet.
+	lateStartDelay = 1500 * time.Millisecond
+	// behindTime is how long an owner counts as behind after a late start.
+	behindTime = 3 * time.Second
+)
+
+// behind reports whether this owner was lately late with a start. The caller holds mu.
+func (s *Shard) behind() bool { return s.lateStartAt > 0 && s.deps.Now()-s.lateStartAt < behindTime }
+
 // callWorker runs f in a goroutine once one of the worker's call slots is free, unless the shard is lost first.
 func (s *Shard) callWorker(w *worker, f func()) {
 	s.runInBackground("call worker", func() {
@@ -113,6 +125,9 @@
 			s.setPace(w, r, 0) // reports raise it as far as the serving tasks tolerate it
 		}
 		s.deps.Counters.StartDelay.Record(r.respondedAt - r.boundAt)
+		if r.respondedAt-r.boundAt > lateStartDelay {
+			s.lateStartAt = r.respondedAt
+		}
 	case attempt > 1 && errors.Is(err, jobworker.ErrStaleRun):
 		// The first attempt arrived and its run has ended; a report lists the end.
 		r.stage, r.respondedAt = running, s.deps.Now()
