Size shards for owners with little processor time

Cause: at least 48 workers a shard, where an owner of 0.069 cores serves 24 by the same rule. The bound stood for large tasks, which find no place in a small shard; workers and jobs move between shards now.

Ruled out: the link, failed calls, a hand-over (no daemon is stronger).

Change: at least 24 workers a shard. Sites with daemons of 0.14 cores or more are not touched.

--- a/core/sharding/sharding.go
+++ b/core/sharding/sharding.go
@@ -10,9 +10,9 @@
 const (
 	// workersPerCore sizes shards: the shard of that many workers uses a third of a core.
 	workersPerCore = 350
-	// Bounds of the workers in a shard: with fewer, large tasks do not fit beside others; with more, the loss of an
+	// Bounds of the workers in a shard: with fewer, most large steps need workers of other shards; with more, the loss of an
 	// owner stops too many workers at once.
-	minWorkersPerShard, maxWorkersPerShard = 48, 175
+	minWorkersPerShard, maxWorkersPerShard = 24, 175
 )
 
 // Count returns the number of shards for a number of workers, if owners have the given processor time in cores. Each
