--- a/node/shard/jobmove.go
+++ b/node/shard/jobmove.go
@@ -14,8 +14,8 @@
 
 // A job moves to another shard if only workers there may run its tasks and they cannot move, or if nothing of it runs and
 // the other shard has room and nothing that waits. Its home shard stores the move as the job's outcome, under its epoch,
-// before it adds the job with its progress to the commands of the other shard; so at most one shard runs the job. The home shard stays the one that is asked for the job's state and that reads its
-// cancellation, and passes both on.
+// before it adds the job with its progress to the commands of the other shard; so at most one shard runs the job. The home
+// shard stays the one that is asked for the job's state and that reads its cancellation, and passes both on.
 
 const (
 	// arrivedPrefix and a job's id make the key in JobsTopic of the progress with which the job was moved to the shard.
