--- a/node/shard/silent_test.go
+++ b/node/shard/silent_test.go
@@ -15,7 +15,7 @@
 // Guards against a call of an owner to the store that has no time limit or is not repeated: the first call of each kind
 // to each topic has no response.
 func TestFirstCallsWithoutResponse(t *testing.T) {
-	runCluster(t, 2, 1, oneSecondTask, func(c *cluster, is *is.I) {
+	runCluster(t, 2, 0, oneSecondTask, func(c *cluster, is *is.I) {
 		var mu sync.Mutex
 		called := map[string]bool{}
 		c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
@@ -28,6 +28,7 @@
 			}
 			return storefake.Fault{Hang: first}
 		})
+		c.addDaemon("d0") // it makes its first calls at once
 		c.submit("job", jobs.Step{}, 2)
 		c.waitForState("job", jobs.StateCompleted, 30*time.Second)
 		is.True(len(called) >= 8)
