--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -46,6 +46,7 @@
 	zonesOut      map[string]bool // zones out of service
 	daemons       []*daemon
 	shards        int
+	longestLease  time.Duration  // that workers accept
 	home          map[string]int // home shards of workers and jobs, 0 for others
 	config        *jobqueue.Config
 	// configHook replaces the function that returns the configuration.
@@ -73,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: storefake.New(), fleet: workerfake.NewFleet(outcome), startedAt: time.Now().Add(-time.Hour),
-			shards: 1, home: map[string]int{}, infos: map[string]jobworker.Info{}, zonesOut: map[string]bool{},
+			shards: 1, longestLease: maxWorkerLease, home: map[string]int{}, infos: map[string]jobworker.Info{}, zonesOut: map[string]bool{},
 			config: &jobqueue.Config{Version: 1, Queues: []jobqueue.Queue{{Name: "q", Service: service}},
 				Services: map[string]jobqueue.Service{service: {Name: service}}},
 		}
@@ -108,7 +109,7 @@
 }
 
 func (c *cluster) addServiceWorker(id, service string) {
-	c.fleet.Add(c.addEntry(jobworker.Info{ID: id, Service: service}), maxWorkerLease)
+	c.fleet.Add(c.addEntry(jobworker.Info{ID: id, Service: service}), c.longestLease)
 }
 
 // addWorkerOn adds a worker on a VM.
