--- a/core/jobs/spec.go
+++ b/core/jobs/spec.go
@@ -73,6 +73,8 @@
 	Repeat     int   `cbor:"11,keyasint,omitempty"`
 	FirstRunMs int64 `cbor:"12,keyasint,omitempty"`
 	IntervalMs int64 `cbor:"13,keyasint,omitempty"`
+	// Account is the name of the client account that submitted the job; empty if none did.
+	Account string `cbor:"14,keyasint,omitempty"`
 }
 
 // Tasks returns the number of tasks of one occurrence.
--- a/external/jobqueue/jobqueue.go
+++ b/external/jobqueue/jobqueue.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/account"
 	"waxwingslip.example/core/jobs"
 )
 
@@ -30,6 +31,8 @@
 	MaxAttempts int
 	// Regions limits where tasks may run; empty allows all.
 	Regions []string
+	// Public queues take requests without a key of a client account.
+	Public bool
 	// Advice is set if only some workers may run the queue's steps.
 	Advice *Advice
 }
@@ -58,6 +61,8 @@
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts, nil if the configuration knows none.
+	Accounts *account.Set
 }
 
 // Match returns the queue with the request's host and the longest matching prefix of its path, or nil.
