Send no starts to a worker that does not respond

Such a start now isn't sent, and its task is bound elsewhere at once; a second attempt becomes a stop. TestStartsDoNotExtendLeaseOfSilentWorker failed before (tasks not running 8 s later).

--- a/node/shard/silent_test.go
+++ b/node/shard/silent_test.go
@@ -34,3 +34,20 @@
 		is.True(len(called) >= 8)
 	})
 }
+
+// Guards against starts that are still sent to a worker which no longer responds: each one extends the lease that the owner
+// counts, and long-running tasks there waited longer than the 9 s after which they count as lost (sweep of
+// trentside-plans-grown at 30 VMs: 21 s).
+func TestStartsDoNotExtendLeaseOfSilentWorker(t *testing.T) {
+	runCluster(t, 1, 1, endlessTask, func(c *cluster, is *is.I) {
+		c.owner()
+		c.submit("lasting", jobs.Step{LongRunning: true}, 2)
+		c.waitUntil("the tasks run", 2*time.Second, func() bool { return c.allRunning("lasting", 2) })
+		c.cut("w0")
+		c.submit("short", jobs.Step{}, 8) // more starts than the worker may have in flight
+		time.Sleep(time.Second)
+		c.addWorker("w1")
+		c.waitUntil("the tasks run again", 8*time.Second, func() bool { return c.fleet.Starts(task("lasting", 1)) == 2 })
+		c.waitUntil("the other tasks run", 2*time.Second, func() bool { return c.allRunning("short", 8) })
+	})
+}
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -93,7 +93,8 @@
 		return jobworker.Info{}, jobworker.Start{}, false
 	}
 	e := s.jobs[r.id.Job]
-	mayStart := s.auth.MayStart() && w.settled && w.entryConfirmed() && s.suits(w, r, e)
+	// Each start extends the lease, so a worker that does not respond gets none: the tasks there could not be taken as ended.
+	mayStart := s.auth.MayStart() && !w.unreachable && w.settled && w.entryConfirmed() && s.suits(w, r, e)
 	switch {
 	case attempt > 1 && !mayStart:
 		s.stopRun(w, r) // the first attempt may have arrived
