Let small VMs propose the number of shards last

The delay of small VMs now begins once the number of workers is final. TestSmallVMsLeaveCountToOthers failed before for registrations that take 6 and 9 s: eight shards instead of two.

--- a/node/hosted/join.go
+++ b/node/hosted/join.go
@@ -179,26 +179,34 @@
 // countWorkers returns the number of registered workers once it no longer grows. It returns errAgreed if another daemon
 // was faster.
 func (d *Daemon) countWorkers(ctx context.Context, start time.Duration) (int, error) {
-	wait := registrationTime + rand.N(proposalJitter)
-	if d.settings.VM.Cores < weakVMCores {
-		wait += weakVMDelay
-	}
-	previous := -1
+	wait, previous := registrationTime+rand.N(proposalJitter), -1
 	for {
-		ctxtime.Sleep(ctx, wait-(d.now()-start))
-		agreed, err := d.shardCountStored(ctx)
-		if err != nil || agreed {
-			return 0, firstError(err, errAgreed)
-		}
-		workers, err := d.registeredWorkers(ctx)
+		workers, err := d.countOnce(ctx, wait-(d.now()-start))
 		if err != nil {
 			return 0, err
 		}
 		if workers == previous || d.now()-start >= maxRegistrationTime {
-			return workers, nil
+			previous = workers
+			break
 		}
 		previous, wait = workers, d.now()-start+recountDelay
 	}
+	if d.settings.VM.Cores < weakVMCores {
+		// VMs with more processor time see the same numbers, so the delay begins once these are final: a small VM would
+		// divide the fleet into many small shards.
+		return d.countOnce(ctx, weakVMDelay)
+	}
+	return previous, nil
+}
+
+// countOnce waits and then returns the number of registered workers, or errAgreed if the number of shards is agreed on.
+func (d *Daemon) countOnce(ctx context.Context, wait time.Duration) (int, error) {
+	ctxtime.Sleep(ctx, wait)
+	agreed, err := d.shardCountStored(ctx)
+	if err != nil || agreed {
+		return 0, firstError(err, errAgreed)
+	}
+	return d.registeredWorkers(ctx)
 }
 
 func firstError(err, other error) error {
