Close what the review of restarted workers found

An entry of another writer delayed the restart of long-running tasks by 23 s.

Now a worker that seems to have restarted gets no deadline, acknowledgement or start until it has reported; the fence number outlasts the removal of a worker; a release passes on all leases that may last; an entry counts only until the worker has answered after it; runs whose one start was confirmed end with their lease. Records of workers that have left are deleted.

--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -298,3 +298,10 @@
 	}
 	return sum
 }
+
+// DeadlineMs returns the end of a worker's lease on its clock, 0 if it has none.
+func (f *Fleet) DeadlineMs(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].deadlineMs
+}
--- a/node/shard/incarnation.go
+++ b/node/shard/incarnation.go
@@ -61,7 +61,12 @@
 func (s *Shard) settledRecords() []keyedlog.Record {
 	var records []keyedlog.Record
 	for id := range s.unstoredSettled {
-		value, err := cbor.Marshal(s.settled[id])
+		settled, ok := s.settled[id]
+		if !ok {
+			records = append(records, keyedlog.Record{Key: settledPrefix + id})
+			continue
+		}
+		value, err := cbor.Marshal(settled)
 		if err != nil {
 			s.log.Error().Err(err).Str("worker", id).Msg("settled incarnation of a worker cannot be encoded")
 			continue
@@ -72,6 +77,27 @@
 	return records
 }
 
+// pruneSettled deletes the settled incarnations of workers that have been gone for so long that no call to them can be
+// executed any more. The caller holds mu.
+func (s *Shard) pruneSettled(now time.Duration) {
+	for id := range s.settled {
+		if s.workers[id] != nil || len(s.runsByWorker[id]) > 0 {
+			delete(s.absentSince, id)
+			continue
+		}
+		since, absent := s.absentSince[id]
+		if !absent {
+			s.absentSince[id] = now
+		} else if now-since > s.lateLeaseDuration() {
+			delete(s.absentSince, id)
+			delete(s.settled, id)
+			delete(s.usedFences, id)
+			s.unstoredSettled[id] = struct{}{}
+			signal(s.commitSignal)
+		}
+	}
+}
+
 // settle stores a worker's incarnation and allows starts and leases once that is done. The caller holds mu.
 func (s *Shard) settle(w *worker) {
 	h, _ := s.heldWorker(w.info.ID)
@@ -80,7 +106,7 @@
 	w.settling = true
 	incarnation := w.incarnation
 	s.whenStored(func() {
-		if w.incarnation != incarnation {
+		if w.incarnation != incarnation || s.workers[w.info.ID] != w {
 			return
 		}
 		w.settling, w.settled = false, true
@@ -129,6 +155,9 @@
 // worker's runs: until then such a call may still start one. The caller holds mu.
 func (s *Shard) recordIncarnation(w *worker, report *jobworker.Report, fence int64) (firstFenced, usable bool) {
 	switch {
+	case !w.adopted && fence <= w.formerFence:
+		s.raiseFence(w)
+		return false, false
 	case !w.adopted:
 		// Earlier owners used lower fence numbers, and granted no longer leases than this one does.
 		w.grant.Sent(report.ClockMs + s.deps.Limits.MaxWorkerLease.Milliseconds())
@@ -148,20 +177,17 @@
 		former := w.incarnation
 		w.incarnation, w.grant, w.formerFence = report.Incarnation, lease.Grant{}, w.fence
 		w.recordedEnd, w.storedEnd, w.ackedEnd = 0, 0, 0
-		w.settled, w.settling, w.foreignLeaseMs, w.otherClock = false, false, 0, false
+		w.settled, w.settling, w.foreignLeaseMs = false, false, 0
 		s.recordRestart(w, former)
 		s.raiseFence(w)
 		return false, false
 	case fence <= w.formerFence:
 		s.raiseFence(w)
 		return false, false
-	case !w.settled && !w.settling && w.foreignLeaseMs == 0 && !w.otherClock:
+	case !w.settled && !w.settling && w.foreignLeaseMs == 0:
 		s.recordFencedReport(w, report)
 		return true, true
 	}
-	if w.otherClock {
-		w.otherClock, w.settled = false, true
-	}
 	return false, true
 }
 
@@ -191,6 +217,9 @@
 // endFormerRuns ends the runs of a restarted worker that its first fenced report does not list. Their starts, also those
 // under way, can have no effect any more. The caller holds mu.
 func (s *Shard) endFormerRuns(w *worker, report *jobworker.Report) {
+	if report.Truncated {
+		return // further ends may follow
+	}
 	listed := make(map[string]int64, len(report.Running)+len(report.Ended))
 	for i := range report.Running {
 		listed[report.Running[i].Task] = report.Running[i].Run
@@ -208,17 +237,21 @@
 // restartedOutOfReach reports whether a worker seems to have restarted since its newest report: the registry names another
 // incarnation, or the response to a start shows another clock. The caller holds mu.
 func (s *Shard) restartedOutOfReach(w *worker) bool {
-	known := w.incarnation
-	if !w.adopted {
-		settled, ok := s.settledOf(w.info.ID)
-		if !ok {
-			return false
-		}
-		known = settled
+	if w.adopted {
+		// A worker that has answered since an entry was read is the one that answered, whatever the entry names.
+		return w.otherClockAt > w.reportedAt || w.unfenced() || w.entryAt > w.reportedAt && w.info.Incarnation != w.incarnation
 	}
-	return w.otherClock || w.info.Incarnation != 0 && w.info.Incarnation != known
+	settled, ok := s.settledOf(w.info.ID)
+	return ok && w.info.Incarnation != 0 && w.info.Incarnation != settled
 }
 
+// seemsRestarted reports whether a worker seems to have restarted or moved to another address since its newest report, so
+// that deadlines and acknowledgements for the incarnation of that report must not be sent. The caller holds mu.
+func (w *worker) seemsRestarted() bool { return max(w.entryAt, w.otherClockAt) > w.reportedAt }
+
+// unfenced reports whether calls for a former incarnation may still have an effect on the newest one. The caller holds mu.
+func (w *worker) unfenced() bool { return w.formerFence > 0 && w.answeredFence <= w.formerFence }
+
 // lateLeaseDuration is how long after it was sent a call may still leave a lease on an incarnation that it was not meant
 // for.
 func (s *Shard) lateLeaseDuration() time.Duration {
@@ -228,14 +261,14 @@
 // checkClock compares the clock of a start's response with that of the newest report. A lower one shows that another
 // incarnation has executed the start. The caller holds mu.
 func (s *Shard) checkClock(w *worker, sentAt time.Duration, clockMs int64) {
-	if clockMs >= w.clock.LowerBound(sentAt)-clockTolerance.Milliseconds() {
+	if s.workers[w.info.ID] != w || clockMs >= w.clock.LowerBound(sentAt)-clockTolerance.Milliseconds() {
 		return
 	}
 	s.log.Info().Str("worker", w.info.ID).Int64("clock_ms", clockMs).Msg("start executed by another incarnation")
-	w.otherClock, w.settled = true, false
+	w.otherClockAt = s.deps.Now()
 	w.cancelRenewal()
 	s.updateAvailability(w)
 }
 
-// clockTolerance is how far a worker's clock may lag behind the lower bound of it.
-const clockTolerance = 500 * time.Millisecond
+// clockTolerance covers the rounding of clocks.
+const clockTolerance = 10 * time.Millisecond
--- a/node/shard/leases.go
+++ b/node/shard/leases.go
@@ -13,7 +13,7 @@
 // expiry returns when the leases that earlier owners granted to a worker have certainly expired.
 func (l *EarlierLeases) expiry(worker string) time.Duration {
 	if at, ok := l.ByWorker[worker]; ok {
-		return min(at, l.All)
+		return at
 	}
 	return l.All
 }
@@ -42,7 +42,7 @@
 		to[id] = s.earlierLeases.expiry(id)
 	case !w.adopted:
 		to[id] = s.earlierLeaseExpiry(w)
-	case w.unreachable:
+	case w.unreachable, !w.settled, s.restartedOutOfReach(w):
 		now := s.deps.Now()
 		if left, ok := w.grant.Remaining(&w.clock, now, leaseExpiryMargin); ok {
 			to[id] = now + left
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -135,6 +135,7 @@
 		s.stopUnexpectedRun(w, listedRun.Task, listedRun.Run)
 		return nil
 	}
+	r.listed = true
 	if r.stage == starting || r.stage == committing {
 		r.stage, r.respondedAt = running, s.deps.Now()
 	}
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -151,6 +151,10 @@
 	overTargetSince time.Duration
 	// slowSince is when the pace fell below slowPacePercent; zero while it is not below.
 	slowSince time.Duration
+	// startAttempts is how often this owner has sent the start, 0 for a run of an earlier owner. listed is set once a report
+	// lists the run.
+	startAttempts int
+	listed        bool
 	// checkpoint is the newest one that the worker reported.
 	checkpoint string
 }
@@ -194,6 +198,10 @@
 	// stored yet.
 	settled         map[string]settledIncarnation
 	unstoredSettled map[string]struct{}
+	// usedFences holds the newest fence numbers of workers that were removed.
+	usedFences map[string]int64
+	// absentSince is since when workers with a settled incarnation have been gone.
+	absentSince map[string]time.Duration
 	// arrived holds the progress with which jobs were moved to this shard, by the job's id.
 	arrived map[string]*jobs.Progress
 	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
@@ -245,7 +253,7 @@
 		pressure: pressure.NewModel(deps.Limits.MaxObjectiveMiss - objectiveMissReserve),
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
 		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
-		settled: map[string]settledIncarnation{}, unstoredSettled: map[string]struct{}{},
+		settled: map[string]settledIncarnation{}, unstoredSettled: map[string]struct{}{}, usedFences: map[string]int64{}, absentSince: map[string]time.Duration{},
 		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
@@ -352,6 +360,7 @@
 	s.emptyPromised(now)
 	s.createDueOccurrences()
 	s.pruneEndedJobs()
+	s.pruneSettled(now)
 	s.pruneAdvice()
 }
 
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -52,8 +52,8 @@
 	// foreignLeaseMs is the time on the clock of a restarted worker at which all leases end that calls for former
 	// incarnations may have left; zero until a report shows that no further such call can take effect.
 	foreignLeaseMs int64
-	// otherClock is set while a response to a start shows another clock than the newest report.
-	otherClock bool
+	// otherClockAt is when the response to a start last showed another clock than the newest report.
+	otherClockAt time.Duration
 	// deadlineSentAt is when a deadline was last sent to the worker.
 	deadlineSentAt time.Duration
 	// renewalCancel ends the renewal under way.
@@ -79,7 +79,8 @@
 	entryAt, reportedAt time.Duration
 	// fence is the fence number of calls, at least the sum of fenceBase and the epoch. formerFence is the highest one of
 	// calls for the former incarnation, 0 if there was none under this owner.
-	fence, formerFence, fenceBase int64
+	// answeredFence is that of the newest report.
+	fence, formerFence, answeredFence, fenceBase int64
 	// heldSince is since when this owner has had the worker.
 	heldSince time.Duration
 	// promisedTo is the shard for which the worker takes no new tasks until promisedUntil.
@@ -179,7 +180,10 @@
 func (s *Shard) addWorker(info jobworker.Info) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	h, _ := s.heldWorker(info.ID)
-	w := &worker{info: info, registered: true, heldSince: s.deps.Now(), fence: h.FenceBase + s.epoch, fenceBase: h.FenceBase, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
+	// Calls to a worker that was removed may still be under way.
+	used := s.usedFences[info.ID]
+	w := &worker{info: info, registered: true, heldSince: s.deps.Now(), fence: max(h.FenceBase+s.epoch, used), formerFence: used,
+		fenceBase: h.FenceBase, cancel: cancel, callSlots: make(chan struct{}, maxCallsInFlight)}
 	s.workers[info.ID] = w
 	s.fleet.Add(&packing.Worker{ID: info.ID, Kind: kindOf(info)})
 	for _, r := range s.runsByWorker[info.ID] {
@@ -193,7 +197,7 @@
 // the new incarnation may be of another kind, which only its own entry tells.
 func (w *worker) entryConfirmed() bool {
 	startedAgain := w.info.Incarnation != 0 && w.incarnation > w.info.Incarnation
-	return w.reportedAt >= w.entryAt && !startedAgain
+	return !w.seemsRestarted() && !startedAgain
 }
 
 // updateAvailability updates whether the worker takes new tasks. The caller holds mu.
@@ -289,20 +293,21 @@
 	}
 	s.raiseFence(w)
 	r.Fence = w.fence
-	if w.storedEnd > w.ackedEnd && !w.unreachable {
+	answers := !w.unreachable && !w.seemsRestarted()
+	if w.storedEnd > w.ackedEnd && answers {
 		// An acknowledgement is not repeated once confirmed, and not sent to a worker that may have restarted: it
 		// numbers its ends from the start again and would drop ends that were never reported.
 		r.Ack = w.storedEnd
 	}
 	sentAt = s.deps.Now()
-	if w.clock.Known() && w.settled && !w.unreachable {
+	if w.clock.Known() && w.settled && answers {
 		// Calls to an unresponsive worker renew nothing, so that its lease expires at a known time even if the
 		// requests arrive and only the responses are lost.
 		r.DeadlineMs = w.clock.Deadline(sentAt, s.deps.Limits.MaxWorkerLease)
 		w.grant.Sent(r.DeadlineMs)
 		w.deadlineSentAt = sentAt
 	}
-	if (w.settled || w.foreignLeaseMs > 0) && !w.unreachable && w.storedEnd == w.recordedEnd {
+	if (w.settled || w.foreignLeaseMs > 0) && answers && w.storedEnd == w.recordedEnd {
 		r.Wait = reportWait
 		if w.objectiveMissed {
 			r.Wait = objectiveMissedReportWait
@@ -355,7 +360,7 @@
 	}
 	firstFenced, usable := s.recordIncarnation(w, &report, fence)
 	w.clock.Observe(sentAt, s.deps.Now(), report.ClockMs)
-	w.unreachable, w.adopted, w.reportedAt = false, true, sentAt
+	w.unreachable, w.adopted, w.reportedAt, w.answeredFence = false, w.adopted || usable, sentAt, fence
 	if firstFenced {
 		s.endFormerRuns(w, &report)
 	}
@@ -383,10 +388,13 @@
 			s.endLostRuns(w, "its lease lapsed")
 			if !w.registered {
 				w.cancel()
+				s.usedFences[id] = w.fence
 				delete(s.workers, id)
 				s.fleet.Remove(id)
 				s.log.Info().Str("worker", id).Msg("worker removed")
 			}
+		} else if w.failedSentAt >= s.stalledAt && w.adopted && w.grant.ExpiredBy(&w.clock, now, leaseExpiryMargin) {
+			s.endConfirmedRuns(w)
 		}
 	}
 	for id, workerRuns := range s.runsByWorker {
@@ -431,11 +439,23 @@
 func (s *Shard) earlierLeaseExpiry(w *worker) time.Duration {
 	at := s.earlierLeases.expiry(w.info.ID)
 	if s.restartedOutOfReach(w) {
-		at += s.lateLeaseDuration()
+		// Earlier owners sent their last deadline MaxWorkerLease before All at the latest.
+		at = max(at, s.earlierLeases.All-s.deps.Limits.MaxWorkerLease+s.lateLeaseDuration())
 	}
 	return at
 }
 
+// endConfirmedRuns ends the runs on a worker that seems to have restarted which a report has listed and whose start was sent
+// once: no call can start them on another incarnation, and the lease of the one that ran them has expired. The caller holds
+// mu.
+func (s *Shard) endConfirmedRuns(w *worker) {
+	for _, r := range s.runsByWorker[w.info.ID] {
+		if r.startAttempts == 1 && r.listed && r.stage != committing {
+			s.endRun(r, jobs.EndLost, "", "its worker restarted, or its lease lapsed")
+		}
+	}
+}
+
 // endLostRuns ends all runs of a worker that no longer runs anything. The caller holds mu.
 func (s *Shard) endLostRuns(w *worker, reason string) {
 	for _, r := range s.runsByWorker[w.info.ID] {
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -106,6 +106,7 @@
 	deadline := w.clock.Deadline(s.deps.Now(), s.deps.Limits.MaxWorkerLease)
 	w.grant.Sent(deadline)
 	w.deadlineSentAt = s.deps.Now()
+	r.startAttempts = attempt
 	return w.info, jobworker.Start{Task: r.name, Run: r.number, Payload: payload, Checkpoint: r.checkpoint,
 		Fence: w.fence, DeadlineMs: deadline, Ticket: s.ticketFor(r)}, true
 }
