--- a/core/account/account.go
+++ b/core/account/account.go
@@ -2,7 +2,13 @@
 // each account may have running.
 package account
 
-import "waxwingslip.example/core/resource"
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+
+	"waxwingslip.example/core/resource"
+)
 
 // Account is a client account.
 type Account struct {
@@ -17,8 +23,24 @@
 // Set is the accounts of one version of the configuration. It does not change.
 type Set struct {
 	byName map[string]*Account
+	byKey  map[uint64][]keyEntry
+}
+
+// keyEntry is a key, of which only the hash is kept.
+type keyEntry struct {
+	hash    [sha256.Size]byte
+	account *Account
+}
+
+// hashOf allocates no memory for keys of usual length.
+func hashOf(key string) [sha256.Size]byte {
+	var buffer [256]byte
+	return sha256.Sum256(append(buffer[:0], key...))
 }
 
+// bucket returns the index of a hash in Set.byKey.
+func bucket(hash *[sha256.Size]byte) uint64 { return binary.BigEndian.Uint64(hash[:8]) }
+
 // Account returns an account by its name, or nil. It may be called on a nil set.
 func (s *Set) Account(name string) *Account {
 	if s == nil {
@@ -26,3 +48,40 @@
 	}
 	return s.byName[name]
 }
+
+// Len returns the number of accounts. It may be called on a nil set.
+func (s *Set) Len() int {
+	if s == nil {
+		return 0
+	}
+	return len(s.byName)
+}
+
+// ByKey returns the account of a key, or nil. It may be called on a nil set. Its duration depends on hashes only, and
+// callers cannot choose those: it does not reveal how much of a key is right.
+func (s *Set) ByKey(key string) *Account {
+	if s == nil || key == "" {
+		return nil
+	}
+	hash := hashOf(key)
+	var found *Account
+	for i := range s.byKey[bucket(&hash)] {
+		e := &s.byKey[bucket(&hash)][i]
+		if subtle.ConstantTimeCompare(e.hash[:], hash[:]) == 1 {
+			found = e.account
+		}
+	}
+	return found
+}
+
+// Scope is the set of jobs that a caller may ask for and cancel. The zero value contains all jobs, as without accounts.
+type Scope struct {
+	// Limited scopes contain the jobs of Account and those without an account.
+	Limited bool   `cbor:"1,keyasint,omitempty"`
+	Account string `cbor:"2,keyasint,omitempty"`
+}
+
+// Contains reports whether the jobs of an account are in the scope.
+func (s Scope) Contains(account string) bool {
+	return !s.Limited || account == "" || account == s.Account
+}
