Require keys of callers where the manifest defines client accounts

Jobs name the account of their key; callers see and cancel only jobs of their own account and those without one. While no owner responds, a cancellation is judged by the job's record in the store.

--- a/external/jobqueue/jobqueue.go
+++ b/external/jobqueue/jobqueue.go
@@ -97,10 +97,13 @@
 	Config() *Config
 	// Submit stores a job. After any error but RefusedError, the job may or may not be accepted.
 	Submit(ctx context.Context, spec *jobs.Spec) error
-	State(ctx context.Context, id string) (jobs.State, error)
-	Cancel(ctx context.Context, id string) error
+	// State and Cancel return ErrUnknownJob for jobs that are not in the caller's scope.
+	State(ctx context.Context, id string, scope account.Scope) (jobs.State, error)
+	Cancel(ctx context.Context, id string, scope account.Scope) error
 	// Waiting returns the number of accepted jobs of a queue of which no task has started.
 	Waiting(ctx context.Context, queue string) (int, error)
+	// CountUnauthorized counts a request that was refused because its key is missing or unknown.
+	CountUnauthorized()
 }
 
 // ErrUnknownJob means that no such job exists.
--- a/node/hosted/control.go
+++ b/node/hosted/control.go
@@ -68,7 +68,11 @@
 		return
 	}
 	c.config = config
-	c.log.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).Int64("offset", r.Offset).Msg("configuration in force")
+	line := c.log.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).Int64("offset", r.Offset)
+	if config.Accounts != nil {
+		line = line.Int("accounts", config.Accounts.Len())
+	}
+	line.Msg("configuration in force")
 }
 
 // Config returns the newest configuration, or nil.
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/account"
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/keyedlog"
@@ -89,16 +90,19 @@
 }
 
 // Cancel implements jobqueue.JobAPI.
-func (a *jobAPI) Cancel(ctx context.Context, id string) error {
+func (a *jobAPI) Cancel(ctx context.Context, id string, scope account.Scope) error {
 	shards := a.d.shardCount()
 	if shards == 0 {
 		return errStarting()
 	}
-	state, err := a.State(ctx, id)
+	state, err := a.State(ctx, id, scope)
 	var refused *jobqueue.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		// No owner responds. The command is stored anyway; an owner executes it once it has read it.
+		if err := a.checkStoredJob(ctx, id, scope, refused); err != nil {
+			return err
+		}
 	case err != nil:
 		return err
 	case state == jobs.StateCancelled || state == jobs.StateCompleted || state == jobs.StateFailed:
@@ -117,7 +121,7 @@
 }
 
 // State implements jobqueue.JobAPI.
-func (a *jobAPI) State(ctx context.Context, id string) (jobs.State, error) {
+func (a *jobAPI) State(ctx context.Context, id string, scope account.Scope) (jobs.State, error) {
 	shards := a.d.shardCount()
 	if shards == 0 {
 		return 0, errStarting()
@@ -125,9 +129,9 @@
 	n := shardOf(id, shards)
 	var state jobs.State
 	err := a.query(ctx, n,
-		func(ctx context.Context, s *shard.Shard) (err error) { state, err = s.State(ctx, id); return },
+		func(ctx context.Context, s *shard.Shard) (err error) { state, err = s.StateFor(ctx, id, scope); return },
 		func(ctx context.Context, address string) error {
-			return a.d.peers.Call(ctx, address, methodState, stateQuery{n, id}, &state)
+			return a.d.peers.Call(ctx, address, methodState, stateQuery{n, id, scope}, &state)
 		})
 	if err == nil && state == jobs.StateUnknown {
 		err = jobqueue.ErrUnknownJob
@@ -135,6 +139,9 @@
 	return state, err
 }
 
+// CountUnauthorized implements jobqueue.JobAPI.
+func (a *jobAPI) CountUnauthorized() { a.d.metrics.Counter("callers_unauthorized").Inc() }
+
 // Waiting implements jobqueue.JobAPI.
 func (a *jobAPI) Waiting(ctx context.Context, queue string) (int, error) {
 	shards := a.d.shardCount()
@@ -212,9 +219,11 @@
 	methodLend    = "shard.lend"
 )
 
+// stateQuery asks for the state of a job. Earlier builds send no scope, and ignore that of others.
 type stateQuery struct {
-	Shard int    `cbor:"1,keyasint"`
-	Job   string `cbor:"2,keyasint"`
+	Shard int           `cbor:"1,keyasint"`
+	Job   string        `cbor:"2,keyasint"`
+	Scope account.Scope `cbor:"3,keyasint,omitempty"`
 }
 
 type waitingQuery struct {
@@ -251,7 +260,7 @@
 		if err != nil {
 			return 0, err
 		}
-		return ownedShard.State(ctx, q.Job)
+		return ownedShard.StateFor(ctx, q.Job, q.Scope)
 	})
 	count := func(q waitingQuery) (shard.Count, error) {
 		ownedShard, err := d.requireOwnedShard(q.Shard)
--- a/node/hosted/jobapi_test.go
+++ b/node/hosted/jobapi_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"waxwingslip.example/core/account"
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/jobqueue"
 	"waxwingslip.example/external/keyedlog"
@@ -29,9 +30,9 @@
 	store := storefake.New()
 	api := &jobAPI{newTestDaemon(store.As("d"))}
 	var refused *jobqueue.RefusedError
-	is.True(errors.As(api.Cancel(t.Context(), "5c0e7a21d94b36f8"), &refused))
+	is.True(errors.As(api.Cancel(t.Context(), "5c0e7a21d94b36f8", account.Scope{}), &refused))
 	is.True(errors.As(api.Submit(t.Context(), &jobs.Spec{ID: "5c0e7a21d94b36f8"}), &refused))
-	_, err := api.State(t.Context(), "5c0e7a21d94b36f8")
+	_, err := api.State(t.Context(), "5c0e7a21d94b36f8", account.Scope{})
 	is.True(errors.As(err, &refused))
 	_, err = api.Waiting(t.Context(), "q")
 	is.True(errors.As(err, &refused))
@@ -123,7 +124,7 @@
 	d.closesAt.Store(int64(time.Hour + left))
 	var refused *jobqueue.RefusedError
 	is.True(errors.As((&jobAPI{d}).Submit(t.Context(), &jobs.Spec{ID: "5c0e7a21d94b36f8"}), &refused))
-	_, err := (&jobAPI{d}).State(t.Context(), "5c0e7a21d94b36f8")
+	_, err := (&jobAPI{d}).State(t.Context(), "5c0e7a21d94b36f8", account.Scope{})
 	is.True(errors.As(err, &refused))
 	is.True(time.Since(start) < left) // queryTimeLimit alone is longer
 }
@@ -137,7 +138,7 @@
 	d.now = func() time.Duration { return time.Hour + time.Since(start) }
 	d.shardTotal.Store(1)
 	d.controlReadAt.Store(int64(time.Hour - 2*unreachableControlAge))
-	_, err := (&jobAPI{d}).State(t.Context(), "5c0e7a21d94b36f8")
+	_, err := (&jobAPI{d}).State(t.Context(), "5c0e7a21d94b36f8", account.Scope{})
 	var refused *jobqueue.RefusedError
 	is.True(errors.As(err, &refused))
 	is.True(time.Since(start) < queryTimeLimit/2)
--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -28,7 +28,7 @@
 	if address == "" {
 		return jobs.StateUnknown, errors.Errorf("shard %d has no known owner", n)
 	}
-	if err = d.peers.Call(ctx, address, methodState, stateQuery{n, id}, &state); err != nil {
+	if err = d.peers.Call(ctx, address, methodState, stateQuery{Shard: n, Job: id}, &state); err != nil {
 		d.refreshOwner(n)
 	}
 	return state, err
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -203,7 +203,7 @@
 	}
 	if err != nil {
 		// Callers go on to see the job, which was accepted.
-		e := &jobEntry{job: jobs.New(&jobs.Spec{ID: id}), storedState: jobs.StatePending}
+		e := &jobEntry{job: jobs.New(&jobs.Spec{ID: id, Account: spec.Account}), storedState: jobs.StatePending}
 		s.jobs[id] = e
 		s.setAside(e, err)
 		return err
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/account"
 	"waxwingslip.example/core/jobs"
 )
 
@@ -29,6 +30,22 @@
 	return s.state(id), nil
 }
 
+// StateFor is State for a caller, to whom jobs outside its scope are unknown. A job that moved away is judged here.
+func (s *Shard) StateFor(ctx context.Context, id string, scope account.Scope) (jobs.State, error) {
+	state, err := s.State(ctx, id)
+	if err != nil || !s.inScope(id, scope) {
+		return jobs.StateUnknown, err
+	}
+	return state, nil
+}
+
+func (s *Shard) inScope(id string, scope account.Scope) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.jobs[id]
+	return e != nil && scope.Contains(e.job.Spec.Account)
+}
+
 func (s *Shard) state(id string) jobs.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -94,6 +94,7 @@
 
 	{"jobs_accepted", TypeCounter, "jobs", "Jobs that callers handed in and that were stored."},
 	{"jobs_refused", TypeCounter, "jobs", "Jobs refused before anything was stored."},
+	{"callers_unauthorized", TypeCounter, "requests", "Callers' requests refused because their key is missing or unknown."},
 	{"jobs_uncertain", TypeCounter, "jobs", "Commands of callers of which it is not known whether they were stored."},
 	{"jobs_stored_by_owner", TypeCounter, "jobs", "Commands of callers that the owner of the shard stored for this daemon."},
 	{"jobs_cancelled", TypeCounter, "jobs", "Cancellations that were stored."},
