--- a/node/shard/query_test.go
+++ b/node/shard/query_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"waxwingslip.example/core/account"
 	"waxwingslip.example/core/jobs"
 	workerfake "waxwingslip.example/external/jobworker/fake"
 	"waxwingslip.example/external/keyedlog"
@@ -137,3 +138,36 @@
 		})
 	}
 }
+
+// Guards against callers that learn of jobs of other accounts, and against jobs that are hidden from their own account, also
+// after the job moved and under other owners.
+func TestJobsOfOtherAccountsAreUnknown(t *testing.T) {
+	runOccupied(t, func(c *cluster, is *is.I) {
+		spec := twoSteps("job") // it moves to shard 1
+		spec.Account = "a"
+		c.acceptIn(0, spec)
+		check := func() {
+			for number := range 2 {
+				s := c.ownerOf(number).ownedShard()
+				for scope, seen := range map[account.Scope]bool{{}: true, {Limited: true, Account: "a"}: true,
+					{Limited: true, Account: "b"}: false, {Limited: true}: false} {
+					state, err := s.StateFor(c.t.Context(), "job", scope)
+					is.NoErr(err)
+					is.Equal(state != jobs.StateUnknown, seen)
+				}
+				state, err := s.StateFor(c.t.Context(), "nobody", account.Scope{})
+				is.NoErr(err)
+				is.Equal(state, jobs.StateUnknown)
+			}
+		}
+		c.waitForState("job", jobs.StateCompleted, 20*time.Second)
+		check()
+		for number := range 2 {
+			d := c.ownerOf(number)
+			d.cancel()
+			d.done.Wait()
+		}
+		c.waitForState("job", jobs.StateCompleted, 10*time.Second)
+		check()
+	})
+}
