Show the jobs of a public queue to callers without a key

A job that was handed in at a public queue with a key belongs to its account, and a caller that asked for it there without the key got 410, as for a job that doesn't exist.

--- a/core/account/account.go
+++ b/core/account/account.go
@@ -76,12 +76,14 @@
 
 // Scope is the set of jobs that a caller may ask for and cancel. The zero value contains all jobs, as without accounts.
 type Scope struct {
-	// Limited scopes contain the jobs of Account and those without an account.
+	// Limited scopes contain the jobs of Account, those of Queue, and those without an account.
 	Limited bool   `cbor:"1,keyasint,omitempty"`
 	Account string `cbor:"2,keyasint,omitempty"`
+	// Queue is a public queue: a caller may hand a job in there with a key, and ask for it without one.
+	Queue string `cbor:"3,keyasint,omitempty"`
 }
 
-// Contains reports whether the jobs of an account are in the scope.
-func (s Scope) Contains(account string) bool {
-	return !s.Limited || account == "" || account == s.Account
+// Contains reports whether a job of an account and a queue is in the scope.
+func (s Scope) Contains(account, queue string) bool {
+	return !s.Limited || account == "" || account == s.Account || s.Queue != "" && queue == s.Queue
 }
--- a/core/account/account_test.go
+++ b/core/account/account_test.go
@@ -67,11 +67,13 @@
 // Guards against callers that learn of jobs of other accounts.
 func TestScope(t *testing.T) {
 	is := is.New(t)
-	is.True(Scope{}.Contains("a"))
-	is.True(Scope{Limited: true, Account: "a"}.Contains("a"))
-	is.True(Scope{Limited: true, Account: "a"}.Contains(""))
-	is.True(!Scope{Limited: true, Account: "a"}.Contains("b"))
-	is.True(!Scope{Limited: true}.Contains("b"))
+	is.True(Scope{}.Contains("a", "q"))
+	is.True(Scope{Limited: true, Account: "a"}.Contains("a", "q"))
+	is.True(Scope{Limited: true, Account: "a"}.Contains("", "q"))
+	is.True(!Scope{Limited: true, Account: "a"}.Contains("b", "q"))
+	is.True(!Scope{Limited: true}.Contains("b", "q"))
+	is.True(Scope{Limited: true, Queue: "q"}.Contains("b", "q"))
+	is.True(!Scope{Limited: true, Queue: "p"}.Contains("b", "q"))
 }
 
 func BenchmarkByKey(b *testing.B) {
--- a/node/hosted/scope.go
+++ b/node/hosted/scope.go
@@ -33,7 +33,7 @@
 		if err := cbor.Unmarshal(r.Value, spec); err != nil {
 			return refused
 		}
-		if !scope.Contains(spec.Account) {
+		if !scope.Contains(spec.Account, spec.Queue) {
 			return jobqueue.ErrUnknownJob
 		}
 		return nil
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -43,7 +43,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.jobs[id]
-	return e != nil && scope.Contains(e.job.Spec.Account)
+	return e != nil && scope.Contains(e.job.Spec.Account, e.job.Spec.Queue)
 }
 
 func (s *Shard) state(id string) jobs.State {
