Compare clocks of starts sent before the newest report correctly

The lower bound of a worker's clock is for times after it was read; a start may be sent before. Extrapolated backwards, it lay up to 2% of the time between above the true clock, so that a worker could count as restarted.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -53,6 +53,14 @@
 	return c.workerMs + (elapsed * (100 - DriftPercent) / 100).Milliseconds()
 }
 
+// Earliest returns a lower bound of the worker's clock at the local time at, which may lie before the observation.
+func (c *WorkerClock) Earliest(at time.Duration) int64 {
+	if at >= c.received {
+		return c.LowerBound(at)
+	}
+	return c.workerMs - ((c.received-at)*(100+DriftPercent)/100).Milliseconds() - 1
+}
+
 // UpperBound returns an upper bound of the worker's clock at the local time now.
 func (c *WorkerClock) UpperBound(now time.Duration) int64 {
 	elapsed := now - c.sent
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -53,6 +53,17 @@
 	})
 }
 
+// Guards against a worker that is taken for another incarnation because a call was sent before its clock was read.
+func TestEarliestBeforeObservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := genClock(t)
+		at := c.receivedAt - genDuration(t, "before", 3*time.Second) + genDuration(t, "after", 3*time.Second)
+		if low, is := c.Earliest(at), c.trueMs(max(at, 0)); at >= 0 && low > is {
+			t.Fatalf("the clock is %d ms, at least %d ms were expected", is, low)
+		}
+	})
+}
+
 // Guards against declaring a task lost while its worker still honours a lease, also if the newest renewal was shorter.
 func TestGrantOutlastsLease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/shard/incarnation.go
+++ b/node/shard/incarnation.go
@@ -263,7 +263,7 @@
 // checkClock compares the clock of a start's response with that of the newest report. A lower one shows that another
 // incarnation has executed the start. The caller holds mu.
 func (s *Shard) checkClock(w *worker, sentAt time.Duration, clockMs int64) {
-	if s.workers[w.info.ID] != w || clockMs >= w.clock.LowerBound(sentAt)-clockTolerance.Milliseconds() {
+	if s.workers[w.info.ID] != w || clockMs >= w.clock.Earliest(sentAt)-clockTolerance.Milliseconds() {
 		return
 	}
 	s.log.Info().Str("worker", w.info.ID).Int64("clock_ms", clockMs).Msg("start executed by another incarnation")
