Lend workers with long-running tasks to tasks that have to run again

Ruled out: capacity of the fleet, order of plans, small shards. A worker now is also promised if all its long-running tasks fit on others of its shard; these move one by one, and so do filling tasks that resume from a checkpoint. TestRestartedTasksRunInShardWithoutIdleWorkers failed before. Not clean yet.

--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -153,12 +153,12 @@
 
 // mayPromise reports whether a worker may be promised to the shard that needs it. If that one has no worker that suits,
 // or long-running tasks to run again, tasks of this shard may wait for the worker, too, once they have had their turn.
-// Only in the first case long-running tasks move to other workers. The caller holds mu.
+// In both cases long-running tasks move to other workers. The caller holds mu.
 func (s *Shard) mayPromise(w *worker, p *packing.Worker, n *Need, now time.Duration) bool {
 	if (n.NoneSuits || n.Restarts) && now-w.heldSince < minHolding {
 		return false
 	}
-	if n.NoneSuits {
+	if n.NoneSuits || n.Restarts {
 		return s.canEmpty(w)
 	}
 	for _, r := range s.runsByWorker[w.info.ID] {
@@ -166,7 +166,7 @@
 			return false
 		}
 	}
-	return n.Restarts || !s.needs(p)
+	return !s.needs(p)
 }
 
 // canEmpty reports whether all tasks on a worker end by themselves or fit on others now. The caller holds mu.
@@ -188,28 +188,45 @@
 	return true
 }
 
-// emptyPromised moves long-running tasks away from workers that are promised to another shard, one task a sweep and only
-// to where there is room. The caller holds mu.
+// emptyPromised moves tasks away from workers that are promised to another shard, one task of each worker a sweep and only
+// to where there is room: long-running ones, and filling ones that resume from a checkpoint. The caller holds mu.
 func (s *Shard) emptyPromised(now time.Duration) {
+	var reserved []*run // on the workers to which they can move
+	var targets []*packing.Worker
 	for id, w := range s.workers {
 		if now >= w.promisedUntil || !s.usable(w, now) {
 			continue
 		}
-		for _, r := range s.runsByWorker[id] {
-			e := s.jobs[r.id.Job]
-			if e == nil || e.job.Outcome != jobs.Unfinished || r.stage != running || !r.step.LongRunning || s.stepRestarts(e, r) {
-				continue
-			}
-			request := s.placementRequest(e, r.id)
-			if s.fleet.Place(&request) == nil {
-				continue
-			}
+		if r, target := s.movableRun(id); r != nil {
 			s.log.Info().Str("job", r.id.Job).Str("task", r.name).Str("worker", id).Int("to", w.promisedTo).
 				Msg("task leaves a worker that another shard needs")
 			s.stopRun(w, r)
-			return
+			s.fleet.Reserve(target.ID, r.step, r.stepName)
+			reserved, targets = append(reserved, r), append(targets, target)
+		}
+	}
+	for i, r := range reserved {
+		s.fleet.Release(targets[i].ID, r.step, r.stepName)
+	}
+}
+
+// movableRun returns a run of a worker whose task can move, and a worker with room for it, or nil. The caller holds mu.
+func (s *Shard) movableRun(worker string) (*run, *packing.Worker) {
+	for _, r := range s.runsByWorker[worker] {
+		e := s.jobs[r.id.Job]
+		if e == nil || e.job.Outcome != jobs.Unfinished || r.stage != running {
+			continue
+		}
+		resumes := r.step.Fills && r.step.Checkpointing && !r.step.Gang
+		if !resumes && (!r.step.LongRunning || s.stepRestarts(e, r)) {
+			continue
+		}
+		request := s.placementRequest(e, r.id)
+		if target := s.fleet.Place(&request); target != nil && target.ID != worker {
+			return r, target
 		}
 	}
+	return nil, nil
 }
 
 // stepRestarts reports whether another long-running task of a run's step does not run at the moment. The caller holds mu.
--- a/node/shard/lend_test.go
+++ b/node/shard/lend_test.go
@@ -287,3 +287,35 @@
 		c.waitForState("job", jobs.StateCompleted, 15*time.Second)
 	})
 }
+
+// Guards against long-running tasks of a lost worker that wait in a full shard beside one with room, on whose workers other
+// long-running tasks run: no worker there becomes idle (trentside-plans-grown, loss of a zone: 28 tasks never ran again).
+func TestRestartedTasksRunInShardWithoutIdleWorkers(t *testing.T) {
+	runShards(t, 3, endlessTask, func(c *cluster, is *is.I) {
+		c.submitIn(0, "full", jobs.Step{Count: 24, LongRunning: true})
+		c.waitUntil("the tasks run", 20*time.Second, func() bool { return c.allRunning("full", 24) })
+		for i := range 3 { // one job on each worker
+			c.setZonesOut(func(zone int) bool { return zone != i })
+			job := fmt.Sprintf("spread%d", i)
+			c.submitIn(1, job, jobs.Step{Count: 2, LongRunning: true})
+			c.waitUntil("its tasks run", 20*time.Second, func() bool { return c.allRunning(job, 2) })
+		}
+		c.setZonesOut(func(int) bool { return false })
+		c.fleet.Crash("w0")
+		c.register("w0", nil)
+		c.waitUntil("all tasks run again", 12*time.Second, func() bool { return c.allRunning("full", 24) })
+		for i := range 3 {
+			job := fmt.Sprintf("spread%d", i)
+			c.waitUntil("moved tasks run", 3*time.Second, func() bool { return c.allRunning(job, 2) })
+		}
+	})
+}
+
+// setZonesOut takes the zones of the first three workers of each shard out of service.
+func (c *cluster) setZonesOut(out func(zone int) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range 3 {
+		c.zonesOut[fmt.Sprintf("z%d", i)] = out(i)
+	}
+}
