--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -58,7 +58,7 @@
 	if at >= c.received {
 		return c.LowerBound(at)
 	}
-	return c.workerMs - ((c.received-at)*(100+DriftPercent)/100).Milliseconds() - 1
+	return c.workerMs - ((c.received - at) * (100 + DriftPercent) / 100).Milliseconds() - 1
 }
 
 // UpperBound returns an upper bound of the worker's clock at the local time now.
