Order the waiting jobs of client accounts by weighted fair share

Jobs that an account sends in excess of its weight rank behind owed ones, and accounts are offered capacity in the order of what they run, divided by their weights. Nothing uses the package yet.

--- /dev/null
+++ b/core/fairshare/order.go
@@ -0,0 +1,234 @@
+// Package fairshare orders the waiting jobs of client accounts so that each account gets capacity in proportion to its
+// weight while all of it is in use. It decides without I/O and without a clock; docs/design/fair-order.md states the rule.
+package fairshare
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"strings"
+)
+
+// Parameters of the turns of aged jobs.
+const (
+	// agedMs is the time since acceptance above which a job is aged.
+	agedMs = 30_000
+	// Aged jobs have a turn of agedTurnMs in every agedTurns such periods of the wall clock. Plans are less than 250 ms apart.
+	agedTurnMs = 250
+	agedTurns  = 8
+)
+
+// minWeight replaces weights that are 0 or less, or not a number.
+const minWeight = 1e-6
+
+// Pool identifies capacity that accounts share. Capacity that long-running tasks hold is shared separately: it is not given
+// back for minutes, and an account that has much of it would get nothing for its short jobs.
+type Pool struct {
+	Service     string
+	LongRunning bool
+}
+
+// Flow identifies the jobs of an account that compete for a pool at a priority.
+type Flow struct {
+	Account  string
+	Pool     Pool
+	Priority int
+}
+
+// Job is a job with waiting tasks.
+type Job struct {
+	Flow
+	ID                string
+	AcceptedMs, DueMs int64
+	// Lateness, at most 100, ranks jobs of an account, lower ones first. VeryLate jobs rank behind all others of accounts.
+	Lateness int
+	VeryLate bool
+	// Exceeds marks jobs that were sent in excess of the account's weight, see Meter.
+	Exceeds bool
+	// Work is the capacity that the waiting tasks take.
+	Work int64
+}
+
+// levels of jobs of one priority. What an account sends in excess of its weight doesn't delay the owed jobs of others.
+const (
+	owed = iota
+	owedVeryLate
+	excess
+	excessVeryLate
+)
+
+// ranked is a job with the keys by which it is ordered.
+type ranked struct {
+	*Job
+	index int32
+	// rank is the level and, within it, agedRank or the lateness above it.
+	rank int32
+	// timeMs is the due time, or the time of acceptance of a job with agedRank.
+	timeMs int64
+}
+
+// agedRank is the rank of aged jobs in their turn.
+const agedRank = owed << levelShift
+
+// levelShift is the position of the level in a rank.
+const levelShift = 8
+
+func (r *ranked) level() int32 { return r.rank >> levelShift }
+
+// flowQueue is the rest of a flow's jobs in their order.
+type flowQueue struct {
+	jobs   []ranked
+	weight float64
+}
+
+// class returns the priority and the level of the first job as one number.
+func (q *flowQueue) class() int64 {
+	return int64(q.jobs[0].Priority)<<levelShift + int64(q.jobs[0].level())
+}
+
+// Order returns the indexes of waiting jobs in the order in which capacity is offered to them. It contains all of them, so
+// that no capacity stays idle. The function weight returns an account's weight and whether the account is known; jobs of all
+// other accounts are ordered as if those had the mean weight. Running is the capacity that each flow uses.
+func Order(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64) []int {
+	queues := flowQueues(waiting, wallMs)
+	setWeights(queues, weight)
+	merged := make(flowHeap, 0, len(queues))
+	for flow, q := range queues {
+		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(running[flow]) / q.weight})
+	}
+	heap.Init(&merged)
+	order := make([]int, 0, len(waiting))
+	for len(merged) > 0 {
+		first := &merged[0]
+		job := &first.jobs[0]
+		order = append(order, int(job.index))
+		first.used += float64(max(job.Work, 1)) / first.weight
+		first.jobs = first.jobs[1:]
+		if len(first.jobs) == 0 {
+			heap.Pop(&merged)
+			continue
+		}
+		first.class = first.flowQueue.class()
+		heap.Fix(&merged, 0)
+	}
+	return order
+}
+
+// flowQueues returns the ordered jobs of each flow.
+func flowQueues(waiting []Job, wallMs int64) map[Flow]*flowQueue {
+	queues := map[Flow]*flowQueue{}
+	agedTurn := wallMs/agedTurnMs%agedTurns == 0
+	for i := range waiting {
+		j := &waiting[i]
+		q := queues[j.Flow]
+		if q == nil {
+			q = &flowQueue{}
+			queues[j.Flow] = q
+		}
+		r := ranked{Job: j, index: int32(i), rank: levelOf(j)<<levelShift + 1 + int32(j.Lateness), timeMs: j.DueMs}
+		if agedTurn && wallMs-j.AcceptedMs > agedMs {
+			r.rank, r.timeMs = agedRank, j.AcceptedMs
+		}
+		q.jobs = append(q.jobs, r)
+	}
+	for _, q := range queues {
+		slices.SortFunc(q.jobs, compareRanked)
+	}
+	return queues
+}
+
+func levelOf(j *Job) int32 {
+	switch {
+	case !j.Exceeds && !j.VeryLate:
+		return owed
+	case !j.Exceeds:
+		return owedVeryLate
+	case !j.VeryLate:
+		return excess
+	}
+	return excessVeryLate
+}
+
+// compareRanked orders jobs of one priority by level, lateness and due time, but aged ones in their turn first, by age.
+func compareRanked(a, b ranked) int {
+	if a.rank != b.rank {
+		return int(a.rank - b.rank)
+	}
+	if a.timeMs != b.timeMs {
+		return cmp.Compare(a.timeMs, b.timeMs)
+	}
+	return strings.Compare(a.ID, b.ID)
+}
+
+// setWeights sets the weights of the queues' accounts.
+func setWeights(queues map[Flow]*flowQueue, weight func(account string) (float64, bool)) {
+	sum := map[string]float64{} // a map, so that an account with several queues counts once
+	for flow, q := range queues {
+		w, known := weight(flow.Account)
+		if !known {
+			continue
+		}
+		q.weight = minWeight
+		if w > minWeight {
+			q.weight = w
+		}
+		sum[flow.Account] = q.weight
+	}
+	mean := meanOf(sum)
+	for _, q := range queues {
+		if q.weight == 0 {
+			q.weight = mean
+		}
+	}
+}
+
+// meanOf returns the mean of the accounts' weights, or 1 if there is none. The order of the sum does not depend on that of
+// the map, so that equal plans give equal orders.
+func meanOf(weights map[string]float64) float64 {
+	if len(weights) == 0 {
+		return 1
+	}
+	values := make([]float64, 0, len(weights))
+	for _, w := range weights {
+		values = append(values, w)
+	}
+	slices.Sort(values)
+	sum := 0.0
+	for _, w := range values {
+		sum += w
+	}
+	return sum / float64(len(values))
+}
+
+// offer is a flow with the keys by which its first job competes with those of others.
+type offer struct {
+	*flowQueue
+	class int64
+	used  float64 // capacity that runs or was offered to earlier jobs of the flow, divided by the weight
+}
+
+// flowHeap is a heap of flows by their first jobs.
+type flowHeap []offer
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, k int) bool {
+	a, b := &h[i], &h[k]
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if a.used != b.used {
+		return a.used < b.used
+	}
+	return compareRanked(a.jobs[0], b.jobs[0]) < 0
+}
+
+func (h flowHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+func (h *flowHeap) Push(o any) { *h = append(*h, o.(offer)) }
+
+func (h *flowHeap) Pop() any {
+	last := len(*h) - 1
+	*h = (*h)[:last]
+	return nil
+}
