--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -58,7 +58,7 @@
 	for _, e := range waiting {
 		e.lateness = latenessOf(e, wall)
 	}
-	slices.SortFunc(waiting, compareUrgency)
+	waiting = s.orderJobs(waiting, config, wall)
 	s.updateDemand(waiting, now)
 	// Tasks that have run go first, whatever the state of their jobs: a job of which only such a task is left ends with it.
 	for _, e := range waiting {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"waxwingslip.example/core/fairshare"
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/packing"
 	"waxwingslip.example/core/pressure"
@@ -107,6 +108,8 @@
 	criticalPathMs int64
 	longRunning    bool
 	lateness       lateness // at the newest plan
+	// exceedsWeight marks a job that its client account sent in excess of its weight.
+	exceedsWeight bool
 	// cancelRequested is set once a cancellation was read, and cancelPassedOn once this owner passes it on to the shard to
 	// which the job moved.
 	cancelRequested, cancelPassedOn bool
@@ -211,6 +214,9 @@
 	adviceCallsInFlight int
 	// placements lists the new bindings of the job being planned, for its log line.
 	placements []string
+	// meter counts the jobs of client accounts, and unmetered holds those that it has not counted yet.
+	meter     *fairshare.Meter
+	unmetered []*jobEntry
 	// demand is the recent demand of short tasks by service.
 	demand map[string]demand
 	// dirty holds the ids of jobs with unstored progress, and onStored the callbacks to run once it is stored.
@@ -248,7 +254,7 @@
 		settled: map[string]settledIncarnation{}, unstoredSettled: map[string]struct{}{},
 		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
-		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
+		meter: fairshare.NewMeter(), commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 	}
 	s.fleet = packing.NewFleet(s.pressure)
 	s.jobsFollower = ledger.NewFollower(deps.Store, keyedlog.Partition{Topic: JobsTopic, Number: number}, s.applyCommands)
