--- a/node/shard/fairorder_test.go
+++ b/node/shard/fairorder_test.go
@@ -28,9 +28,10 @@
 	return started
 }
 
-// publishAccounts puts a configuration with two accounts of equal weight into force.
-func (c *cluster) publishAccounts(is *is.I) {
-	accounts, err := account.New([]account.Row{{Name: "hot", Keys: []string{"h"}, Weight: 2}, {Name: "calm", Keys: []string{"c"}, Weight: 2}})
+// publishAccounts puts a configuration with two accounts into force.
+func (c *cluster) publishAccounts(is *is.I, hotWeight, calmWeight float64) {
+	accounts, err := account.New([]account.Row{{Name: "hot", Keys: []string{"h"}, Weight: hotWeight},
+		{Name: "calm", Keys: []string{"c"}, Weight: calmWeight}})
 	is.NoErr(err)
 	c.publish(&jobqueue.Config{Version: 2, Queues: []jobqueue.Queue{{Name: "q", Service: service}},
 		Services: map[string]jobqueue.Service{service: {Name: service}}, Accounts: accounts})
@@ -41,7 +42,7 @@
 func TestAccountsShareCapacity(t *testing.T) {
 	const hot, calm = 80, 10
 	runCluster(t, 1, 2, oneSecondTask, func(c *cluster, is *is.I) {
-		c.publishAccounts(is)
+		c.publishAccounts(is, 2, 2)
 		first := c.owner()
 		for i := range hot {
 			c.submitAs("hot", fmt.Sprint("h", i))
@@ -63,3 +64,25 @@
 		c.waitUntil("all jobs in excess run", 9*time.Second, func() bool { return c.started("h", hot) == hot })
 	})
 }
+
+// Guards against a new owner that takes jobs in excess of a large account's weight for owed ones: they left a small account
+// one task at a time.
+func TestNextOwnerKnowsExcess(t *testing.T) {
+	runCluster(t, 1, 2, oneSecondTask, func(c *cluster, is *is.I) {
+		const hot, calm = 90, 3
+		c.publishAccounts(is, 1, 0.1)
+		first := c.owner()
+		for i := range hot {
+			c.submitAs("hot", fmt.Sprint("h", i))
+		}
+		c.waitUntil("the owed jobs run", 5*time.Second, func() bool { return c.started("h", hot) >= 20 })
+		first.cancel()
+		first.done.Wait()
+		c.waitUntil("another daemon starts tasks", 6*time.Second, func() bool { return c.started("h", hot) >= 30 })
+		for i := range calm {
+			c.submitAs("calm", fmt.Sprint("a", i))
+		}
+		c.waitUntil("the calm account's jobs run", 1500*time.Millisecond, func() bool { return c.started("a", calm) == calm })
+		is.True(c.started("h", hot) <= 50)
+	})
+}
