Empty three workers at a time for restarted long-running tasks

One worker at a time was promised to them, which takes some 2 s to empty, so that 16 waiting tasks needed 10 s of the 9 that they have.

--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -29,8 +29,9 @@
 	MayMove bool `cbor:"8,keyasint,omitempty"`
 }
 
-// maxLentForRestarts limits the workers that a shard lends at a time to long-running tasks that have run before.
-const maxLentForRestarts = 2
+// maxLentForRestarts limits the workers that a shard lends, or empties, at a time for long-running tasks that have run
+// before. Emptying a worker takes some 2 s, and the tasks have 9 s.
+const maxLentForRestarts = 3
 
 // Timing of moves of workers that are in use.
 const (
@@ -90,7 +91,7 @@
 		l.Room += p.Room(&n.Step)
 		s.moveWorker(w, n.Shard)
 	}
-	if n.NoneSuits || n.Restarts {
+	if n.NoneSuits {
 		limit = min(limit, 1) // tasks may wait for these workers here, too
 	}
 	l.Fits = s.fleet.Place(&request) != nil
