Empty five workers at a time for restarted long-running tasks

Between the expiry of a worker's lease and the 9 s in which its long-running tasks have to run again, 2.7 s are left, about what it takes to empty one worker.

--- a/node/shard/lend.go
+++ b/node/shard/lend.go
@@ -31,7 +31,7 @@
 
 // maxLentForRestarts limits the workers that a shard lends, or empties, at a time for long-running tasks that have run
 // before. Emptying a worker takes some 2 s, and the tasks have 9 s.
-const maxLentForRestarts = 3
+const maxLentForRestarts = 5
 
 // Timing of moves of workers that are in use.
 const (
