Keep client accounts within their limits across shards

A shard binds tasks of an account within the share of its limit that it holds, and exchanges shares with the others in keyed.quota. Tasks that wait for a limit count as such, not as a shortage of workers.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -169,9 +169,9 @@
 	a.update()
 }
 
-// SetSynced allows the share to be used: the entries of all shards were read.
-func (a *Account) SetSynced() {
-	a.synced = true
+// SetSynced allows the share to be used, or not: the entries of all shards were read, or have to be read again.
+func (a *Account) SetSynced(synced bool) {
+	a.synced = synced
 	a.update()
 }
 
@@ -184,6 +184,9 @@
 // Used returns what the account's runs use.
 func (a *Account) Used() resource.Vector { return a.used }
 
+// Stored returns the entry that this shard has stored.
+func (a *Account) Stored() Entry { return a.own }
+
 // Share returns the share that this shard holds.
 func (a *Account) Share() resource.Vector {
 	if a.lowering {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -26,7 +26,8 @@
 	account  *quota.Account
 	limit    resource.Vector
 	read     int // records of the log that the owner has read
-	readTo   int // version of the limit that was in force when it last read
+	version  int // of the limit
+	readTo   int // oldest version of any owner when this one last read
 	jobs     []job
 	runs     []resource.Vector
 	inFlight *quota.Entry    // an append without a response
@@ -70,7 +71,7 @@
 		}
 	}
 	w.readAll(s)
-	s.account.SetSynced()
+	s.account.SetSynced(true)
 }
 
 func (w *world) readAll(s *shardModel) {
@@ -80,10 +81,14 @@
 		}
 	}
 	s.read, s.readTo = len(w.log), len(w.limits)-1
+	for _, other := range w.shards {
+		s.readTo = min(s.readTo, other.version)
+	}
 }
 
 func (w *world) adopt(s *shardModel) {
-	s.limit = w.limits[len(w.limits)-1]
+	s.version = len(w.limits) - 1
+	s.limit = w.limits[s.version]
 	s.account.SetLimit(s.limit)
 }
 
@@ -96,7 +101,7 @@
 	return sum
 }
 
-// bound returns the highest limit that may be in force: until each owner has adopted a limit and then read all shares that
+// bound returns the highest limit that may be in force: until all owners have adopted a limit and then read all shares that
 // were raised under the one before, that one counts.
 func (w *world) bound() (b resource.Vector) {
 	oldest := len(w.limits) - 1
@@ -375,7 +380,7 @@
 	is.Equal(a.Ask("j", 1, cpu(1)), quota.Fits) // no limit
 	a.SetLimit(cpu(10))
 	is.Equal(a.Ask("j", 1, cpu(1)), quota.Obtainable) // not read yet
-	a.SetSynced()
+	a.SetSynced(true)
 	a.SetOwn(quota.Entry{Share: cpu(10)})
 	is.Equal(a.Ask("j", 1, resource.Vector{MilliCPU: 10, MemoryMB: 1000}), quota.Fits)
 	is.Equal(a.Ask("j", 1, cpu(11)), quota.UsedUp)
@@ -388,7 +393,7 @@
 	is := is.New(t)
 	a := quota.New(0)
 	a.SetLimit(cpu(10))
-	a.SetSynced()
+	a.SetSynced(true)
 	a.Reserve(cpu(4))
 	a.SetOwn(quota.Entry{Share: cpu(4)})
 	_, changed, _ := a.Next()
@@ -411,7 +416,7 @@
 	for i := range 45 {
 		a.Observe(i+1, quota.Entry{Share: resource.Vector{MilliCPU: 1000, MemoryMB: 1000}, Lack: cpu(1000), SinceMs: int64(i)})
 	}
-	a.SetSynced()
+	a.SetSynced(true)
 	for name, size := range map[string]resource.Vector{"fits": cpu(1000), "not": cpu(5000)} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -9,6 +9,8 @@
 	Lost, Stops, LeaseRenewals, LeaseRenewalsFailed *telemetry.Counter
 	Paces, StoredBytes, WorkersRestarted            *telemetry.Counter
 	Panics, SetAside, WorkersLent, JobsMoved        *telemetry.Counter
+	QuotaAppends                                    *telemetry.Counter
+	WaitForQuota                                    *telemetry.Gauge
 	Commit, StartDelay, Plan                        *telemetry.Histogram
 }
 
@@ -23,7 +25,8 @@
 		LeaseRenewalsFailed: r.Counter("shard_holds_failed"), Paces: r.Counter("shard_paces"),
 		StoredBytes: r.Counter("shard_stored_bytes"), WorkersRestarted: r.Counter("shard_workers_restarted"), Panics: r.Counter("shard_panics"),
 		SetAside: r.Counter("shard_jobs_set_aside"), WorkersLent: r.Counter("shard_workers_lent"),
-		JobsMoved: r.Counter("shard_jobs_moved"), Commit: r.Histogram("shard_commit_time"),
+		JobsMoved: r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
+		WaitForQuota: r.Gauge("shard_tasks_wait_for_quota"), Commit: r.Histogram("shard_commit_time"),
 		StartDelay: r.Histogram("shard_start_delay_time"), Plan: r.Histogram("shard_plan_time"),
 	}
 }
--- a/node/shard/demand.go
+++ b/node/shard/demand.go
@@ -37,6 +37,9 @@
 func (s *Shard) updateDemand(waiting []*jobEntry, now time.Duration) {
 	current := map[string]int64{}
 	for _, e := range waiting {
+		if e.waitsForQuota {
+			continue // free capacity is of no use to it
+		}
 		for _, o := range e.job.Occurrences {
 			for step := range o.Steps {
 				if spec := &e.job.Spec.Steps[step]; !spec.LongRunning && !spec.Fills && e.job.Ready(o, step) {
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -60,6 +60,7 @@
 	}
 	slices.SortFunc(waiting, compareUrgency)
 	s.updateDemand(waiting, now)
+	s.beginQuotaPlan(waiting)
 	// Tasks that have run go first, whatever the state of their jobs: a job of which only such a task is left ends with it.
 	for _, e := range waiting {
 		if e.mayHaveRestarts {
@@ -73,6 +74,7 @@
 	}
 	s.planLongRunningRounds(waiting, config, now)
 	s.endShortages()
+	s.endQuotaPlan(now)
 }
 
 // planLongRunningRounds binds new long-running tasks round by round, one task per job and round, so that scarce
@@ -228,20 +230,25 @@
 			remaining = true
 			continue
 		}
-		if spec.LongRunning && o.Steps[step][i].Run == 0 && !s.leavesReserve(e, request.Service, spec) {
-			s.recordShortage(e, o, step, request, now)
+		isNew := o.Steps[step][i].Run == 0
+		request.Avoid = e.avoid[id]
+		w, waitsForQuota := s.placeWithinQuota(e, spec.Size, func() *packing.Worker {
+			if spec.LongRunning && isNew && !s.leavesReserve(e, request.Service, spec) {
+				return nil
+			}
+			return s.fleet.Place(request)
+		})
+		if waitsForQuota {
+			s.recordQuotaWait(e, o.Steps[step], request, spec.Size, w != nil)
 			return bound, true
 		}
-		request.Avoid = e.avoid[id]
-		w := s.fleet.Place(request)
 		if w == nil {
-			if spec.LongRunning && o.Steps[step][i].Run > 0 {
+			if spec.LongRunning && !isNew {
 				s.fleet.Hold(request)
 			}
 			s.recordShortage(e, o, step, request, now)
 			return bound, true
 		}
-		isNew := o.Steps[step][i].Run == 0
 		s.bind(e, id, w, o.Steps[step][i].Run+1, request.StepName)
 		bound++
 		if spec.LongRunning && isNew {
@@ -292,19 +299,17 @@
 		}
 		runNumber = max(runNumber, tasks[i].Run+1)
 	}
-	workers := make([]*packing.Worker, 0, len(tasks))
-	for range tasks {
-		w := s.fleet.Place(request)
-		if w == nil {
-			break
-		}
-		s.fleet.Reserve(w.ID, request.Step, request.StepName)
-		workers = append(workers, w)
-	}
-	for _, w := range workers {
-		s.fleet.Release(w.ID, request.Step, request.StepName)
+	var workers []*packing.Worker
+	atOnce := request.Step.Size.Times(int64(len(tasks)))
+	last, waitsForQuota := s.placeWithinQuota(e, atOnce, func() *packing.Worker {
+		workers = s.placeAll(request, len(tasks))
+		return workers[len(tasks)-1]
+	})
+	if waitsForQuota {
+		s.recordQuotaWait(e, tasks, request, atOnce, last != nil)
+		return 0, true
 	}
-	if len(workers) < len(tasks) {
+	if last == nil {
 		s.recordShortage(e, o, step, request, now)
 		return 0, true
 	}
@@ -314,6 +319,26 @@
 	return len(tasks), false
 }
 
+// placeAll returns workers for n tasks of a request at the same time; those after the last task that can be placed are nil.
+// The caller holds mu.
+func (s *Shard) placeAll(request *packing.Request, n int) []*packing.Worker {
+	workers := make([]*packing.Worker, n)
+	placed := 0
+	for placed < n {
+		w := s.fleet.Place(request)
+		if w == nil {
+			break
+		}
+		s.fleet.Reserve(w.ID, request.Step, request.StepName)
+		workers[placed] = w
+		placed++
+	}
+	for _, w := range workers[:placed] {
+		s.fleet.Release(w.ID, request.Step, request.StepName)
+	}
+	return workers
+}
+
 // bind reserves capacity for a task's next run and starts the run once the binding is stored. The caller holds mu.
 func (s *Shard) bind(e *jobEntry, id jobs.TaskID, w *packing.Worker, number int64, stepName string) {
 	if err := e.job.Bind(id, w.ID, number); err != nil {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -101,6 +101,8 @@
 	storedState jobs.State
 	// mayHaveReady is set if some task may be ready to be bound, and mayHaveRestarts if one that has run before may be.
 	mayHaveReady, mayHaveRestarts bool
+	// waitsForQuota is set if the limit of the job's account kept a task from being bound in the newest plan.
+	waitsForQuota bool
 	// dueMs is the time by which the job should end; it orders the jobs of a plan.
 	dueMs int64
 	// criticalPathMs is the estimated time of the longest chain of steps.
@@ -153,6 +155,8 @@
 	slowSince time.Duration
 	// checkpoint is the newest one that the worker reported.
 	checkpoint string
+	// account is the client account whose limit the run counts towards; empty for none.
+	account string
 }
 
 // unknownPace marks a run whose pace the previous owner may have changed.
@@ -209,6 +213,7 @@
 	// advice holds the advisor's decisions on steps that need tickets, by the step's name.
 	advice              map[string]*advice
 	adviceCallsInFlight int
+	quotas              quotas
 	// placements lists the new bindings of the job being planned, for its log line.
 	placements []string
 	// demand is the recent demand of short tasks by service.
@@ -229,7 +234,9 @@
 
 	commitSignal chan struct{}
 	planSignal   chan struct{}
-	background   sync.WaitGroup
+	// quotaSignal is sent when tasks wait for the limits of accounts.
+	quotaSignal chan struct{}
+	background  sync.WaitGroup
 }
 
 // objectiveMissReserve covers the time until a report first shows a missed objective, until the next report, and a call
@@ -249,6 +256,7 @@
 		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
 		commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
+		quotaSignal: make(chan struct{}, 1), quotas: quotas{accounts: map[string]*accountQuota{}, waiting: map[string]int{}},
 	}
 	s.fleet = packing.NewFleet(s.pressure)
 	s.jobsFollower = ledger.NewFollower(deps.Store, keyedlog.Partition{Topic: JobsTopic, Number: number}, s.applyCommands)
@@ -288,7 +296,7 @@
 	registry := ledger.NewFollower(s.deps.Store, s.deps.Registry, s.applyRegistry)
 	loops.Go(func() { registry.Run(s.ctx, 0, registryPollInterval, ledger.LogDependency(s.log, "worker registry")) })
 	for step, loop := range map[string]func(){"commit": s.commitLoop, "plan": s.planLoop, "sweep": s.sweepLoop, "share": s.shareLoop,
-		"borrow": s.borrowLoop, "moved jobs": s.movedLoop} {
+		"borrow": s.borrowLoop, "moved jobs": s.movedLoop, "quota": s.quotaLoop} {
 		loops.Go(func() {
 			if s.contain(step, loop) != nil {
 				s.cancel()
@@ -297,6 +305,7 @@
 	}
 	loops.Wait()
 	s.background.Wait()
+	s.locked("count what waits", func() { s.countQuotaWaits(0) })
 }
 
 // addRun registers a run and reserves its capacity. The caller holds mu.
@@ -308,6 +317,7 @@
 		s.runsByWorker[r.workerID] = workerRuns
 	}
 	workerRuns[r.name] = r
+	s.reserveQuota(r)
 	s.fleet.Reserve(r.workerID, r.step, r.stepName)
 }
 
@@ -318,6 +328,7 @@
 	if len(s.runsByWorker[r.workerID]) == 0 {
 		delete(s.runsByWorker, r.workerID)
 	}
+	s.releaseQuota(r)
 	s.fleet.Release(r.workerID, r.step, r.stepName)
 }
 
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -123,6 +123,8 @@
 	{"shard_workers_restarted", TypeCounter, "workers", "Restarts of workers under their ids."},
 	{"shard_workers_lent", TypeCounter, "workers", "Workers moved to other shards, which could not place their tasks."},
 	{"shard_jobs_moved", TypeCounter, "jobs", "Jobs moved to other shards, whose workers alone may run them and cannot move."},
+	{"shard_tasks_wait_for_quota", TypeGauge, "tasks", "Tasks that only the limits of their client accounts keep from starting."},
+	{"quota_appends", TypeCounter, "calls", "Appends that store the shards' shares of the limits of client accounts, repeats included."},
 	{"callers_panics", TypeCounter, "requests", "Callers' requests that ended with an unexpected error."},
 	{"shard_plan_time", TypeHistogram, "us", "Time to bind waiting tasks once."},
 	{"log_lines_dropped", TypeCounter, "lines", "Log lines dropped because standard output did not take them."},
