--- a/node/shard/quota_test.go
+++ b/node/shard/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -211,6 +212,38 @@
 	}
 }
 
+// Guards against two shards that raise their shares at the same time, and a share that is used while its return is being
+// stored. Appends take long, so that they overlap.
+func TestSlowAppendsOfShares(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			runShards(t, 3, func(id jobs.TaskID, _ int64) workerfake.Outcome {
+				o := oneSecondTask(id, 0)
+				o.Duration = time.Duration(50+37*len(id.Job)*(id.Index+1)) * time.Millisecond
+				return o
+			}, func(c *cluster, is *is.I) {
+				rng := rand.New(rand.NewPCG(seed, 31))
+				c.limit(4)
+				c.store.SetFault(func(_, method string, p keyedlog.Partition) storefake.Fault {
+					if p.Topic == shard.QuotaTopic && method == "append" {
+						return storefake.Fault{Delay: 150 * time.Millisecond}
+					}
+					return storefake.Fault{}
+				})
+				stop := c.watchRuns(always(4))
+				var ids []string
+				for range 60 {
+					ids = append(ids, fmt.Sprintf("job%d", len(ids)))
+					c.submitFor(rng.IntN(2), ids[len(ids)-1], jobs.Step{Count: 1 + rng.IntN(4)})
+					time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+				}
+				c.waitForJobs(ids, 20*time.Second)
+				stop()
+			})
+		})
+	}
+}
+
 // Guards against a share that stays with a shard after its work has ended, and a shard that waits longer than 2 s for it.
 func TestShareFollowsWork(t *testing.T) {
 	runShards(t, 2, oneSecondTask, func(c *cluster, is *is.I) {
