--- a/node/shard/quota_test.go
+++ b/node/shard/quota_test.go
@@ -244,6 +244,40 @@
 	}
 }
 
+// Guards against a return of a former owner that takes effect late, after the next owner has begun to use the share.
+func TestReturnOfFormerOwnerIsFenced(t *testing.T) {
+	outcome := func(id jobs.TaskID, run int64) workerfake.Outcome {
+		if id.Job == "a" {
+			return oneSecondTask(id, run)
+		}
+		return endlessTask(id, run)
+	}
+	runShards(t, 2, outcome, func(c *cluster, is *is.I) {
+		c.limit(6)
+		stop := c.watchRuns(always(6))
+		former := c.ownerOf(0)
+		var late atomic.Int32
+		c.submitFor(0, "a", jobs.Step{Count: 6})
+		c.waitUntil("a runs", 3*time.Second, func() bool { return c.runs() == 6 })
+		c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
+			if p.Topic == shard.QuotaTopic && method == "append" && caller == former.name {
+				late.Add(1)
+				return storefake.Fault{Late: 4 * time.Second}
+			}
+			return storefake.Fault{}
+		})
+		c.waitUntil("the share is being returned", 5*time.Second, func() bool { return late.Load() > 0 })
+		former.cancel()
+		c.submitFor(0, "b", jobs.Step{Count: 6, LongRunning: true})
+		c.waitUntil("b runs", 3*time.Second, func() bool { return c.runs() == 6 })
+		time.Sleep(5 * time.Second)
+		c.submitFor(1, "c", jobs.Step{Count: 6, LongRunning: true})
+		time.Sleep(3 * time.Second)
+		is.Equal(c.runs(), 6)
+		stop()
+	})
+}
+
 // Guards against a share that stays with a shard after its work has ended, and a shard that waits longer than 2 s for it.
 func TestShareFollowsWork(t *testing.T) {
 	runShards(t, 2, oneSecondTask, func(c *cluster, is *is.I) {
