--- a/node/shard/quota_test.go
+++ b/node/shard/quota_test.go
@@ -278,6 +278,34 @@
 	})
 }
 
+// Guards against owners whose rounds coincide, so that the raise of one makes those of all others fail again and again.
+func TestOwnersInStep(t *testing.T) {
+	runCluster(t, 0, 0, endlessTask, func(c *cluster, is *is.I) {
+		c.shards = 30
+		for number := range c.shards {
+			c.addKind(fmt.Sprintf("w%d", number), number, "a")
+			c.addOwner(fmt.Sprintf("d%d", number), number)
+		}
+		for number := range c.shards {
+			c.ownerOf(number)
+		}
+		c.store.SetFault(func(_, _ string, p keyedlog.Partition) storefake.Fault {
+			if p.Topic == shard.QuotaTopic {
+				return storefake.Fault{Delay: 5 * time.Millisecond}
+			}
+			return storefake.Fault{}
+		})
+		c.limit(60)
+		time.Sleep(time.Second)
+		stop := c.watchRuns(always(60))
+		for number := range c.shards {
+			c.submitFor(number, fmt.Sprintf("job%d", number), jobs.Step{Count: 3})
+		}
+		c.waitUntil("the limit is used", 2*time.Second, func() bool { return c.runs() == 60 })
+		stop()
+	})
+}
+
 // Guards against a share that stays with a shard after its work has ended, and a shard that waits longer than 2 s for it.
 func TestShareFollowsWork(t *testing.T) {
 	runShards(t, 2, oneSecondTask, func(c *cluster, is *is.I) {
--- a/node/shard/quotastore.go
+++ b/node/shard/quotastore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/url"
 	"strconv"
 	"time"
@@ -55,7 +56,10 @@
 	// fenced is set once no earlier owner can append, and loaded once all records were read after that.
 	fenced, loaded bool
 	pending        *quotaAppend
-	onPoll         func(error)
+	// backoff is an additional wait after an append whose condition did not hold. It is random, so that owners whose rounds
+	// coincide do not get in each other's way again.
+	backoff time.Duration
+	onPoll  func(error)
 	// ownOffsets holds the offset of the newest record that was read of each account of this shard.
 	ownOffsets map[string]int64
 }
@@ -79,7 +83,7 @@
 // quotaLoop exchanges shares with the store while limits are in force.
 func (s *Shard) quotaLoop() {
 	x := newQuotaExchange(s)
-	for ctxtime.Sleep(s.ctx, quotaInterval) {
+	for ctxtime.Sleep(s.ctx, quotaInterval+x.backoff) {
 		idle := false
 		s.locked("apply limits", func() {
 			s.applyLimits()
@@ -239,8 +243,10 @@
 	_, err := x.s.deps.Store.Append(ctx, x.pending.Append)
 	switch {
 	case err == nil:
+		x.backoff = 0
 		x.s.locked("use shares", x.finish)
 	case errors.Is(err, keyedlog.ErrOffsetMismatch):
+		x.backoff = rand.N(quotaInterval)
 		x.pending.mismatched = true // the next read shows whether an earlier attempt took effect
 	case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence):
 		return err
