--- a/core/quota/decide.go
+++ b/core/quota/decide.go
@@ -69,8 +69,8 @@
 // go on, and all its tasks need need.
 func (a *Account) Wait(job string, sinceMs int64, atOnce, need resource.Vector) {
 	atOnce = counted(atOnce)
-	if a.mode != limited || !atOnce.Fits(a.limit) {
-		return // it can never be placed
+	if a.mode != limited || !atOnce.Add(a.lasting).Add(a.othersLasting).Fits(a.limit) {
+		return // it cannot be placed beside what does not end by itself, and must not hold back others
 	}
 	p := &a.planned
 	p.need = p.need.Add(counted(need))
@@ -92,6 +92,9 @@
 		return a.own, false, false
 	}
 	e.Share = a.target()
+	if a.mode == limited {
+		e.Lasting = a.counts(a.lasting)
+	}
 	if a.waits.any() && a.mode == limited {
 		// What exceeds the limit cannot be used, and is lacking, too.
 		excess := minOf(resource.Vector{}, a.remainder.Add(a.own.Share).Sub(e.Share))
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -23,11 +23,18 @@
 	Lack resource.Vector `cbor:"2,keyasint,omitempty"`
 	// SinceMs is the time at which that job was accepted.
 	SinceMs int64 `cbor:"3,keyasint,omitempty"`
+	// Lasting is what long-running tasks use, which do not end by themselves.
+	Lasting resource.Vector `cbor:"4,keyasint,omitempty"`
 }
 
 // Valid reports whether no component is negative or so large that sums overflow.
 func (e *Entry) Valid() bool {
-	return e.Share.Valid() && e.Lack.Valid() && e.Share.Fits(unlimited) && e.Lack.Fits(unlimited)
+	for _, v := range [...]*resource.Vector{&e.Share, &e.Lack, &e.Lasting} {
+		if !v.Valid() || !v.Fits(unlimited) {
+			return false
+		}
+	}
+	return true
 }
 
 // maxAmount stands for no limit. Sums of many such amounts fit an int64.
@@ -109,11 +116,14 @@
 	// ceiling limits the share in use while a lowering is being stored.
 	ceiling  resource.Vector
 	lowering bool
-	used     resource.Vector
+	// used is what runs use, and lasting the part of it that long-running tasks use.
+	used, lasting resource.Vector
 	// The following fields are derived from the others by update. remainder is what no shard holds; components are negative
 	// where the limit has fallen below the sum of the shares. older is what jobs of other shards lack that have waited longer
 	// than those of this one.
 	remainder, older resource.Vector
+	// othersLasting is what long-running tasks of other shards use.
+	othersLasting resource.Vector
 	// usable is what may be used now. Jobs accepted after owedToMs leave owed of it to older ones of other shards.
 	usable, owed resource.Vector
 	owedToMs     int64
@@ -175,11 +185,20 @@
 	a.update()
 }
 
-// Reserve counts a run, which may have been started by an earlier owner.
-func (a *Account) Reserve(size resource.Vector) { a.used = a.used.Add(counted(size)) }
+// Reserve counts a run, which may have been started by an earlier owner. Lasting runs do not end by themselves.
+func (a *Account) Reserve(size resource.Vector, lasting bool) { a.count(counted(size), lasting) }
 
 // Release ends the counting of a run.
-func (a *Account) Release(size resource.Vector) { a.used = a.used.Sub(counted(size)) }
+func (a *Account) Release(size resource.Vector, lasting bool) {
+	a.count(counted(size).Times(-1), lasting)
+}
+
+func (a *Account) count(size resource.Vector, lasting bool) {
+	a.used = a.used.Add(size)
+	if lasting {
+		a.lasting = a.lasting.Add(size)
+	}
+}
 
 // Used returns what the account's runs use.
 func (a *Account) Used() resource.Vector { return a.used }
@@ -238,8 +257,9 @@
 // updateOlder computes what jobs of other shards lack that have waited longer than those of this one, and what younger jobs
 // leave to them: what they lack beyond the remainder.
 func (a *Account) updateOlder() {
-	a.older, a.owed, a.owedToMs = resource.Vector{}, resource.Vector{}, math.MaxInt64
+	a.older, a.owed, a.owedToMs, a.othersLasting = resource.Vector{}, resource.Vector{}, math.MaxInt64, resource.Vector{}
 	for shard, e := range a.others {
+		a.othersLasting = a.othersLasting.Add(e.Lasting)
 		if a.before(shard, &e) {
 			a.older = a.older.Add(e.Lack)
 			a.owedToMs = min(a.owedToMs, e.SinceMs+yieldAfterMs)
--- a/node/shard/quota.go
+++ b/node/shard/quota.go
@@ -106,14 +106,14 @@
 func (s *Shard) reserveQuota(r *run) {
 	if e := s.jobs[r.id.Job]; e != nil && e.job.Spec.Account != "" {
 		r.account = e.job.Spec.Account
-		s.quotaOf(r.account).Reserve(r.step.Size)
+		s.quotaOf(r.account).Reserve(r.step.Size, r.step.LongRunning)
 	}
 }
 
 // releaseQuota ends the counting of a run. The caller holds mu.
 func (s *Shard) releaseQuota(r *run) {
 	if r.account != "" {
-		s.quotaOf(r.account).Release(r.step.Size)
+		s.quotaOf(r.account).Release(r.step.Size, r.step.LongRunning)
 	}
 }
 
