Order the jobs of accounts without a definition as those of one account

Each name that is no longer in the configuration had a share of its own, contrary to fair-order.md: with four such names, a defined account got a fifth of the capacity instead of half of it.

--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -88,13 +88,23 @@
 
 // Order returns the indexes of waiting jobs in the order in which capacity is offered to them. It contains all of them, so
 // that no capacity stays idle. The function weight returns an account's weight and whether the account is known; jobs of all
-// other accounts are ordered as if those had the mean weight. Running is the capacity that each flow uses.
+// other accounts are ordered as those of one account with the mean weight. Running is the capacity that each flow uses.
 func Order(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64) []int {
-	queues := flowQueues(waiting, wallMs)
+	known := func(f Flow) Flow {
+		if _, ok := weight(f.Account); !ok {
+			f.Account = "" // of which there is no account
+		}
+		return f
+	}
+	used := make(map[Flow]int64, len(running))
+	for flow, work := range running {
+		used[known(flow)] += work
+	}
+	queues := flowQueues(waiting, known, wallMs)
 	setWeights(queues, weight)
 	merged := make(flowHeap, 0, len(queues))
 	for flow, q := range queues {
-		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(running[flow]) / q.weight})
+		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(used[flow]) / q.weight})
 	}
 	heap.Init(&merged)
 	order := make([]int, 0, len(waiting))
@@ -114,16 +124,17 @@
 	return order
 }
 
-// flowQueues returns the ordered jobs of each flow.
-func flowQueues(waiting []Job, wallMs int64) map[Flow]*flowQueue {
+// flowQueues returns the ordered jobs of each flow, where known returns the flow to which jobs of a flow belong.
+func flowQueues(waiting []Job, known func(Flow) Flow, wallMs int64) map[Flow]*flowQueue {
 	queues := map[Flow]*flowQueue{}
 	agedTurn := wallMs/agedTurnMs%agedTurns == 0
 	for i := range waiting {
 		j := &waiting[i]
-		q := queues[j.Flow]
+		flow := known(j.Flow)
+		q := queues[flow]
 		if q == nil {
 			q = &flowQueue{}
-			queues[j.Flow] = q
+			queues[flow] = q
 		}
 		r := ranked{Job: j, index: int32(i), rank: levelOf(j)<<levelShift + 1 + int32(j.Lateness), timeMs: j.DueMs}
 		if agedTurn && wallMs-j.AcceptedMs > agedMs {
