--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -14,6 +14,8 @@
 	// agedMs is the time since acceptance above which a job is aged.
 	agedMs = 30_000
 	// Aged jobs have a turn of agedTurnMs in every agedTurns such periods of the wall clock. Plans are less than 250 ms apart.
+	// The turn is in another place each time: with a fixed one, work in excess never ran beside tasks of 2 s that started
+	// and ended outside it.
 	agedTurnMs = 250
 	agedTurns  = 8
 )
@@ -127,7 +129,7 @@
 // flowQueues returns the ordered jobs of each flow, where known returns the flow to which jobs of a flow belong.
 func flowQueues(waiting []Job, known func(Flow) Flow, wallMs int64) map[Flow]*flowQueue {
 	queues := map[Flow]*flowQueue{}
-	agedTurn := wallMs/agedTurnMs%agedTurns == 0
+	agedTurn := isAgedTurn(wallMs)
 	for i := range waiting {
 		j := &waiting[i]
 		flow := known(j.Flow)
@@ -148,6 +150,14 @@
 	return queues
 }
 
+// isAgedTurn reports whether a time of the wall clock is in a turn of aged jobs.
+func isAgedTurn(wallMs int64) bool {
+	period := wallMs / (agedTurns * agedTurnMs)
+	// Fibonacci hashing: the upper bits of the product choose one of the 8 places.
+	place := uint64(period) * 0x9E3779B97F4A7C15 >> 61
+	return uint64(wallMs/agedTurnMs%agedTurns) == place
+}
+
 func levelOf(j *Job) int32 {
 	switch {
 	case !j.Exceeds && !j.VeryLate:
