Show ended and unusable jobs to the callers that may see them

A job that was cancelled before its submission was read was visible to every account. An accepted job whose record cannot be used was unknown to callers of its public queue without a key; it still does not count as waiting.

--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -189,6 +189,7 @@
 	if e := s.jobs[id]; e != nil {
 		if e.storedState == jobs.StateUnknown {
 			e.storedState = jobs.StateCancelled // it was cancelled before it was accepted
+			nameOwner(e.job.Spec, r.Value)
 		}
 		return nil
 	}
@@ -203,7 +204,7 @@
 	}
 	if err != nil {
 		// Callers go on to see the job, which was accepted.
-		e := &jobEntry{job: jobs.New(&jobs.Spec{ID: id, Account: spec.Account}), storedState: jobs.StatePending}
+		e := &jobEntry{job: jobs.New(&jobs.Spec{ID: id, Queue: spec.Queue, Account: spec.Account}), storedState: jobs.StatePending}
 		s.jobs[id] = e
 		s.setAside(e, err)
 		return err
@@ -229,6 +230,15 @@
 	return nil
 }
 
+// nameOwner copies the account and the queue of an accepted job's record, which decide who may see the job. A record that
+// cannot be decoded names as much of them as was read.
+func nameOwner(to *jobs.Spec, record []byte) {
+	spec := &jobs.Spec{}
+	// The error is ignored: the job has ended, and nothing else of the record is used.
+	_ = cbor.Unmarshal(record, spec)
+	to.Account, to.Queue = spec.Account, spec.Queue
+}
+
 // applyCancels ends the jobs whose cancellation was read. The caller holds mu.
 func (s *Shard) applyCancels() {
 	for id, e := range s.jobs {
--- a/node/shard/query.go
+++ b/node/shard/query.go
@@ -103,7 +103,8 @@
 	defer s.mu.Unlock()
 	leftAfter := s.deps.WallTime().Add(-leavingTime).UnixMilli()
 	for _, e := range s.jobs {
-		if e.job.Spec.Queue != queue || e.job.Begun || e.job.Spec.Repeat > 0 {
+		// Jobs whose record cannot be used have no steps.
+		if e.job.Spec.Queue != queue || len(e.job.Spec.Steps) == 0 || e.job.Begun || e.job.Spec.Repeat > 0 {
 			continue
 		}
 		switch {
