Keep the account of a job that another account submits again

The newest record of a key is the one that the next owner reads: after a change of the owner, the job belonged to the account that submitted the id last, and its own account got 410 for it.

--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -190,6 +190,8 @@
 		if e.storedState == jobs.StateUnknown {
 			e.storedState = jobs.StateCancelled // it was cancelled before it was accepted
 			nameOwner(e.job.Spec, r.Value)
+		} else {
+			s.keepAccount(e, r.Value)
 		}
 		return nil
 	}
@@ -230,6 +232,28 @@
 	return nil
 }
 
+// keepAccount restores the record of a job that another account submitted again under the job's id: the newest record of
+// a key is the one that the next owner reads. Records of ended jobs are not restored: they may be deleted at any time, and
+// the job would run again. The caller holds mu.
+func (s *Shard) keepAccount(e *jobEntry, record []byte) {
+	if e.job.Outcome != jobs.Unfinished && e.job.Outcome != jobs.Moved {
+		return
+	}
+	newer := &jobs.Spec{}
+	if err := cbor.Unmarshal(record, newer); err != nil || newer.Account == e.job.Spec.Account || len(e.job.Spec.Steps) == 0 {
+		return
+	}
+	id := e.job.Spec.ID
+	value, err := cbor.Marshal(e.job.Spec)
+	if err != nil {
+		s.log.Error().Err(err).Str("job", id).Msg("record of job cannot be restored")
+		return
+	}
+	s.log.Warn().Str("job", id).Str("account", e.job.Spec.Account).Str("submitted_by", newer.Account).
+		Msg("another account submitted a job under the id")
+	s.runInBackground("restore record", func() { s.appendUntilStored(s.number, AcceptRecord(id, value)) })
+}
+
 // nameOwner copies the account and the queue of an accepted job's record, which decide who may see the job. A record that
 // cannot be decoded names as much of them as was read.
 func nameOwner(to *jobs.Spec, record []byte) {
