Charge accounts for the capacity that their jobs take in a plan

What was offered to a job counted as used for the rest of the plan, also where no worker could run the job: an account with 200 such jobs got nothing for its other jobs beside an account with work for the whole pool.

--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -88,10 +88,23 @@
 	return int64(q.jobs[0].Priority)<<levelShift + int64(q.jobs[0].level())
 }
 
-// Order returns the indexes of waiting jobs in the order in which capacity is offered to them. It contains all of them, so
-// that no capacity stays idle. The function weight returns an account's weight and whether the account is known; jobs of all
-// other accounts are ordered as those of one account with the mean weight. Running is the capacity that each flow uses.
+// Order returns the indexes of waiting jobs in the order in which capacity is offered to them if each takes all that it waits
+// for. It contains all of them, so that no capacity stays idle. See Offer for the parameters.
 func Order(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64) []int {
+	order := make([]int, 0, len(waiting))
+	Offer(waiting, weight, running, wallMs, func(i int) int64 {
+		order = append(order, i)
+		return max(waiting[i].Work, 1)
+	})
+	return order
+}
+
+// Offer calls offerTo once with the index of each waiting job, in the order in which capacity is offered to them. OfferTo returns
+// the capacity that the job took: one that no worker can run does not hold back its account's other jobs. The function
+// weight returns an account's weight and whether the account is known; jobs of all other accounts are ordered as those of one
+// account with the mean weight. Running is the capacity that each flow uses.
+func Offer(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64,
+	offerTo func(index int) int64) {
 	known := func(f Flow) Flow {
 		if _, ok := weight(f.Account); !ok {
 			f.Account = "" // of which there is no account
@@ -109,12 +122,9 @@
 		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(used[flow]) / q.weight})
 	}
 	heap.Init(&merged)
-	order := make([]int, 0, len(waiting))
 	for len(merged) > 0 {
 		first := &merged[0]
-		job := &first.jobs[0]
-		order = append(order, int(job.index))
-		first.used += float64(max(job.Work, 1)) / first.weight
+		first.used += float64(offerTo(int(first.jobs[0].index))) / first.weight
 		first.jobs = first.jobs[1:]
 		if len(first.jobs) == 0 {
 			heap.Pop(&merged)
@@ -123,7 +133,6 @@
 		first.class = first.flowQueue.class()
 		heap.Fix(&merged, 0)
 	}
-	return order
 }
 
 // flowQueues returns the ordered jobs of each flow, where known returns the flow to which jobs of a flow belong.
--- a/node/shard/fairorder.go
+++ b/node/shard/fairorder.go
@@ -14,27 +14,58 @@
 // share of client accounts if any of them belongs to one. The caller holds mu.
 func (s *Shard) orderJobs(waiting []*jobEntry, config *jobqueue.Config, wallMs int64) []*jobEntry {
 	s.meterJobs(config)
-	ofAccount := func(e *jobEntry) bool { return config.Accounts.Account(e.job.Spec.Account) != nil }
-	if !slices.ContainsFunc(waiting, ofAccount) {
+	if !ofAccounts(waiting, config) {
 		slices.SortFunc(waiting, compareUrgency)
 		return waiting
 	}
-	weight := func(name string) (float64, bool) {
+	ordered := make([]*jobEntry, 0, len(waiting))
+	for _, i := range fairshare.Order(candidates(waiting), weights(config), s.runningByFlow(), wallMs) {
+		ordered = append(ordered, waiting[i])
+	}
+	return ordered
+}
+
+// offerJobs calls plan, which returns the number of tasks that it bound, with each of the ordered jobs of a plan. Jobs of
+// accounts are ordered again by what the jobs before them took: those that no worker can run count for nothing. The caller
+// holds mu.
+func (s *Shard) offerJobs(ordered []*jobEntry, config *jobqueue.Config, wallMs int64, plan func(e *jobEntry) int) {
+	if !ofAccounts(ordered, config) {
+		for _, e := range ordered {
+			plan(e)
+		}
+		return
+	}
+	jobs := candidates(ordered)
+	fairshare.Offer(jobs, weights(config), s.runningByFlow(), wallMs, func(i int) int64 {
+		if plan(ordered[i]) == 0 {
+			return 0
+		}
+		return jobs[i].Work - ordered[i].waitingWork()
+	})
+}
+
+// ofAccounts reports whether any of the jobs belongs to an account of the configuration.
+func ofAccounts(waiting []*jobEntry, config *jobqueue.Config) bool {
+	return slices.ContainsFunc(waiting, func(e *jobEntry) bool { return config.Accounts.Account(e.job.Spec.Account) != nil })
+}
+
+// weights returns the function that returns an account's weight and whether the configuration defines the account.
+func weights(config *jobqueue.Config) func(name string) (float64, bool) {
+	return func(name string) (float64, bool) {
 		if a := config.Accounts.Account(name); a != nil {
 			return a.Weight, true
 		}
 		return 0, false
 	}
+}
+
+func candidates(waiting []*jobEntry) []fairshare.Job {
 	candidates := make([]fairshare.Job, len(waiting))
 	for i, e := range waiting {
 		candidates[i] = fairshare.Job{Flow: e.flow(), ID: e.job.Spec.ID, AcceptedMs: e.job.Spec.AcceptedMs, DueMs: e.dueMs,
 			Lateness: int(e.lateness), VeryLate: e.lateness == veryLate, Exceeds: e.exceedsWeight, Work: e.waitingWork()}
 	}
-	ordered := make([]*jobEntry, 0, len(waiting))
-	for _, i := range fairshare.Order(candidates, weight, s.runningByFlow(), wallMs) {
-		ordered = append(ordered, waiting[i])
-	}
-	return ordered
+	return candidates
 }
 
 // meterJobs counts the jobs read since the last plan against the weights of their accounts. A shard is owed its part of the
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -66,11 +66,12 @@
 			s.forJob("plan restarts", e, func() { s.planJob(e, config, now, restartsOnly) })
 		}
 	}
-	for _, e := range waiting {
+	s.offerJobs(waiting, config, wall, func(e *jobEntry) (bound int) {
 		if e.mayHaveReady {
-			s.forJob("plan job", e, func() { s.planJob(e, config, now, allTasks) })
+			s.forJob("plan job", e, func() { bound = s.planJob(e, config, now, allTasks) })
 		}
-	}
+		return bound
+	})
 	s.planLongRunningRounds(waiting, config, now)
 	s.endShortages()
 }
