--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -14,6 +14,8 @@
 	// agedMs is the time since acceptance above which a job is aged.
 	agedMs = 30_000
 	// Aged jobs have a turn of agedTurnMs in every agedTurns such periods of the wall clock. Plans are less than 250 ms apart.
+	// The turn is in another place each time: with a fixed one, work in excess never ran beside tasks of 2 s that started
+	// and ended outside it.
 	agedTurnMs = 250
 	agedTurns  = 8
 )
@@ -86,23 +88,43 @@
 	return int64(q.jobs[0].Priority)<<levelShift + int64(q.jobs[0].level())
 }
 
-// Order returns the indexes of waiting jobs in the order in which capacity is offered to them. It contains all of them, so
-// that no capacity stays idle. The function weight returns an account's weight and whether the account is known; jobs of all
-// other accounts are ordered as if those had the mean weight. Running is the capacity that each flow uses.
+// Order returns the indexes of waiting jobs in the order in which capacity is offered to them if each takes all that it waits
+// for. It contains all of them, so that no capacity stays idle. See Offer for the parameters.
 func Order(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64) []int {
-	queues := flowQueues(waiting, wallMs)
+	order := make([]int, 0, len(waiting))
+	Offer(waiting, weight, running, wallMs, func(i int) int64 {
+		order = append(order, i)
+		return max(waiting[i].Work, 1)
+	})
+	return order
+}
+
+// Offer calls offerTo once with the index of each waiting job, in the order in which capacity is offered to them. OfferTo returns
+// the capacity that the job took: one that no worker can run does not hold back its account's other jobs. The function
+// weight returns an account's weight and whether the account is known; jobs of all other accounts are ordered as those of one
+// account with the mean weight. Running is the capacity that each flow uses.
+func Offer(waiting []Job, weight func(account string) (float64, bool), running map[Flow]int64, wallMs int64,
+	offerTo func(index int) int64) {
+	known := func(f Flow) Flow {
+		if _, ok := weight(f.Account); !ok {
+			f.Account = "" // of which there is no account
+		}
+		return f
+	}
+	used := make(map[Flow]int64, len(running))
+	for flow, work := range running {
+		used[known(flow)] += work
+	}
+	queues := flowQueues(waiting, known, wallMs)
 	setWeights(queues, weight)
 	merged := make(flowHeap, 0, len(queues))
 	for flow, q := range queues {
-		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(running[flow]) / q.weight})
+		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(used[flow]) / q.weight})
 	}
 	heap.Init(&merged)
-	order := make([]int, 0, len(waiting))
 	for len(merged) > 0 {
 		first := &merged[0]
-		job := &first.jobs[0]
-		order = append(order, int(job.index))
-		first.used += float64(max(job.Work, 1)) / first.weight
+		first.used += float64(offerTo(int(first.jobs[0].index))) / first.weight
 		first.jobs = first.jobs[1:]
 		if len(first.jobs) == 0 {
 			heap.Pop(&merged)
@@ -111,19 +133,19 @@
 		first.class = first.flowQueue.class()
 		heap.Fix(&merged, 0)
 	}
-	return order
 }
 
-// flowQueues returns the ordered jobs of each flow.
-func flowQueues(waiting []Job, wallMs int64) map[Flow]*flowQueue {
+// flowQueues returns the ordered jobs of each flow, where known returns the flow to which jobs of a flow belong.
+func flowQueues(waiting []Job, known func(Flow) Flow, wallMs int64) map[Flow]*flowQueue {
 	queues := map[Flow]*flowQueue{}
-	agedTurn := wallMs/agedTurnMs%agedTurns == 0
+	agedTurn := isAgedTurn(wallMs)
 	for i := range waiting {
 		j := &waiting[i]
-		q := queues[j.Flow]
+		flow := known(j.Flow)
+		q := queues[flow]
 		if q == nil {
 			q = &flowQueue{}
-			queues[j.Flow] = q
+			queues[flow] = q
 		}
 		r := ranked{Job: j, index: int32(i), rank: levelOf(j)<<levelShift + 1 + int32(j.Lateness), timeMs: j.DueMs}
 		if agedTurn && wallMs-j.AcceptedMs > agedMs {
@@ -137,6 +159,14 @@
 	return queues
 }
 
+// isAgedTurn reports whether a time of the wall clock is in a turn of aged jobs.
+func isAgedTurn(wallMs int64) bool {
+	period := wallMs / (agedTurns * agedTurnMs)
+	// Fibonacci hashing: the upper bits of the product choose one of the 8 places.
+	place := uint64(period) * 0x9E3779B97F4A7C15 >> 61
+	return uint64(wallMs/agedTurnMs%agedTurns) == place
+}
+
 func levelOf(j *Job) int32 {
 	switch {
 	case !j.Exceeds && !j.VeryLate:
