Order pools by urgency instead of comparing their use

All flows were in one heap, so a long-running job waited for as long as its account held more long-running capacity than any account used for short jobs. Use is now compared only among the flows of a service with long-running jobs, or with others, and the first jobs of these are offered capacity by level, lateness and due time, as without accounts.

--- a/core/fairshare/order.go
+++ b/core/fairshare/order.go
@@ -117,21 +117,37 @@
 	}
 	queues := flowQueues(waiting, known, wallMs)
 	setWeights(queues, weight)
-	merged := make(flowHeap, 0, len(queues))
+	pools := map[Pool]*flowHeap{}
 	for flow, q := range queues {
-		merged = append(merged, offer{flowQueue: q, class: q.class(), used: float64(used[flow]) / q.weight})
+		h := pools[flow.Pool]
+		if h == nil {
+			h = &flowHeap{}
+			pools[flow.Pool] = h
+		}
+		*h = append(*h, offer{flowQueue: q, class: q.class(), used: float64(used[flow]) / q.weight})
+	}
+	merged := make(poolHeap, 0, len(pools))
+	for _, h := range pools {
+		heap.Init(h)
+		merged = append(merged, h)
 	}
 	heap.Init(&merged)
 	for len(merged) > 0 {
-		first := &merged[0]
+		flows := merged[0]
+		first := &(*flows)[0]
 		first.used += float64(offerTo(int(first.jobs[0].index))) / first.weight
 		first.jobs = first.jobs[1:]
-		if len(first.jobs) == 0 {
+		if len(first.jobs) > 0 {
+			first.class = first.flowQueue.class()
+			heap.Fix(flows, 0)
+		} else {
+			heap.Pop(flows)
+		}
+		if len(*flows) > 0 {
+			heap.Fix(&merged, 0)
+		} else {
 			heap.Pop(&merged)
-			continue
 		}
-		first.class = first.flowQueue.class()
-		heap.Fix(&merged, 0)
 	}
 }
 
@@ -237,7 +253,7 @@
 	used  float64 // capacity that runs or was offered to earlier jobs of the flow, divided by the weight
 }
 
-// flowHeap is a heap of flows by their first jobs.
+// flowHeap is a heap of the flows of one pool by their first jobs.
 type flowHeap []offer
 
 func (h flowHeap) Len() int { return len(h) }
@@ -262,3 +278,28 @@
 	*h = (*h)[:last]
 	return nil
 }
+
+// poolHeap is a heap of pools by the class and the urgency of their first jobs. Use is not compared between pools: a
+// long-running job would never have a turn beside short ones while its account holds more long-running capacity than any
+// account uses for short jobs.
+type poolHeap []*flowHeap
+
+func (h poolHeap) Len() int { return len(h) }
+
+func (h poolHeap) Less(i, k int) bool {
+	a, b := &(*h[i])[0], &(*h[k])[0]
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	return compareRanked(a.jobs[0], b.jobs[0]) < 0
+}
+
+func (h poolHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+func (h *poolHeap) Push(o any) { *h = append(*h, o.(*flowHeap)) }
+
+func (h *poolHeap) Pop() any {
+	last := len(*h) - 1
+	*h = (*h)[:last]
+	return nil
+}
--- a/core/fairshare/order_test.go
+++ b/core/fairshare/order_test.go
@@ -138,6 +138,25 @@
 	})
 }
 
+// Guards against jobs that are not ordered by urgency although no accounts compete for a pool, because use is compared
+// between pools.
+func TestPoolsAreMergedByUrgency(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		jobs := genJobs(t)
+		oneAccount := rapid.Bool().Draw(t, "one account")
+		for i := range jobs {
+			jobs[i].Account, jobs[i].Priority, jobs[i].Exceeds = "a", 0, false
+			if !oneAccount && jobs[i].Pool.Service == "q" {
+				jobs[i].Account = "b"
+			}
+		}
+		order := Order(jobs, testWeight, genRunning(t, jobs), notAgedTurnMs)
+		if want := byUrgency(jobs, nil, nil, 0); !slices.Equal(order, want) {
+			t.Fatalf("%v, want %v", order, want)
+		}
+	})
+}
+
 // Guards against an account that holds more than its weight's share of a full pool, or less, by more than a job and a tenth.
 func TestWeightsAreKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
