--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -201,6 +201,17 @@
 	return r
 }
 
+// TotalSize sums the sizes of a service's open workers.
+func (f *Fleet) TotalSize(service string) resource.Vector {
+	var total resource.Vector
+	for _, w := range f.sorted {
+		if w.Service == service && w.Open {
+			total = total.Add(w.Size)
+		}
+	}
+	return total
+}
+
 // minChunkDivisor divides a worker's size into the smallest free chunk that is of use to large short tasks.
 const minChunkDivisor = 6
 
