Keep the clock of an account's bucket from running ahead

A job accepted by a daemon whose clock was 10 min ahead moved the bucket's clock there, and 578 of the next 600 jobs at half of the weight gained no tokens and counted as excess. Times of acceptance are now bounded by the owner's wall clock, and the bucket's clock follows if the wall clock is set back. The calls in the tests pass the wall clock; their checks are unchanged.

--- a/core/fairshare/meter.go
+++ b/core/fairshare/meter.go
@@ -31,16 +31,20 @@
 func NewMeter() *Meter { return &Meter{buckets: map[string]bucket{}} }
 
 // Exceeds counts a job of an account that is owed rate jobs a second and reports whether the job is in excess of them. Jobs
-// are counted in the order of their acceptance; one that is counted late gains no tokens.
-func (m *Meter) Exceeds(account string, acceptedMs int64, rate float64) bool {
+// are counted in the order of their acceptance; one that is counted late gains no tokens. The bucket's clock is never ahead of
+// the wall clock: after a job whose daemon's clock is ahead, or once the wall clock is set back, jobs would gain no tokens
+// until their times of acceptance have caught up.
+func (m *Meter) Exceeds(account string, acceptedMs int64, rate float64, wallMs int64) bool {
 	if !(rate > 0) { // also for NaN
 		return true
 	}
 	size := burstSize(rate)
+	acceptedMs = min(acceptedMs, wallMs)
 	b, known := m.buckets[account]
 	if !known {
 		b = bucket{tokens: size, atMs: acceptedMs}
 	}
+	b.atMs = min(b.atMs, wallMs)
 	if elapsedMs := acceptedMs - b.atMs; elapsedMs > 0 {
 		b.tokens += headroom * rate * float64(elapsedMs) / 1000
 		b.atMs = acceptedMs
--- a/core/fairshare/meter_test.go
+++ b/core/fairshare/meter_test.go
@@ -15,7 +15,7 @@
 		var owedAt []int64
 		for range rapid.IntRange(1, 300).Draw(t, "jobs") {
 			now += rapid.Int64Range(0, 300).Draw(t, "gap")
-			if !m.Exceeds("a", now, rate) {
+			if !m.Exceeds("a", now, rate, now) {
 				owedAt = append(owedAt, now)
 			}
 		}
@@ -34,12 +34,12 @@
 	is := is.New(t)
 	m, now := NewMeter(), int64(0)
 	for range 1000 {
-		m.Exceeds("a", now, 4)
+		m.Exceeds("a", now, 4, now)
 	}
-	is.True(m.Exceeds("a", now, 4))
+	is.True(m.Exceeds("a", now, 4, now))
 	for range 100 {
 		now += 250
-		is.True(!m.Exceeds("a", now, 4))
+		is.True(!m.Exceeds("a", now, 4, now))
 	}
 }
 
@@ -49,10 +49,10 @@
 	m := NewMeter()
 	n := 0
 	for i := range int64(1000) {
-		if !m.Exceeds("a", 100_000-i%2*50_000, 4) {
+		if !m.Exceeds("a", 100_000-i%2*50_000, 4, 100_000) {
 			n++
 		}
 	}
 	is.Equal(n, int(burstSize(4)))
-	is.True(m.Exceeds("zero", 0, 0))
+	is.True(m.Exceeds("zero", 0, 0, 0))
 }
--- a/core/fairshare/pool_test.go
+++ b/core/fairshare/pool_test.go
@@ -122,7 +122,7 @@
 func (s *sender) add(p *pool, account string, nowMs, durationMs int64) *playedJob {
 	j := &playedJob{durationMs: durationMs, Job: Job{Flow: Flow{Account: account, Pool: Pool{Service: service}},
 		ID: strconv.Itoa(len(s.sent)), AcceptedMs: nowMs, DueMs: nowMs + 2*durationMs + 1000, Work: 1000}}
-	j.Exceeds = s.meter.Exceeds(account, nowMs, p.weights[account]/s.shards)
+	j.Exceeds = s.meter.Exceeds(account, nowMs, p.weights[account]/s.shards, nowMs)
 	s.sent = append(s.sent, j)
 	p.waiting = append(p.waiting, j)
 	return j
--- a/node/shard/fairorder.go
+++ b/node/shard/fairorder.go
@@ -15,7 +15,7 @@
 // orderJobs puts the waiting jobs of a plan into the order in which they are offered capacity: by urgency, or by the fair
 // share of client accounts if any of them belongs to one. The caller holds mu.
 func (s *Shard) orderJobs(waiting []*jobEntry, config *jobqueue.Config, wallMs int64) []*jobEntry {
-	s.meterJobs(config)
+	s.meterJobs(config, wallMs)
 	if !ofAccounts(waiting, config) {
 		slices.SortFunc(waiting, compareUrgency)
 		return waiting
@@ -66,14 +66,14 @@
 
 // meterJobs counts the jobs read since the last plan against the weights of their accounts. A shard is owed its part of the
 // jobs that an account may send to the environment. The caller holds mu.
-func (s *Shard) meterJobs(config *jobqueue.Config) {
+func (s *Shard) meterJobs(config *jobqueue.Config, wallMs int64) {
 	slices.SortFunc(s.unmetered, func(a, b *jobEntry) int {
 		return cmp.Or(cmp.Compare(a.job.Spec.AcceptedMs, b.job.Spec.AcceptedMs), strings.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
 	shards := float64(max(s.deps.Shards(), 1))
 	for _, e := range s.unmetered {
 		if a := config.Accounts.Account(e.job.Spec.Account); a != nil {
-			e.exceedsWeight = s.meter.Exceeds(a.Name, e.job.Spec.AcceptedMs, a.Weight/shards)
+			e.exceedsWeight = s.meter.Exceeds(a.Name, e.job.Spec.AcceptedMs, a.Weight/shards, wallMs)
 		}
 	}
 	s.unmetered = nil
