--- a/node/shard/quota.go
+++ b/node/shard/quota.go
@@ -135,10 +135,13 @@
 
 // endQuotaPlan ends a plan and publishes what waits for limits. The caller holds mu.
 func (s *Shard) endQuotaPlan(now time.Duration) {
-	total := 0
+	total, limited := 0, 0
 	for name, a := range s.quotas.accounts {
 		a.EndPlan()
 		total += a.waiting
+		if a.Limited() {
+			limited += a.waiting
+		}
 		if waits := a.waiting > 0; waits != a.waitLogged && (a.loggedAt == 0 || now-a.loggedAt >= waitLogInterval) {
 			a.waitLogged, a.loggedAt = waits, now
 			message := "tasks wait for the account's limit"
@@ -150,7 +153,7 @@
 		}
 	}
 	s.countQuotaWaits(total)
-	if total > 0 {
+	if limited > 0 { // no share helps tasks of accounts that the configuration does not hold
 		signal(s.quotaSignal)
 	}
 }
