--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -200,6 +200,11 @@
 	}
 }
 
+// Empty reports whether nothing runs, waits, is stored or is being stored, so that a new Account has the same state.
+func (a *Account) Empty() bool {
+	return a.used.IsZero() && a.own == (Entry{}) && len(a.others) == 0 && !a.lowering && !a.waits.any()
+}
+
 // Used returns what the account's runs use.
 func (a *Account) Used() resource.Vector { return a.used }
 
--- a/node/shard/quota.go
+++ b/node/shard/quota.go
@@ -152,12 +152,23 @@
 				Stringer("limit", a.limit).Msg(message)
 		}
 	}
+	s.forgetAccounts()
 	s.countQuotaWaits(total)
 	if limited > 0 { // no share helps tasks of accounts that the configuration does not hold
 		signal(s.quotaSignal)
 	}
 }
 
+// forgetAccounts removes the accounts that the configuration does not hold and of which nothing is left, so that their number
+// stays bounded. The caller holds mu.
+func (s *Shard) forgetAccounts() {
+	for name, a := range s.quotas.accounts {
+		if _, known := s.limitOf(name); !known && a.waiting == 0 && a.Empty() {
+			delete(s.quotas.accounts, name)
+		}
+	}
+}
+
 // countQuotaWaits updates the shard's part of the gauge. The caller holds mu.
 func (s *Shard) countQuotaWaits(total int) {
 	s.deps.Counters.WaitForQuota.Add(int64(total - s.quotas.waitingTotal))
--- a/node/shard/quotastore.go
+++ b/node/shard/quotastore.go
@@ -60,7 +60,8 @@
 	// coincide do not get in each other's way again.
 	backoff time.Duration
 	onPoll  func(error)
-	// ownOffsets holds the offset of the newest record that was read of each account of this shard.
+	// ownOffsets holds the offset of the newest record that was read of each account of this shard since the pending append
+	// was prepared.
 	ownOffsets map[string]int64
 }
 
@@ -232,6 +233,7 @@
 		end := x.follower.Next()
 		p.At = &end
 	}
+	clear(x.ownOffsets)
 	x.pending = p
 }
 
