--- a/core/quota/decide.go
+++ b/core/quota/decide.go
@@ -102,6 +102,7 @@
 	if !a.synced {
 		return a.own, false, false
 	}
+	a.countOldest()
 	e.Share = a.target()
 	if a.mode == limited {
 		e.Lasting = a.counts(a.lasting)
@@ -116,6 +117,15 @@
 	return e, e != a.own, !e.Share.Fits(a.own.Share)
 }
 
+// countOldest counts the rounds in which the same job of another shard is the oldest.
+func (a *Account) countOldest() {
+	if a.oldest != a.oldestInRound {
+		a.oldestInRound, a.oldestRounds = a.oldest, 0
+	}
+	a.oldestRounds++
+	a.updateOlder()
+}
+
 // Begin makes the part of an entry take effect that lowers the share, before the entry is stored. SetOwn ends that.
 func (a *Account) Begin(e Entry) {
 	a.ceiling, a.lowering = e.Share, true
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -127,12 +127,21 @@
 	// usable is what may be used now. Jobs accepted after owedToMs leave owed of it to older ones of other shards.
 	usable, owed resource.Vector
 	owedToMs     int64
+	// oldest is the oldest waiting job of those that have waited longer; it has been the same one for oldestRounds rounds.
+	oldest, oldestInRound olderJob
+	oldestRounds          int
 	// waits is what waits by the newest plan, and planned what the current one has found so far.
 	waits, planned waiting
 	// surplus holds what was not in use in the latest rounds.
 	surplus [surplusRounds - 1]resource.Vector
 }
 
+// olderJob identifies the oldest waiting job of another shard.
+type olderJob struct {
+	shard   int
+	sinceMs int64
+}
+
 // New returns the state of an account in a shard that holds nothing.
 func New(shard int) *Account { return &Account{shard: shard, others: map[int]Entry{}} }
 
@@ -259,15 +268,28 @@
 // two shards that are equally busy would hand shares over all the time.
 const yieldAfterMs = 1000
 
+// yieldRounds is the number of rounds in which the same job of another shard is the oldest, after which that margin no longer
+// applies. Without this end, a gang waits as long as a job that was accepted within the margin has tasks.
+const yieldRounds = 10
+
 // updateOlder computes what jobs of other shards lack that have waited longer than those of this one, and what younger jobs
 // leave to them: what they lack beyond the remainder.
 func (a *Account) updateOlder() {
 	a.older, a.owed, a.owedToMs, a.othersLasting = resource.Vector{}, resource.Vector{}, math.MaxInt64, resource.Vector{}
+	a.oldest = olderJob{}
 	for shard, e := range a.others {
 		a.othersLasting = a.othersLasting.Add(e.Lasting)
 		if a.before(shard, &e) {
 			a.older = a.older.Add(e.Lack)
-			a.owedToMs = min(a.owedToMs, e.SinceMs+yieldAfterMs)
+			if a.oldest == (olderJob{}) || cmp.Or(cmp.Compare(e.SinceMs, a.oldest.sinceMs), cmp.Compare(shard, a.oldest.shard)) < 0 {
+				a.oldest = olderJob{shard, e.SinceMs}
+			}
+		}
+	}
+	if a.older != (resource.Vector{}) {
+		a.owedToMs = a.oldest.sinceMs + yieldAfterMs
+		if a.oldest == a.oldestInRound && a.oldestRounds >= yieldRounds {
+			a.owedToMs = a.oldest.sinceMs - 1
 		}
 	}
 	a.owed = each(func(i int) int64 {
