--- a/core/quota/decide.go
+++ b/core/quota/decide.go
@@ -36,7 +36,7 @@
 	if a.allows(&wanted, &size) {
 		return Fits
 	}
-	if pool := a.pool(); fits(&size, &pool) {
+	if pool := a.pool(); size.Fits(pool) {
 		return Obtainable
 	}
 	return UsedUp
@@ -55,17 +55,6 @@
 	return true
 }
 
-// fits reports whether a size fits in, in the components of it that limits count. Without the others, an excess of one
-// component would block tasks that do not need it.
-func fits(size, in *resource.Vector) bool {
-	for i := range components {
-		if n := *at(size, i); n > 0 && n > *at(in, i) {
-			return false
-		}
-	}
-	return true
-}
-
 // pool returns what this shard may come to use beside its runs: what it does not use of its share, and the remainder but for
 // what older jobs of other shards lack.
 func (a *Account) pool() resource.Vector {
@@ -80,7 +69,7 @@
 // go on, and all its tasks need need.
 func (a *Account) Wait(job string, sinceMs int64, atOnce, need resource.Vector) {
 	atOnce = counted(atOnce)
-	if room := a.limit.Sub(a.lasting).Sub(a.othersLasting); a.mode != limited || !fits(&atOnce, &room) {
+	if a.mode != limited || !atOnce.Add(a.lasting).Add(a.othersLasting).Fits(a.limit) {
 		return // it cannot be placed beside what does not end by itself, and must not hold back others
 	}
 	p := &a.planned
@@ -163,7 +152,7 @@
 		return a.used.Add(a.lastingSurplus(unused))
 	}
 	a.surplus = [surplusRounds - 1]resource.Vector{}
-	if pool := a.pool(); fits(&a.waits.head, &pool) {
+	if pool := a.pool(); a.waits.head.Fits(pool) {
 		return a.used.Add(part(a.waits.head, a.waits.need, pool))
 	}
 	// What no waiting task fits in is of no use to this shard, unless it is the next to get more.
@@ -178,10 +167,6 @@
 	granted := maxOf(head, need)
 	var numerator, denominator int64 // of the smallest part
 	for i := range components {
-		if *at(&pool, i) <= 0 {
-			*at(&granted, i) = 0 // the head needs none of it
-			continue
-		}
 		if n, d := *at(&pool, i), *at(&granted, i); n < d && (denominator == 0 || n < scale(d, numerator, denominator)) {
 			numerator, denominator = n, d
 		}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -257,7 +257,7 @@
 
 // before reports whether a job of another shard has waited longer than those of this one.
 func (a *Account) before(shard int, e *Entry) bool {
-	if e.Lack == (resource.Vector{}) || !fits(&e.Lack, &a.limit) {
+	if e.Lack == (resource.Vector{}) || !e.Lack.Fits(a.limit) {
 		return false // none waits, or it can never be placed
 	}
 	return !a.waits.any() || cmp.Or(cmp.Compare(e.SinceMs, a.waits.sinceMs), cmp.Compare(shard, a.shard)) < 0
