--- a/node/hosted/scope_test.go
+++ b/node/hosted/scope_test.go
@@ -78,14 +78,14 @@
 		Shard int    `cbor:"1,keyasint"`
 		Job   string `cbor:"2,keyasint"`
 	}
-	var read stateQuery
+	read := make(chan stateQuery, 1)
 	d, owner := daemonBeside(t, func(s *peer.Server) {
 		peer.HandleCall(s, methodState, func(_ context.Context, _ string, q earlierQuery) (jobs.State, error) {
 			is.Equal(q, earlierQuery{3, "job"})
 			return jobs.StateRunning, nil
 		})
 		peer.HandleCall(s, "this build", func(_ context.Context, _ string, q stateQuery) (jobs.State, error) {
-			read = q
+			read <- q
 			return jobs.StateRunning, nil
 		})
 	})
@@ -96,7 +96,7 @@
 	is.NoErr(d.peers.Call(ctx, owner, methodState, limited, &state))
 	is.Equal(state, jobs.StateRunning)
 	is.NoErr(d.peers.Call(ctx, owner, "this build", earlierQuery{3, "job"}, &state))
-	is.Equal(read, stateQuery{Shard: 3, Job: "job"})
+	is.Equal(<-read, stateQuery{Shard: 3, Job: "job"})
 	is.NoErr(d.peers.Call(ctx, owner, "this build", limited, &state))
-	is.Equal(read, limited)
+	is.Equal(<-read, limited)
 }
