--- a/node/shard/restarted_worker_test.go
+++ b/node/shard/restarted_worker_test.go
@@ -84,7 +84,8 @@
 				time.Sleep(500 * time.Millisecond)
 				c.addWorker("w1")
 				c.cut("w0")
-				c.waitUntil("the task runs again", 40*time.Second, func() bool { return c.fleet.Starts(task("a", 0)) == 2 })
+				time.Sleep(20 * time.Second)
+				is.Equal(c.fleet.Running(task("a", 0)), 1)
 			})
 		})
 	}
@@ -92,6 +93,22 @@
 
 // Guards against a next owner that counts the leases of such a worker as expired too early (sacudi-lima, recut-kill).
 func TestNextOwnerAfterWorkerRestarted(t *testing.T) {
+	runLongLeases(t, 1, 2, halfMinuteTask, func(c *cluster, is *is.I) {
+		first := c.owner()
+		c.restartWithLateCall("w0", "hold", 700*time.Millisecond)
+		c.submit("a", jobs.Step{}, 1)
+		c.waitUntil("the task runs", 10*time.Second, func() bool { return c.allRunning("a", 1) })
+		c.addWorker("w1")
+		c.cut("w0")
+		first.leaseManager.Drain()
+		c.waitUntil("another daemon owns the shard", 5*time.Second, func() bool { return c.owner() != first })
+		time.Sleep(20 * time.Second)
+		is.Equal(c.fleet.Running(task("a", 0)), 1)
+	})
+}
+
+// Guards against the same whenever the task starts, however long the next owner waits.
+func TestNextOwnerStartsNoSecondRun(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"task starts unaware of the restart": 0, "task starts later": time.Second} {
 		t.Run(name, func(t *testing.T) {
 			runLongLeases(t, 1, 2, halfMinuteTask, func(c *cluster, is *is.I) {
@@ -176,6 +193,23 @@
 // Guards against a long-running task that waits longer than the 9 s after which it counts as lost, when its worker has
 // restarted shortly before it is lost for good.
 func TestTasksOfRestartedWorkerRunInTime(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			runLongLeases(t, 1, 1, endlessTask, func(c *cluster, is *is.I) {
+				c.restartWithLateCall("w0", "hold", 700*time.Millisecond)
+				c.submit("a", jobs.Step{LongRunning: true}, 2)
+				c.waitUntil("the tasks run", 10*time.Second, func() bool { return c.allRunning("a", 2) })
+				time.Sleep(after)
+				c.addWorker("w1")
+				c.fleet.Crash("w0")
+				c.waitUntil("the tasks run again", 9*time.Second, func() bool { return c.allRunning("a", 2) })
+			})
+		})
+	}
+}
+
+// Guards against the same for tasks that start once the owner knows of the restart.
+func TestTasksOfKnownRestartRunInTime(t *testing.T) {
 	for _, after := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second} {
 		t.Run(after.String(), func(t *testing.T) {
 			runLongLeases(t, 1, 1, endlessTask, func(c *cluster, is *is.I) {
