--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -16,6 +16,7 @@
 	"waxwingslip.example/external/jobworker"
 	"waxwingslip.example/external/keyedlog"
 	"waxwingslip.example/node/boundary"
+	"waxwingslip.example/node/ctxtime"
 	"waxwingslip.example/node/ledger"
 	"waxwingslip.example/node/peer"
 	"waxwingslip.example/node/shard"
@@ -75,6 +76,7 @@
 		settings: settings, deps: deps, store: store, log: log, now: deps.Now, metrics: telemetry.New(time.Now),
 		control: newControl(deps.Layout, log), shards: map[int]*shard.Shard{},
 	}
+	store.Observe(log, ledger.NewCounters(d.metrics))
 	d.commands = newCommandStore(store, settings.Store.Partitions, deps.Now, d.ownerStore)
 	d.shardDeps = &shard.Dependencies{
 		Store: store, Workers: deps.Workers, Advisor: deps.Advisor, Config: d.control.Config,
@@ -267,8 +269,23 @@
 	}
 }
 
+// controlGaugeInterval is the time between two updates of the gauges of the control state.
+const controlGaugeInterval = time.Second
+
+// observeControl updates the gauges of the control state until the context ends.
+func (d *Daemon) observeControl(ctx context.Context, f *ledger.Follower) {
+	for ctxtime.Sleep(ctx, controlGaugeInterval) {
+		d.metrics.Gauge("control_age").Set(d.controlAge().Milliseconds())
+		d.metrics.Gauge("control_offset").Set(f.Next())
+		if c := d.control.Config(); c != nil {
+			d.metrics.Gauge("control_version").Set(c.Version)
+		}
+	}
+}
+
 func (d *Daemon) followControl(ctx context.Context) {
 	f := ledger.NewFollower(d.store, d.deps.Layout.Control, d.control.apply)
+	go d.observeControl(ctx, f)
 	logResult := ledger.LogDependency(d.log, "control topic")
 	f.Run(ctx, controlPollWait, 0, func(err error) {
 		logResult(err)
