--- a/external/keyedlog/fake/store.go
+++ b/external/keyedlog/fake/store.go
@@ -24,6 +24,8 @@
 	Delay time.Duration
 	// Hang does not execute the call and does not respond until the caller's context ends.
 	Hang bool
+	// Link carries the response of a read.
+	Link *Link
 }
 
 var errResponseLost = errors.New("response was lost")
@@ -219,6 +221,9 @@
 			if f.LoseResponse {
 				err = errResponseLost
 			}
+			if err == nil && f.Link != nil {
+				return f.Link.carryBatch(ctx, batch)
+			}
 			return batch, err
 		}
 		select {
@@ -258,9 +263,19 @@
 	if f.LoseResponse {
 		return keyedlog.Page{}, errResponseLost
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	part := v.partition(p)
+	page := v.newest(p, after)
+	if f.Link != nil {
+		if err := f.Link.carryPage(ctx, page); err != nil {
+			return keyedlog.Page{}, err
+		}
+	}
+	return page, nil
+}
+
+func (s *Store) newest(p keyedlog.Partition, after string) keyedlog.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part := s.partition(p)
 	var keys []string
 	for k := range part.newest {
 		if k > after {
@@ -276,7 +291,7 @@
 	for _, k := range keys {
 		page.Records = append(page.Records, part.newest[k])
 	}
-	return page, nil
+	return page
 }
 
 // Trim deletes the history of all partitions; the newest record of each key stays.
--- /dev/null
+++ b/node/ledger/slowlink_test.go
@@ -0,0 +1,63 @@
+package ledger_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"waxwingslip.example/external/keyedlog"
+	storefake "waxwingslip.example/external/keyedlog/fake"
+	"waxwingslip.example/node/ledger"
+)
+
+// Guards against a follower that never catches up, since what it missed doesn't arrive within the time limit of one read,
+// is discarded and read again.
+func TestFollowerBehindSlowLinkCatchesUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		rate    int64 // bytes per second
+		missed  int   // records
+		listing bool  // the follower has read nothing before
+	}{
+		"several records that are too large together": {rate: 250 << 10, missed: 3},
+		"one record that is too large alone":          {rate: 50 << 10, missed: 1},
+		"list of the newest records":                  {rate: 50 << 10, missed: 1, listing: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := keyedlog.Partition{Topic: "keyed.t"}
+				store := storefake.New()
+				link := storefake.NewLink(c.rate)
+				store.SetFault(func(caller, _ string, _ keyedlog.Partition) storefake.Fault {
+					if caller == "d" {
+						return storefake.Fault{Link: link}
+					}
+					return storefake.Fault{}
+				})
+				f := ledger.NewFollower(ledger.NewTimedStore(store.As("d")), p, func([]keyedlog.Record, bool) {})
+				if !c.listing {
+					is.NoErr(f.Load(t.Context()))
+				}
+				for range c.missed {
+					_, err := store.As("operator").Append(t.Context(), keyedlog.Append{Partition: p,
+						Records: []keyedlog.Record{{Key: "config", Value: bytes.Repeat([]byte("r"), 321<<10)}}})
+					is.NoErr(err)
+				}
+				// Twice the time that the link needs for all of it.
+				needed := time.Duration(c.missed) * 428 << 10 * time.Second / time.Duration(c.rate)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*needed)
+				defer cancel()
+				f.Run(ctx, time.Second, 0, func(error) {
+					if f.Next() == int64(c.missed) {
+						cancel()
+					}
+				})
+				is.Equal(f.Next(), int64(c.missed))
+			})
+		})
+	}
+}
