--- a/external/keyedlog/keyedlog.go
+++ b/external/keyedlog/keyedlog.go
@@ -59,7 +59,8 @@
 type Store interface {
 	// Append returns the offset of the first record.
 	Append(ctx context.Context, a Append) (int64, error)
-	// Read returns records from an offset, waiting up to wait for the first one.
+	// Read returns records from an offset, waiting up to wait for the first one. If a response is cut off, it returns
+	// the error with the records that arrived whole.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of every key after a key, one page at a time. The pages are not one snapshot.
 	Newest(ctx context.Context, p Partition, after string) (Page, error)
--- a/node/ledger/timedstore.go
+++ b/node/ledger/timedstore.go
@@ -12,12 +12,15 @@
 )
 
 // Limits of one call to the store. Without a response in time, its connection counts as unresponsive, and the caller
-// repeats the call.
+// repeats the call. A response that goes on arriving may take any time: what is cut off for its size would be cut off
+// again.
 const (
-	// ReadMargin is the time beyond its wait after which a read times out.
+	// ReadMargin is the time beyond its wait after which a read without any response times out.
 	ReadMargin = time.Second
-	// pageTimeout limits the read of one page of the newest records.
+	// pageTimeout is the same for a page of the newest records.
 	pageTimeout = 2 * time.Second
+	// stallTimeout is the longest pause within a response. It covers the repeat of a lost packet.
+	stallTimeout = 2 * time.Second
 	// appendTimeout limits an append. Most callers have shorter limits.
 	appendTimeout = attemptTimeoutMax
 )
@@ -33,15 +36,15 @@
 
 // Counters are the metrics of a process's reads of the store.
 type Counters struct {
-	// BytesRead counts the bytes of all responses to reads, BytesDiscarded those of reads that failed.
-	BytesRead, BytesDiscarded *telemetry.Counter
+	// BytesRead counts the bytes of all responses to reads.
+	BytesRead *telemetry.Counter
 	// ReadsFailed counts all reads that failed, ReadsCut those of which a part had arrived.
 	ReadsFailed, ReadsCut *telemetry.Counter
 }
 
 // NewCounters registers the metrics in r.
 func NewCounters(r *telemetry.Registry) *Counters {
-	return &Counters{BytesRead: r.Counter("store_bytes_read"), BytesDiscarded: r.Counter("store_bytes_discarded"),
+	return &Counters{BytesRead: r.Counter("store_bytes_read"),
 		ReadsFailed: r.Counter("store_reads_failed"), ReadsCut: r.Counter("store_reads_cut")}
 }
 
@@ -67,44 +70,57 @@
 	return offset, err
 }
 
-// Read implements keyedlog.Store.
+// Read implements keyedlog.Store. It returns the records that arrived whole without an error, if there are any: callers
+// continue after them.
 func (s *TimedStore) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+ReadMargin)
-	defer cancel()
-	read := s.observeRead(ctx, p, from)
+	read := s.startRead(ctx, p, from, wait+ReadMargin)
 	batch, err := s.store.Read(read.ctx, p, from, wait)
-	read.end(err)
+	if read.end(err); len(batch.Records) > 0 {
+		err = nil
+	}
 	return batch, err
 }
 
 // Newest implements keyedlog.Store.
 func (s *TimedStore) Newest(ctx context.Context, p keyedlog.Partition, after string) (keyedlog.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	read := s.observeRead(ctx, p, -1)
+	read := s.startRead(ctx, p, -1, pageTimeout)
 	page, err := s.store.Newest(read.ctx, p, after)
 	read.end(err)
 	return page, err
 }
 
-// observedRead counts the bytes of one read.
-type observedRead struct {
+// errNoProgress is the cause of the end of a read whose response did not begin or go on.
+var errNoProgress = errors.New("no response in time")
+
+// timedRead is one read that goes on while its response arrives.
+type timedRead struct {
 	store     *TimedStore
 	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	timer     *time.Timer
 	partition keyedlog.Partition
 	from      int64 // -1 for a list of the newest records
 	start     time.Time
 	bytes     int64
 }
 
-func (s *TimedStore) observeRead(ctx context.Context, p keyedlog.Partition, from int64) *observedRead {
-	r := &observedRead{store: s, partition: p, from: from, start: time.Now()}
-	r.ctx = keyedlog.WithProgress(ctx, func(n int) { r.bytes += int64(n) })
+// startRead starts a read whose response must begin within a limit.
+func (s *TimedStore) startRead(ctx context.Context, p keyedlog.Partition, from int64, limit time.Duration) *timedRead {
+	r := &timedRead{store: s, partition: p, from: from, start: time.Now()}
+	ctx, r.cancel = context.WithCancelCause(ctx)
+	r.timer = time.AfterFunc(limit, func() { r.cancel(errNoProgress) })
+	r.ctx = keyedlog.WithProgress(ctx, func(n int) {
+		r.bytes += int64(n)
+		r.timer.Reset(stallTimeout)
+	})
 	return r
 }
 
-// end counts the read. It logs one that failed after a part had arrived, which shows that the connection works.
-func (r *observedRead) end(err error) {
+// end ends the read and counts it. It logs one that failed after a part had arrived, which shows that the connection
+// works.
+func (r *timedRead) end(err error) {
+	r.timer.Stop()
+	defer r.cancel(nil)
 	c := r.store.counters
 	c.BytesRead.Add(r.bytes)
 	if err == nil || errors.Is(err, keyedlog.ErrTrimmed) {
@@ -115,7 +131,6 @@
 		return
 	}
 	c.ReadsCut.Inc()
-	c.BytesDiscarded.Add(r.bytes)
-	r.store.log.Warn().Err(err).Str("topic", r.partition.Topic).Int("part", r.partition.Number).Int64("from", r.from).
+	r.store.log.Warn().Err(err).AnErr("cause", context.Cause(r.ctx)).Str("topic", r.partition.Topic).Int("part", r.partition.Number).Int64("from", r.from).
 		Int64("bytes", r.bytes).Dur("took", time.Since(r.start)).Msg("read of the store is cut off")
 }
