--- a/external/jobqueue/jobqueue.go
+++ b/external/jobqueue/jobqueue.go
@@ -95,6 +95,9 @@
 type JobAPI interface {
 	// Config returns the newest configuration, or nil before the first one.
 	Config() *Config
+	// ConfigCurrent reports whether Config is known to be the operators' newest one. Otherwise, what is missing from it may
+	// exist.
+	ConfigCurrent() bool
 	// Submit stores a job. After any error but RefusedError, the job may or may not be accepted.
 	Submit(ctx context.Context, spec *jobs.Spec) error
 	// State and Cancel return ErrUnknownJob for jobs that are not in the caller's scope.
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -36,6 +36,9 @@
 // Config implements jobqueue.JobAPI.
 func (a *jobAPI) Config() *jobqueue.Config { return a.d.control.Config() }
 
+// ConfigCurrent implements jobqueue.JobAPI.
+func (a *jobAPI) ConfigCurrent() bool { return a.d.feed.age() <= staleControlAge }
+
 // shardOf returns the home shard of a job or a worker. It never changes for an environment.
 func shardOf(id string, shards int) int { return int(xxhash.Sum64String(id) % uint64(shards)) }
 
