--- a/external/keyedlog/fake/link.go
+++ b/external/keyedlog/fake/link.go
@@ -11,7 +11,7 @@
 // linkChunk is the number of bytes that a link carries at a time; transfers that overlap take turns.
 const linkChunk = 16 << 10
 
-// Link carries responses at a limited rate, which all that share it have together. It is safe for concurrent use.
+// Link carries calls at a limited rate, which all that share it have together. It is safe for concurrent use.
 type Link struct {
 	bytesPerSecond int64
 
@@ -59,13 +59,16 @@
 
 func recordSize(r keyedlog.Record) int64 { return int64(recordOverhead + len(r.Key) + len(r.Value)) }
 
-// carryBatch carries the response of a read. If it is cut off, the records that have arrived whole remain.
-func (l *Link) carryBatch(ctx context.Context, b keyedlog.Batch) (keyedlog.Batch, error) {
-	var size int64
-	for _, r := range b.Records {
+func recordSizes(records []keyedlog.Record) (size int64) {
+	for _, r := range records {
 		size += recordSize(r)
 	}
-	arrived, err := l.carry(ctx, size)
+	return size
+}
+
+// carryBatch carries the response of a read. If it is cut off, the records that have arrived whole remain.
+func (l *Link) carryBatch(ctx context.Context, b keyedlog.Batch) (keyedlog.Batch, error) {
+	arrived, err := l.carry(ctx, recordSizes(b.Records))
 	if err == nil {
 		return b, nil
 	}
--- a/external/keyedlog/fake/store.go
+++ b/external/keyedlog/fake/store.go
@@ -24,7 +24,7 @@
 	Delay time.Duration
 	// Hang does not execute the call and does not respond until the caller's context ends.
 	Hang bool
-	// Link carries the response of a read.
+	// Link carries the response of a read, and the records of an append before it is executed.
 	Link *Link
 }
 
@@ -111,6 +111,11 @@
 	if err := f.applyBeforeCall(ctx); err != nil {
 		return 0, err
 	}
+	if f.Link != nil {
+		if _, err := f.Link.carry(ctx, recordSizes(a.Records)); err != nil {
+			return 0, err
+		}
+	}
 	if f.Late > 0 {
 		if a.Writer != nil {
 			w := *a.Writer
--- a/node/ledger/slowlink_test.go
+++ b/node/ledger/slowlink_test.go
@@ -61,3 +61,34 @@
 		})
 	}
 }
+
+// Guards against an append that is cut off for its size at each attempt, so that nothing after it is ever stored.
+func TestLargeAppendBehindSlowLinkEnds(t *testing.T) {
+	p := keyedlog.Partition{Topic: "keyed.t"}
+	records := []keyedlog.Record{{Key: "job", Value: bytes.Repeat([]byte("r"), 256<<10)}}
+	for name, add := range map[string]func(context.Context, *ledger.TimedStore) error{
+		"writer": func(ctx context.Context, s *ledger.TimedStore) error {
+			return ledger.NewWriter(s, p, "w", 1).Append(ctx, records)
+		},
+		"at least once": func(ctx context.Context, s *ledger.TimedStore) error {
+			return ledger.NewAtLeastOnceAppender(s).Append(ctx, p, records)
+		},
+		"once": func(ctx context.Context, s *ledger.TimedStore) error {
+			_, err := s.Append(ctx, keyedlog.Append{Partition: p, Records: records})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := storefake.New()
+				const rate = 50 << 10
+				link := storefake.NewLink(rate)
+				store.SetFault(func(string, string, keyedlog.Partition) storefake.Fault { return storefake.Fault{Link: link} })
+				// Twice the time that the link needs.
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second*(256<<10)/rate)
+				defer cancel()
+				is.New(t).NoErr(add(ctx, ledger.NewTimedStore(store.As("d"))))
+			})
+		})
+	}
+}
--- a/node/ledger/timedstore.go
+++ b/node/ledger/timedstore.go
@@ -21,10 +21,23 @@
 	pageTimeout = 2 * time.Second
 	// stallTimeout is the longest pause within a response. It covers the repeat of a lost packet.
 	stallTimeout = 2 * time.Second
-	// appendTimeout limits an append. Most callers have shorter limits.
+	// appendTimeout limits an append, with the time to send it. Most callers have shorter limits.
 	appendTimeout = attemptTimeoutMax
+	// minLinkRate is the rate in bytes per second that a daemon can count on: the share of each of 150 daemons of a link of
+	// 60 Mbit/s between two regions.
+	minLinkRate = 50_000
 )
 
+// transferTime returns the time to send records at the rate that a daemon can count on. Limits of appends include it, since an
+// append that is cut off for its size would be cut off again.
+func transferTime(records []keyedlog.Record) time.Duration {
+	bytes := 0
+	for i := range records {
+		bytes += len(records[i].Key) + len(records[i].Value)
+	}
+	return time.Duration(bytes) * time.Second / minLinkRate
+}
+
 // TimedStore is a store whose calls all have a time limit, and that measures the latency of all appends of a process. It
 // is safe for concurrent use.
 type TimedStore struct {
@@ -60,7 +73,7 @@
 
 // Append implements keyedlog.Store.
 func (s *TimedStore) Append(ctx context.Context, a keyedlog.Append) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout+transferTime(a.Records))
 	defer cancel()
 	start := time.Now()
 	offset, err := s.store.Append(ctx, a)
--- a/node/ledger/writer.go
+++ b/node/ledger/writer.go
@@ -10,7 +10,8 @@
 	"waxwingslip.example/external/keyedlog"
 )
 
-// Bounds of the timeout after which an append without a response is sent again on another connection.
+// Bounds of the timeout, beside the time to send it, after which an append without a response is sent again on another
+// connection.
 const (
 	attemptTimeoutMin = 300 * time.Millisecond
 	attemptTimeoutMax = 3 * time.Second
@@ -80,7 +81,7 @@
 }
 
 func (w *Writer) attempt(ctx context.Context, records []keyedlog.Record, n int) error {
-	ctx, cancel := context.WithTimeout(ctx, w.latency.timeout(n))
+	ctx, cancel := context.WithTimeout(ctx, w.latency.timeout(n)+transferTime(records))
 	defer cancel()
 	start := time.Now()
 	_, err := w.store.Append(ctx, keyedlog.Append{Partition: w.partition, Records: records, Writer: &w.writer})
@@ -128,7 +129,7 @@
 // may or may not take effect, after any other error it never does.
 func (a *AtLeastOnceAppender) Attempt(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record,
 	n int) error {
-	ctx, cancel := context.WithTimeout(ctx, a.store.latency.timeout(n))
+	ctx, cancel := context.WithTimeout(ctx, a.store.latency.timeout(n)+transferTime(records))
 	defer cancel()
 	_, err := a.store.Append(ctx, keyedlog.Append{Partition: p, Records: records})
 	switch {
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -8,8 +8,8 @@
 	"waxwingslip.example/node/ctxtime"
 )
 
-// maxAppendBytes keeps one append well below the store's limit for one call.
-const maxAppendBytes = 1 << 20
+// maxAppendBytes limits what is sent again after an append is cut off.
+const maxAppendBytes = 256 << 10
 
 // markDirty marks a job's progress to be stored. The caller holds mu.
 func (s *Shard) markDirty(e *jobEntry) {
