--- a/node/stream/follow_test.go
+++ b/node/stream/follow_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"waxwingslip.example/core/record"
 	"waxwingslip.example/external/fault"
 	"waxwingslip.example/external/logstore"
+	"waxwingslip.example/node/ctxtime"
 )
 
 // appendRecords appends records to the log without an Appender.
@@ -157,6 +159,52 @@
 	})
 }
 
+// slowStore delays each page by the time that its payloads need at a rate in bytes per second.
+type slowStore struct {
+	logstore.Store
+	rate int
+}
+
+func (s *slowStore) Read(ctx context.Context, stream string, from int64, count int, wait time.Duration) (logstore.Page, error) {
+	page, err := s.Store.Read(ctx, stream, from, count, wait)
+	size := 0
+	for _, e := range page.Entries {
+		size += len(e.Payload)
+	}
+	if !ctxtime.Sleep(ctx, time.Duration(size)*time.Second/time.Duration(s.rate)) {
+		return logstore.Page{}, ctx.Err()
+	}
+	return page, err
+}
+
+// Guards against a follower that never catches up, since the page of what it missed doesn't arrive in time and is read
+// again.
+func TestFollowerBehindSlowLinkCatchesUp(t *testing.T) {
+	for name, c := range map[string]struct{ records, size int }{
+		"many entries":       {records: 400, size: 1 << 10},
+		"one large entry":    {records: 1, size: logstore.MaxPayloadBytes},
+		"some large entries": {records: 5, size: 100 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newTestStore()
+				payloads := make([][]byte, c.records)
+				for i := range payloads {
+					payloads[i] = bytes.Repeat([]byte{0xff}, c.size) // entries that can't be decoded are skipped
+				}
+				_, err := store.Append(t.Context(), testStream, payloads)
+				is.NoErr(err)
+				f := NewFollower(&slowStore{store, minLogRate}, newLogMachine(), FollowerOptions{Stream: testStream})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				_ = f.Run(ctx)
+				is.Equal(f.Next(), int64(c.records)+1)
+			})
+		})
+	}
+}
+
 // Guards against a corrupt entry that stops every reader of the stream.
 func TestCorruptEntryIsSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/stream/follower.go
+++ b/node/stream/follower.go
@@ -61,6 +61,7 @@
 	store   logstore.Store
 	machine Machine
 	opts    FollowerOptions
+	pages   *pageLimit
 
 	// applyMu serialises changes of the state together with the subscriber calls that follow them.
 	applyMu sync.Mutex
@@ -93,7 +94,7 @@
 func NewFollower(store logstore.Store, machine Machine, opts FollowerOptions) *Follower {
 	opts.setDefaults()
 	return &Follower{
-		store: store, machine: machine, opts: opts,
+		store: store, machine: machine, opts: opts, pages: newPageLimit(opts.MaxEntries, opts.Grace),
 		tail:    tail{limit: opts.TailBytes},
 		waiters: map[uuid.UUID][]*waiter{}, progress: make(chan struct{}), loggedCategories: map[string]bool{},
 	}
@@ -218,12 +219,18 @@
 }
 
 func (f *Follower) read(ctx context.Context, from int64, count int, wait time.Duration) (logstore.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.opts.Grace)
+	entries, grace := f.pages.get()
+	readCtx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
-	page, err := f.store.Read(ctx, f.opts.Stream, from, count, wait)
+	startedAt := time.Now()
+	page, err := f.store.Read(readCtx, f.opts.Stream, from, min(count, entries), wait)
 	if err != nil {
+		if ctx.Err() == nil && readCtx.Err() != nil {
+			f.pages.timedOut()
+		}
 		return page, f.stepError("read", nil, err)
 	}
+	f.pages.arrived(len(page.Entries), time.Since(startedAt))
 	return page, nil
 }
 
