--- a/node/hosted/commands.go
+++ b/node/hosted/commands.go
@@ -128,7 +128,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	timeout := time.Until(deadline) - ownerResponseReserve
-	if timeout <= 0 {
+	if timeout < time.Millisecond { // the request carries whole milliseconds
 		return errors.Wrap(keyedlog.ErrRefused, "too little time is left for the owner")
 	}
 	resp, err := store(ctx, storeRequest{Shard: n, Key: r.Key, Value: r.Value, TimeoutMs: timeout.Milliseconds()})
