--- a/node/hosted/controlfeed.go
+++ b/node/hosted/controlfeed.go
@@ -52,16 +52,20 @@
 	// latency is the shortest duration of a look at the end of the control topic, 0 before the first.
 	latency time.Duration
 
-	end                          atomic.Int64 // offset after the newest control record that is known
-	through                      atomic.Int64 // offset before which all control records are in force
-	readAt, currentAt            atomic.Int64 // boot times in ns: of the last look, and of the last one after which nothing was missing
-	readsOfOriginal, copyUpdates *telemetry.Counter
+	end     atomic.Int64 // offset after the newest control record that is known
+	through atomic.Int64 // offset before which all control records are in force
+	// readAt is when something arrived from the store, currentAt the start of the last round after which nothing was
+	// missing, as boot times in ns.
+	readAt, currentAt atomic.Int64
+
+	originalReads, copiesStored *telemetry.Counter
 }
 
 func newControlFeed(store *ledger.TimedStore, layout Layout, c *control, now func() time.Duration, leads func() bool,
 	metrics *telemetry.Registry) *controlFeed {
-	f := &controlFeed{store: store, layout: layout, control: c, now: now, leads: leads, logCopy: ledger.LogDependency(c.log, "configuration copy"),
-		readsOfOriginal: metrics.Counter("control_original_reads"), copyUpdates: metrics.Counter("control_copies_stored")}
+	f := &controlFeed{store: store, layout: layout, control: c, now: now, leads: leads,
+		logCopy:       ledger.LogDependency(c.log, "configuration copy"),
+		originalReads: metrics.Counter("control_original_reads"), copiesStored: metrics.Counter("control_copies_stored")}
 	f.original = ledger.NewFollower(store, layout.Control, c.apply)
 	f.copies = ledger.NewFollower(store, configcopy.Partition, f.applyCopy)
 	return f
@@ -70,12 +74,13 @@
 // age returns the time since the configuration was known to be the newest one.
 func (f *controlFeed) age() time.Duration { return f.now() - time.Duration(f.currentAt.Load()) }
 
-// unreadAge returns the time since the last successful read of the control topic.
+// unreadAge returns the time since something arrived from the store.
 func (f *controlFeed) unreadAge() time.Duration { return f.now() - time.Duration(f.readAt.Load()) }
 
 // run feeds the control state until the context ends. It passes the result of each round to onRound.
 func (f *controlFeed) run(ctx context.Context, onRound func(error)) {
 	var retry ledger.Backoff
+	ctx = keyedlog.WithProgress(ctx, func(int) { f.noteRead() })
 	for ctx.Err() == nil {
 		err := f.round(ctx)
 		if ctx.Err() != nil {
@@ -97,7 +102,7 @@
 	if err != nil {
 		return errors.Wrap(err, "look at the end of the control topic")
 	}
-	f.noteRead()
+	f.noteRead() // not every store reports progress
 	if took := f.now() - start; f.latency == 0 || took < f.latency {
 		f.latency = took
 	}
@@ -133,7 +138,7 @@
 
 // readOriginal reads the operators' records before an offset.
 func (f *controlFeed) readOriginal(ctx context.Context, end int64) error {
-	f.readsOfOriginal.Inc()
+	f.originalReads.Inc()
 	for f.original.Next() < end {
 		next := f.original.Next()
 		// A list has the newest configuration alone; single records would include those that are out of date.
@@ -214,7 +219,7 @@
 			_, err = f.store.Append(ctx, keyedlog.Append{Partition: configcopy.Partition, Records: records, At: &at})
 		}
 		if err == nil {
-			f.copyUpdates.Inc()
+			f.copiesStored.Inc()
 		}
 		if !errors.Is(err, keyedlog.ErrOffsetMismatch) {
 			f.logCopy(err)
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -290,8 +290,12 @@
 		d.metrics.Gauge("control_version").Set(version)
 		if isStale := age > staleControlAge; isStale != stale {
 			stale = isStale
-			d.log.Warn().Bool("stale", stale).Dur("age", age).Int64("version", version).Int64("offset", through).Int64("end", end).
-				Dur("unread", d.feed.unreadAge()).Msg("control state became out of date or current")
+			line, message := d.log.Info(), "control state is current again"
+			if stale {
+				line, message = d.log.Warn(), "control state is out of date"
+			}
+			line.Dur("age", age).Int64("version", version).Int64("offset", through).Int64("end", end).
+				Dur("unread", d.feed.unreadAge()).Msg(message)
 		}
 	}
 }
--- a/node/ledger/timedstore.go
+++ b/node/ledger/timedstore.go
@@ -129,11 +129,13 @@
 // startRead starts a read whose response must begin within a limit.
 func (s *TimedStore) startRead(ctx context.Context, p keyedlog.Partition, from int64, limit time.Duration) *timedRead {
 	r := &timedRead{store: s, partition: p, from: from, start: time.Now()}
-	ctx, r.cancel = context.WithCancelCause(ctx)
-	r.timer = time.AfterFunc(limit, func() { r.cancel(errNoProgress) })
-	r.ctx = keyedlog.WithProgress(ctx, func(n int) {
+	limited, cancel := context.WithCancelCause(ctx)
+	r.cancel = cancel
+	r.timer = time.AfterFunc(limit, func() { cancel(errNoProgress) })
+	r.ctx = keyedlog.WithProgress(limited, func(n int) {
 		r.bytes += int64(n)
 		r.timer.Reset(stallTimeout)
+		keyedlog.ReportProgress(ctx, n)
 	})
 	return r
 }
