--- a/cmd/waxwingslipd/hosted.go
+++ b/cmd/waxwingslipd/hosted.go
@@ -72,6 +72,7 @@
 			Registry:  keyedlog.Partition{Topic: platform.RegistryTopic},
 			ConfigKey: platform.ConfigKey, ZoneOutOfServicePrefix: platform.ZoneOutOfServicePrefix,
 			DecodeConfig: platform.DecodeConfig,
+			CopyConfig:   platform.CopyConfig, DecodeCopy: platform.DecodeCopy, CopyFormat: platform.CopyFormat,
 		},
 		DecodeWorker:  platform.DecodeWorker,
 		Callers:       func(api jobqueue.JobAPI) http.Handler { return platform.NewIngress(api) },
--- a/core/account/account.go
+++ b/core/account/account.go
@@ -28,18 +28,21 @@
 
 // keyEntry is a key, of which only the hash is kept.
 type keyEntry struct {
-	hash    [sha256.Size]byte
+	hash    Hash
 	account *Account
 }
 
-// hashOf allocates no memory for keys of usual length.
-func hashOf(key string) [sha256.Size]byte {
+// Hash identifies a key without revealing it.
+type Hash [sha256.Size]byte
+
+// HashOf returns the hash of a key. It allocates no memory for keys of usual length.
+func HashOf(key string) Hash {
 	var buffer [256]byte
 	return sha256.Sum256(append(buffer[:0], key...))
 }
 
 // bucket returns the index of a hash in Set.byKey.
-func bucket(hash *[sha256.Size]byte) uint64 { return binary.BigEndian.Uint64(hash[:8]) }
+func bucket(hash *Hash) uint64 { return binary.BigEndian.Uint64(hash[:8]) }
 
 // Account returns an account by its name, or nil. It may be called on a nil set.
 func (s *Set) Account(name string) *Account {
@@ -63,7 +66,10 @@
 	if s == nil || key == "" {
 		return nil
 	}
-	hash := hashOf(key)
+	return s.byHash(HashOf(key))
+}
+
+func (s *Set) byHash(hash Hash) *Account {
 	var found *Account
 	for i := range s.byKey[bucket(&hash)] {
 		e := &s.byKey[bucket(&hash)][i]
--- a/core/account/validate.go
+++ b/core/account/validate.go
@@ -9,10 +9,12 @@
 
 // Row is the definition of an account.
 type Row struct {
-	Name   string
-	Keys   []string
-	Weight float64
-	Limit  resource.Vector
+	Name string
+	Keys []string
+	// KeyHashes are further keys, of which only the hashes are known.
+	KeyHashes []Hash
+	Weight    float64
+	Limit     resource.Vector
 }
 
 // Field is a field of a Row.
@@ -84,22 +86,27 @@
 	a := &Account{Name: r.Name, Weight: r.Weight, Limit: r.Limit}
 	s.byName[r.Name] = a
 	for i, key := range r.Keys {
-		if reason := s.addKey(a, key); reason != "" {
+		reason := "is empty"
+		if key != "" {
+			reason = s.addKey(a, HashOf(key))
+		}
+		if reason != "" {
 			return &InvalidError{Row: row, Index: i, Field: FieldKeys, Reason: reason}
 		}
 	}
+	for i, hash := range r.KeyHashes {
+		if reason := s.addKey(a, hash); reason != "" {
+			return &InvalidError{Row: row, Index: len(r.Keys) + i, Field: FieldKeys, Reason: reason}
+		}
+	}
 	return nil
 }
 
 // addKey adds a key of an account. It returns why it is invalid, or "".
-func (s *Set) addKey(a *Account, key string) string {
-	if key == "" {
-		return "is empty"
-	}
-	if s.ByKey(key) != nil {
+func (s *Set) addKey(a *Account, hash Hash) string {
+	if s.byHash(hash) != nil {
 		return "occurs twice"
 	}
-	hash := hashOf(key)
 	s.byKey[bucket(&hash)] = append(s.byKey[bucket(&hash)], keyEntry{hash, a})
 	return ""
 }
--- a/node/configcopy/copy.go
+++ b/node/configcopy/copy.go
@@ -38,7 +38,7 @@
 
 // Document is what the operators have published.
 type Document struct {
-	// Content is the configuration as they wrote it.
+	// Content is their configuration.
 	Content []byte
 	// Offset is the offset of the configuration's record in the control topic.
 	Offset int64
@@ -62,10 +62,15 @@
 	Through  int64    `cbor:"3,keyasint"`
 	Data     []byte   `cbor:"4,keyasint"`
 	ZonesOut []string `cbor:"5,keyasint,omitempty"`
+	Format   int      `cbor:"6,keyasint"`
 }
 
 // Copy is what a daemon has read of the topic. The zero value has read nothing. It is not safe for concurrent use.
 type Copy struct {
+	// Format numbers the fields that the content of a document has. Copies of a lower format are not used, since daemons of
+	// an earlier build leave out fields that they don't know.
+	Format int
+
 	baseID   int64
 	parts    [][]byte // of the newest base; nil for parts that have not been read
 	base     []byte   // content of the newest base, nil until all its parts have been read
@@ -106,7 +111,7 @@
 	if err := cbor.Unmarshal(r.Value, &change); err != nil {
 		return errors.Wrap(err, "decode change")
 	}
-	if change.Through > c.through {
+	if change.Through > c.through && change.Format >= c.Format {
 		c.pending = &change
 	}
 	return c.applyPending()
@@ -164,7 +169,7 @@
 // through into account. They are to be appended at once, on condition that the topic ends at the offset at, up to which the
 // copy has read it.
 func (c *Copy) Update(doc Document, through, at int64) ([]keyedlog.Record, error) {
-	change := changeRecord{Base: c.baseID, Offset: doc.Offset, Through: through, ZonesOut: doc.ZonesOut}
+	change := changeRecord{Base: c.baseID, Offset: doc.Offset, Through: through, ZonesOut: doc.ZonesOut, Format: c.Format}
 	if c.base != nil {
 		var err error
 		if change.Data, err = compress(doc.Content, c.base); err != nil {
--- a/node/configcopy/copy_test.go
+++ b/node/configcopy/copy_test.go
@@ -133,6 +133,21 @@
 	is.Equal(through, int64(3))
 }
 
+// Guards against fields of a configuration that get lost, since a daemon of an earlier build copied it.
+func TestCopyOfEarlierFormatIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	earlier, later := Copy{Format: 1}, Copy{Format: 2}
+	var topic topic
+	topic.update(is, &earlier, Document{Content: routes(1, 20), Offset: 1}, 2)
+	is.NoErr(later.Apply(topic.records))
+	_, through := later.Newest()
+	is.Equal(through, int64(0))
+	topic.update(is, &later, Document{Content: routes(1, 20), Offset: 1}, 3)
+	is.NoErr(earlier.Apply(topic.records))
+	_, through = earlier.Newest()
+	is.Equal(through, int64(3))
+}
+
 // BenchmarkCopy measures what a change of a large configuration costs the daemon that copies it and one that reads it.
 func BenchmarkCopy(b *testing.B) {
 	is := is.New(b)
--- a/node/hosted/configregion_test.go
+++ b/node/hosted/configregion_test.go
@@ -65,6 +65,8 @@
 	return &jobqueue.Config{Version: version}, nil
 }
 
+func copyTestManifest(value []byte) ([]byte, error) { return value, nil }
+
 var testControl = keyedlog.Partition{Topic: "keyed.control"}
 
 func publishManifest(t *testing.T, store *storefake.Store, m *testManifest) {
@@ -79,7 +81,7 @@
 	return New(&Settings{Name: name, Store: StoreSettings{Partitions: 8}}, Dependencies{
 		Store: store.As(name),
 		Layout: Layout{Control: testControl, ConfigKey: "config", ZoneOutOfServicePrefix: "evacuate/",
-			DecodeConfig: decodeTestManifest},
+			DecodeConfig: decodeTestManifest, CopyConfig: copyTestManifest, DecodeCopy: decodeTestManifest},
 		Now: func() time.Duration { return time.Hour + time.Since(startedAt) },
 	}, zerolog.Nop())
 }
@@ -137,12 +139,17 @@
 			go d.followControl(ctx)
 		}
 		is.Equal(waitForVersion(daemons, m.version), 0) // after the start of all daemons
+		carried := func(step string) {
+			t.Logf("%s: %d KB across the link, %.1f s after the start", step, link.Bytes()>>10, time.Since(startedAt).Seconds())
+		}
+		carried("manifest of " + strconv.Itoa(len(m.encode())>>10) + " KB in force everywhere")
 		for range 18 {
 			m.addRoute()
 			publishManifest(t, store, m)
 			time.Sleep(330 * time.Millisecond)
 		}
 		is.Equal(waitForVersion(daemons, m.version), 0) // after versions in quick succession
+		carried("18 versions more")
 		for i := 0; i < len(daemons); i += 3 {
 			silent.Store(daemons[i].settings.Name, true)
 		}
@@ -153,6 +160,7 @@
 		}
 		silent.Clear()
 		is.Equal(waitForVersion(daemons, m.version), 0) // after an outage
+		carried("3 versions more, in the outage of a third")
 		time.Sleep(time.Minute - time.Since(startedAt))
 		perDaemon := float64(link.Bytes()) / targetDaemonsAcrossLink / time.Since(startedAt).Seconds()
 		t.Logf("%.0f B/s a daemon across the link", perDaemon)
--- a/node/hosted/control.go
+++ b/node/hosted/control.go
@@ -22,6 +22,11 @@
 	ConfigKey              string
 	ZoneOutOfServicePrefix string
 	DecodeConfig           func(value []byte) (*jobqueue.Config, error)
+	// CopyConfig converts a configuration to the form in which daemons pass it on, without secrets, and DecodeCopy decodes
+	// that. CopyFormat numbers the fields of that form.
+	CopyConfig func(value []byte) ([]byte, error)
+	DecodeCopy func(value []byte) (*jobqueue.Config, error)
+	CopyFormat int
 }
 
 // control holds the state that the operators have published in the control topic.
@@ -32,7 +37,7 @@
 	mu        sync.RWMutex
 	config    *jobqueue.Config
 	evacuated map[string]bool
-	// content is the configuration in force as the operators wrote it, and offset that of its record.
+	// content is the configuration in force in the form of a copy, nil if it can't be copied, and offset that of its record.
 	content []byte
 	offset  int64
 }
@@ -51,8 +56,8 @@
 	for _, r := range records {
 		zone, isZone := strings.CutPrefix(r.Key, c.layout.ZoneOutOfServicePrefix)
 		switch {
-		case r.Key == c.layout.ConfigKey:
-			c.applyConfig(r)
+		case r.Key == c.layout.ConfigKey && r.Value != nil: // a configuration that is deleted from the store stays in force
+			c.applyOriginal(r)
 		case isZone && r.Value != nil:
 			c.evacuated[zone] = true
 		case isZone:
@@ -67,7 +72,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if doc.Content != nil && (c.content == nil || doc.Offset != c.offset) {
-		c.applyConfig(keyedlog.Record{Key: c.layout.ConfigKey, Offset: doc.Offset, Value: doc.Content})
+		config, err := c.layout.DecodeCopy(doc.Content)
+		if c.applyConfig(config, err, doc.Offset) {
+			c.content = doc.Content
+		}
 	}
 	before := maps.Clone(c.evacuated)
 	clear(c.evacuated)
@@ -98,26 +106,35 @@
 	}
 }
 
-// applyConfig replaces the configuration by a newer one. Older ones are repeated when the topic is listed again. The
-// caller holds mu.
-func (c *control) applyConfig(r keyedlog.Record) {
-	if r.Value == nil {
-		return // a configuration that is deleted from the store stays in force
-	}
+// applyOriginal applies a configuration as the operators wrote it. The caller holds mu.
+func (c *control) applyOriginal(r keyedlog.Record) {
 	config, err := c.layout.DecodeConfig(r.Value)
-	if err != nil {
-		c.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration cannot be decoded")
+	if !c.applyConfig(config, err, r.Offset) {
 		return
 	}
+	if c.content, err = c.layout.CopyConfig(r.Value); err != nil {
+		c.content = nil
+		c.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration cannot be copied")
+	}
+}
+
+// applyConfig replaces the configuration by a newer one and reports whether it did. Older ones are repeated when the topic
+// is listed again. The caller holds mu.
+func (c *control) applyConfig(config *jobqueue.Config, err error, offset int64) bool {
+	if err != nil {
+		c.log.Error().Err(err).Int64("offset", offset).Msg("configuration cannot be decoded")
+		return false
+	}
 	if c.config != nil && config.Version <= c.config.Version {
-		return
+		return false
 	}
-	c.config, c.content, c.offset = config, r.Value, r.Offset
-	line := c.log.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).Int64("offset", r.Offset)
+	c.config, c.offset = config, offset
+	line := c.log.Info().Int64("version", config.Version).Int("queues", len(config.Queues)).Int64("offset", offset)
 	if config.Accounts != nil {
 		line = line.Int("accounts", config.Accounts.Len())
 	}
 	line.Msg("configuration in force")
+	return true
 }
 
 // Config returns the newest configuration, or nil.
--- a/node/hosted/controlfeed.go
+++ b/node/hosted/controlfeed.go
@@ -64,6 +64,7 @@
 func newControlFeed(store *ledger.TimedStore, layout Layout, c *control, now func() time.Duration, leads func() bool,
 	metrics *telemetry.Registry) *controlFeed {
 	f := &controlFeed{store: store, layout: layout, control: c, now: now, leads: leads,
+		copied:        configcopy.Copy{Format: layout.CopyFormat},
 		logCopy:       ledger.LogDependency(c.log, "configuration copy"),
 		originalReads: metrics.Counter("control_original_reads"), copiesStored: metrics.Counter("control_copies_stored")}
 	f.original = ledger.NewFollower(store, layout.Control, c.apply)
--- a/node/hosted/jobapi_test.go
+++ b/node/hosted/jobapi_test.go
@@ -80,7 +80,7 @@
 // that stays out of service.
 func TestControl(t *testing.T) {
 	is := is.New(t)
-	c := newControl(Layout{ConfigKey: "config", ZoneOutOfServicePrefix: "evacuate/",
+	c := newControl(Layout{ConfigKey: "config", ZoneOutOfServicePrefix: "evacuate/", CopyConfig: copyTestManifest,
 		DecodeConfig: func(v []byte) (*jobqueue.Config, error) {
 			if v[0] == 'x' {
 				return nil, errors.New("bad")
--- a/node/hosted/start_test.go
+++ b/node/hosted/start_test.go
@@ -38,7 +38,9 @@
 	d := New(settings, Dependencies{
 		Store: store.As("d"), Workers: workerfake.NewFleet(nil),
 		Layout: Layout{Control: control, Registry: keyedlog.Partition{Topic: "keyed.servers"}, ConfigKey: "config",
-			DecodeConfig: func([]byte) (*jobqueue.Config, error) { return &jobqueue.Config{Version: 1}, nil }},
+			DecodeConfig: func([]byte) (*jobqueue.Config, error) { return &jobqueue.Config{Version: 1}, nil },
+			CopyConfig:   copyTestManifest,
+			DecodeCopy:   func([]byte) (*jobqueue.Config, error) { return &jobqueue.Config{Version: 1}, nil }},
 		DecodeWorker: func(string, []byte) (jobworker.Info, error) { return jobworker.Info{}, nil },
 		Now:          func() time.Duration { return time.Hour + time.Since(startedAt) },
 	}, zerolog.Nop())
