--- a/node/hosted/controlfeed.go
+++ b/node/hosted/controlfeed.go
@@ -98,29 +98,43 @@
 
 // round looks at the control topic once and catches up with it.
 func (f *controlFeed) round(ctx context.Context) error {
-	start := f.now()
-	end, err := f.store.End(ctx, f.layout.Control)
+	at, end, err := f.lookAtEnd(ctx)
 	if err != nil {
-		return errors.Wrap(err, "look at the end of the control topic")
+		return err
 	}
-	f.noteRead() // not every store reports progress
-	if took := f.now() - start; f.latency == 0 || took < f.latency {
-		f.latency = took
-	}
-	f.end.Store(end)
 	caughtUp, copyErr := f.waitForCopy(ctx, end)
-	if !caughtUp {
-		if err := f.readOriginal(ctx, end); err != nil {
-			return err
-		}
+	if caughtUp {
+		f.currentAt.Store(int64(at))
+		return nil
+	}
+	if err := f.readOriginal(ctx, end); err != nil {
+		return err
+	}
+	f.currentAt.Store(int64(at))
+	// The wait for the copy may have taken most of the time for which the first look counts.
+	if at, end, err = f.lookAtEnd(ctx); err == nil && f.through.Load() >= end {
+		f.currentAt.Store(int64(at))
 	}
-	f.currentAt.Store(int64(start))
-	if !caughtUp && copyErr == nil {
+	if copyErr == nil {
 		f.storeCopy(ctx)
 	}
 	return nil
 }
 
+// lookAtEnd returns the end of the control topic and a time at which it was not larger.
+func (f *controlFeed) lookAtEnd(ctx context.Context) (at time.Duration, end int64, err error) {
+	at = f.now()
+	if end, err = f.store.End(ctx, f.layout.Control); err != nil {
+		return at, 0, errors.Wrap(err, "look at the end of the control topic")
+	}
+	f.noteRead() // not every store reports progress
+	if took := f.now() - at; f.latency == 0 || took < f.latency {
+		f.latency = took
+	}
+	f.end.Store(end)
+	return at, end, nil
+}
+
 // wait waits for the next round. The daemon that copies waits for a change of the control topic and copies it at once.
 func (f *controlFeed) wait(ctx context.Context) {
 	if !f.leads() {
