--- a/node/hosted/controlfeed.go
+++ b/node/hosted/controlfeed.go
@@ -18,14 +18,17 @@
 // Timing of the control feed. A configuration has to be in force everywhere within 2.5 s on the deployments with the
 // shortest bound, and within 7 s at the target size.
 const (
-	// controlPollInterval is the time between two looks at the end of the control topic.
-	controlPollInterval = 600 * time.Millisecond
+	// controlPollInterval is the longest time between two looks at the end of the control topic, in which the daemon waits
+	// for a change of the copy. It bounds how long a daemon that copies, or an unresponsive connection, delays a change.
+	controlPollInterval = 900 * time.Millisecond
 	// copyWait is how long a daemon near the store waits for the copy of a configuration before it reads the operators'
 	// record itself. copyWaitJitter keeps most daemons from doing so at once, since the first one stores a copy.
 	copyWait       = 300 * time.Millisecond
 	copyWaitJitter = 300 * time.Millisecond
 	// remoteCopyWait is the same in another region than the store. It leaves time for a copy by a daemon near the store.
 	remoteCopyWait = time.Second
+	// copyMargin is the time beyond its wait after which a read of the copy without a response ends, if no change is known.
+	copyMargin = 400 * time.Millisecond
 	// copyAttempts limits how often a copy is prepared anew since another daemon's was stored first.
 	copyAttempts = 3
 )
@@ -49,6 +52,8 @@
 	copied   configcopy.Copy
 	// copyErr is the error of the newest record of the copy that can't be used.
 	copyErr error
+	// copyFailed is set if the newest wait for a change of the copy failed.
+	copyFailed bool
 	// latency is the shortest duration of a look at the end of the control topic, 0 before the first.
 	latency time.Duration
 
@@ -135,20 +140,39 @@
 	return at, end, nil
 }
 
-// wait waits for the next round. The daemon that copies waits for a change of the control topic and copies it at once.
+// wait waits for the next round, and for changes meanwhile. The daemon that copies waits for a change of the control topic,
+// others for one of the copy.
 func (f *controlFeed) wait(ctx context.Context) {
-	if !f.leads() {
-		ctxtime.Sleep(ctx, controlPollInterval*3/4+rand.N(controlPollInterval/4))
+	if f.leads() {
+		// An error shows in the next round.
+		if f.original.Poll(ctx, controlPollInterval) == nil {
+			f.noteRead()
+			f.through.Store(f.original.Next())
+			f.storeCopy(ctx)
+		}
 		return
 	}
-	// An error shows in the next round.
-	if f.original.Poll(ctx, controlPollInterval) == nil {
-		f.noteRead()
-		f.through.Store(f.original.Next())
-		f.storeCopy(ctx)
+	until := f.now() + controlPollInterval*3/4 + rand.N(controlPollInterval/4)
+	for left := until - f.now(); left > 0 && ctx.Err() == nil; left = until - f.now() {
+		if f.copyFailed = f.awaitCopy(ctx, left) != nil; f.copyFailed {
+			ctxtime.Sleep(ctx, until-f.now())
+		}
 	}
 }
 
+// awaitCopy reads the copy and gives up soon if there is no response, since it is not known whether there is anything to read.
+func (f *controlFeed) awaitCopy(ctx context.Context, wait time.Duration) error {
+	outer := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(wait+copyMargin, cancel)
+	defer timer.Stop()
+	return f.copies.Poll(keyedlog.WithProgress(ctx, func(n int) {
+		timer.Stop()
+		keyedlog.ReportProgress(outer, n)
+	}), wait)
+}
+
 func (f *controlFeed) noteRead() { f.readAt.Store(int64(f.now())) }
 
 // readOriginal reads the operators' records before an offset.
@@ -183,7 +207,7 @@
 	if f.latency > maxSameRegionLatency {
 		limit += remoteCopyWait - copyWait
 	}
-	if f.leads() {
+	if f.leads() || f.copyFailed {
 		limit = 0
 	}
 	for deadline := f.now() + limit; ; {
--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -99,7 +99,7 @@
 	readyMaxControlAge = 3500 * time.Millisecond
 	// unreachableControlAge is the age of the last read of the control feed above which the store counts as unreachable. It
 	// exceeds controlPollInterval, since the feed can be idle or a read can wait that long.
-	unreachableControlAge = controlPollInterval + 900*time.Millisecond
+	unreachableControlAge = controlPollInterval + 600*time.Millisecond
 	// shutdownReserve is the last part of the grace period, in which the servers shut down and the process ends.
 	shutdownReserve = 1800 * time.Millisecond
 	// shutdownTimeout is the part of shutdownReserve for open requests; the rest is for the end of the process.
--- a/node/ledger/timedstore.go
+++ b/node/ledger/timedstore.go
@@ -96,7 +96,12 @@
 
 // Newest implements keyedlog.Store.
 func (s *TimedStore) Newest(ctx context.Context, p keyedlog.Partition, after string) (keyedlog.Page, error) {
-	read := s.startRead(ctx, p, -1, pageTimeout)
+	return s.readPage(ctx, p, after, pageTimeout)
+}
+
+// readPage reads one page, which must begin within a limit.
+func (s *TimedStore) readPage(ctx context.Context, p keyedlog.Partition, after string, limit time.Duration) (keyedlog.Page, error) {
+	read := s.startRead(ctx, p, -1, limit)
 	page, err := s.store.Newest(read.ctx, p, after)
 	read.end(err)
 	return page, err
@@ -107,7 +112,7 @@
 
 // End returns the offset after the newest record of a partition, without reading any record.
 func (s *TimedStore) End(ctx context.Context, p keyedlog.Partition) (int64, error) {
-	page, err := s.Newest(ctx, p, lastKey)
+	page, err := s.readPage(ctx, p, lastKey, ReadMargin)
 	return page.End, err
 }
 
