--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex // held while records are applied
 	next   int64      // offset of the first record that is not applied
 	loaded bool
+	behind bool // the newest Poll did not reach the end of the partition
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -55,7 +56,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.applyContained(records, true)
-	f.next, f.loaded = end, true
+	f.next, f.loaded, f.behind = end, true, false
 	return errors.Wrapf(err, "load %s/%d", f.partition.Topic, f.partition.Number)
 }
 
@@ -119,12 +120,15 @@
 	if len(records) > 0 {
 		err := f.applyContained(records, false)
 		f.next = records[len(records)-1].Offset + 1
+		f.behind = f.next < batch.End
 		return errors.Wrapf(err, "follow %s/%d", f.partition.Topic, f.partition.Number)
 	}
+	f.behind = false
 	return nil
 }
 
-// Run polls until the context ends and passes the result of each poll to onPoll.
+// Run polls until the context ends and passes the result of each poll to onPoll. It pauses after polls that reach the end of
+// the partition.
 func (f *Follower) Run(ctx context.Context, wait, pause time.Duration, onPoll func(error)) {
 	var retry Backoff
 	for ctx.Err() == nil {
@@ -138,10 +142,18 @@
 			continue
 		}
 		retry.Reset()
-		ctxtime.Sleep(ctx, pause)
+		if !f.isBehind() {
+			ctxtime.Sleep(ctx, pause)
+		}
 	}
 }
 
+func (f *Follower) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behind
+}
+
 // LogDependency returns a function that takes the result of each call to a dependency and logs when the dependency is
 // lost or regained.
 func LogDependency(log zerolog.Logger, name string) func(error) {
--- a/node/ledger/slowlink_test.go
+++ b/node/ledger/slowlink_test.go
@@ -92,3 +92,32 @@
 		})
 	}
 }
+
+// shortReads returns two records at a time.
+type shortReads struct{ keyedlog.Store }
+
+func (s shortReads) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.Batch, error) {
+	batch, err := s.Store.Read(ctx, p, from, wait)
+	batch.Records = batch.Records[:min(len(batch.Records), 2)]
+	return batch, err
+}
+
+// Guards against a follower that pauses between the parts of what it missed, and so falls further behind.
+func TestFollowerDoesNotPauseWhileBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, store, startedAt := keyedlog.Partition{Topic: "keyed.t"}, storefake.New().As("d"), time.Now()
+		f := ledger.NewFollower(ledger.NewTimedStore(shortReads{store}), p, func([]keyedlog.Record, bool) {})
+		is.New(t).NoErr(f.Load(t.Context()))
+		for range 20 {
+			_, err := store.Append(t.Context(), keyedlog.Append{Partition: p, Records: []keyedlog.Record{{Key: "k", Value: []byte("v")}}})
+			is.New(t).NoErr(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		f.Run(ctx, 0, time.Second, func(error) {
+			if f.Next() == 20 {
+				cancel()
+			}
+		})
+		is.New(t).True(time.Since(startedAt) < time.Second)
+	})
+}
