--- a/review/standin-3/platform/main.go
+++ b/review/standin-3/platform/main.go
@@ -30,7 +30,7 @@
 // caseFunc plays a case and reports whether the rule held.
 type caseFunc func(e *environment, trouble bool) (held bool, err error)
 
-var cases = map[string]caseFunc{"large-submission": largeSubmission, "many-images": manyImages, "takeover": takeover, "cancel-unknown": cancelUnknown}
+var cases = map[string]caseFunc{"many-images": manyImages, "lasting-beside-short": lastingBesideShort}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -153,11 +153,6 @@
 	workers []*worker
 	stop    context.CancelFunc
 	ctx     context.Context
-	// linkRate limits the bytes per second from the store to each daemon; 0 for no limit.
-	linkRate float64
-	// cores and memoryMB are the limits of a daemon's machine.
-	cores    float64
-	memoryMB int
 }
 
 // process is a daemon.
@@ -179,8 +174,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	e := &environment{rec: rec, store: newStoreServer(rec), address: l.Addr().String(), dir: dir, daemon: daemon, ctx: ctx, stop: stop,
-		cores: 0.16, memoryMB: 284}
+	e := &environment{rec: rec, store: newStoreServer(rec), address: l.Addr().String(), dir: dir, daemon: daemon, ctx: ctx, stop: stop}
 	e.http = &http.Server{Handler: e.store}
 	go func() { _ = e.http.Serve(l) }() // ends with the case
 	return e, nil
@@ -281,14 +275,6 @@
 	if err != nil {
 		return err
 	}
-	store := e.address
-	if e.linkRate > 0 {
-		k, err := newLink(e.address, e.linkRate)
-		if err != nil {
-			return err
-		}
-		store = k.address()
-	}
 	settings := fmt.Sprintf(`name: %q
 zone: %q
 regions:
@@ -305,8 +291,8 @@
   partitions: 8
 advice: ""
 vm:
-  cores: %v
-  memoryMB: %d
+  cores: 0.16
+  memoryMB: 284
 bounds:
   holdMaxMs: %d
   statusSeconds: 120
@@ -314,7 +300,7 @@
   harmMs: 4000
 log:
   level: info
-`, name, zone, ports[0], ports[1], ports[2], ports[3], store, e.cores, e.memoryMB, holdMaxMs)
+`, name, zone, ports[0], ports[1], ports[2], ports[3], e.address, holdMaxMs)
 	path := filepath.Join(e.dir, name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -350,43 +336,6 @@
 	return nil
 }
 
-// restart kills the process of a daemon and starts it again after a pause.
-func (e *environment) restart(name string, pause time.Duration) error {
-	for _, p := range e.daemons {
-		if p.name == name {
-			_ = p.cmd.Process.Kill()
-			<-p.done
-			time.Sleep(pause)
-			return e.run(p)
-		}
-	}
-	return fmt.Errorf("no daemon %s", name)
-}
-
-// owner returns the daemon whose log says last that it claimed a shard.
-func (e *environment) owner(shard int) (string, error) {
-	name, newest := "", ""
-	for _, p := range e.daemons {
-		data, err := os.ReadFile(filepath.Join(e.dir, p.name+".log"))
-		if err != nil {
-			return "", err
-		}
-		for _, line := range bytes.Split(data, []byte{'\n'}) {
-			var v struct {
-				Message, Time string
-				Shard         int
-			}
-			if json.Unmarshal(line, &v) == nil && v.Message == "shard claimed" && v.Shard == shard && v.Time > newest {
-				name, newest = p.name, v.Time
-			}
-		}
-	}
-	if name == "" {
-		return "", fmt.Errorf("shard %d has no owner", shard)
-	}
-	return name, nil
-}
-
 // start starts workers and daemons and waits until all daemons take submissions.
 func (e *environment) start(workers int, workerID func(int) string, checkpointOf func(string, int64) string) error {
 	zones := []string{"luzon-a", "visayas-a", "luzon-b"}
@@ -458,19 +407,6 @@
 	return fmt.Errorf("submission %s was not accepted", id)
 }
 
-// post hands a submission in at one daemon and reports whether it was accepted. Only the first refusal is recorded.
-func (e *environment) post(id string, body any, d *process) (bool, error) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return false, err
-	}
-	status, text := e.call(d, http.MethodPost, id, data)
-	if status != http.StatusOK {
-		e.rec.printf("client posts %s (%d bytes) to %s: %d %s", id, len(data), d.name, status, text)
-	}
-	return status == http.StatusOK, nil
-}
-
 // state asks for the state of a submission.
 func (e *environment) state(id string) string {
 	for try := range 4 {
--- a/review/standin-3/platform/small.go
+++ b/review/standin-3/platform/small.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"sync"
 	"time"
 )
@@ -48,3 +49,9 @@
 	}
 	return held
 }
+
+// spec returns the spec of a submission whose tasks behave as given.
+func spec(s taskSpec) string {
+	data, _ := json.Marshal(s) // it holds only numbers and flags
+	return string(data)
+}
--- a/review/standin-3/platform/store.go
+++ b/review/standin-3/platform/store.go
@@ -2,14 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/binary"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	storefake "waxwingslip.example/external/keyedlog/fake"
 	"waxwingslip.example/platform/platformtest"
@@ -27,40 +23,6 @@
 	handler http.Handler
 	rec     *recorder
 	refused atomic.Int64 // appends refused for their size
-
-	mu sync.Mutex
-	// lateKey is the key whose records are appended lateBy after their call, which gets no response; empty for none.
-	lateKey string
-	lateBy  time.Duration
-	// lost counts these calls, and calls all appends, since lateKey was set.
-	lost, calls int
-}
-
-// setLate sets the key whose appends take effect late, without a response.
-func (s *storeServer) setLate(key string, by time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateKey, s.lateBy, s.lost, s.calls = key, by, 0, 0
-}
-
-// endLate ends that and returns how many of all appends got no response.
-func (s *storeServer) endLate() (lost, calls int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateKey = ""
-	return s.lost, s.calls
-}
-
-// isLate counts an append and reports whether, and by how much, it takes effect late.
-func (s *storeServer) isLate(body []byte) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.lateKey == "" || !bytes.Contains(body, []byte(s.lateKey)) {
-		return 0, false
-	}
-	s.lost++
-	return s.lateBy, true
 }
 
 func newStoreServer(rec *recorder) *storeServer {
@@ -83,14 +45,6 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		if by, late := s.isLate(body); late {
-			s.rec.printf("store gets an append to %s, does not answer it and carries it out %v later", r.URL.Query().Get("topic"), by)
-			call := r.Clone(context.Background())
-			call.Body = io.NopCloser(bytes.NewReader(body))
-			time.AfterFunc(by, func() { s.handler.ServeHTTP(httptest.NewRecorder(), call) })
-			<-r.Context().Done()
-			return
-		}
 	}
 	s.handler.ServeHTTP(w, r)
 }
