--- a/review/standin-3/platform/main.go
+++ b/review/standin-3/platform/main.go
@@ -30,7 +30,8 @@
 // caseFunc plays a case and reports whether the rule held.
 type caseFunc func(e *environment, trouble bool) (held bool, err error)
 
-var cases = map[string]caseFunc{"many-images": manyImages, "lasting-beside-short": lastingBesideShort}
+var cases = map[string]caseFunc{"many-images": manyImages, "lasting-beside-short": lastingBesideShort,
+	"gang-failures": gangFailures}
 
 func main() {
 	if len(os.Args) != 4 {
--- a/review/standin-3/platform/worker.go
+++ b/review/standin-3/platform/worker.go
@@ -24,6 +24,8 @@
 	Fills  bool  `json:"fills,omitempty"`
 	// Lasts is set for tasks that run until they are stopped.
 	Lasts bool `json:"lasts,omitempty"`
+	// Gang is the number of tasks of the gang; 0 for tasks that work alone.
+	Gang int `json:"gang,omitempty"`
 }
 
 // reservedCPU is what a task takes of a worker's capacity.
@@ -57,6 +59,8 @@
 	doneMs     int64 // work that was done before the start
 	startedMs  int64
 	timer      *time.Timer
+	// fails is set for a run that its worker started while it failed all that it started.
+	fails bool
 }
 
 type endRow struct {
@@ -99,8 +103,13 @@
 	nextEnd    int64
 	changed    chan struct{}
 	seq        int64
+	// failsUntil is until when the worker fails all that it starts.
+	failsUntil time.Time
 }
 
+// failAfter is how long a run works that fails by its worker's fault.
+const failAfter = 800 * time.Millisecond
+
 func newWorker(id, zone, machine, rack string, rec *recorder, checkpointOf func(string, int64) string) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -211,8 +220,11 @@
 	if w.clockMs() <= w.deadlineMs {
 		return
 	}
-	for task := range w.runs {
+	for task, a := range w.runs {
 		w.end(task, "lapsed")
+		if a.spec.Gang > 0 {
+			go gangRuns.leave(task, a.number)
+		}
 	}
 }
 
@@ -254,8 +266,13 @@
 			w.end(task, "done")
 		}
 	})
+	a.fails = time.Now().Before(w.failsUntil)
 	w.runs[q.Task] = a
 	w.rec.runStarted(q.Task, q.Run, w.id)
+	if spec.Gang > 0 {
+		a.timer.Stop() // the gang ends it
+		gangRuns.join(w, q.Task, q.Run, spec)
+	}
 	return http.StatusOK, w.reply()
 }
 
@@ -269,6 +286,9 @@
 	}
 	if a := w.runs[q.Task]; a != nil && a.number <= q.Run {
 		w.end(q.Task, "stopped")
+		if a.spec.Gang > 0 {
+			go gangRuns.leave(q.Task, a.number)
+		}
 	}
 	return http.StatusOK, w.reply()
 }
