--- a/review/standin-3/platform/gang.go
+++ b/review/standin-3/platform/gang.go
@@ -56,7 +56,8 @@
 	time.AfterFunc(after, func() { g.endIf(key, run, func() bool { return true }, how, "failed") })
 }
 
-// endIf ends all members of a run of a gang, on workers whose starts fail in another way.
+// endIf ends all members of a run of a gang if the condition holds: those that were started on failing workers as onFailing,
+// the others as how.
 func (g *gangs) endIf(key string, run int64, condition func() bool, how, onFailing string) {
 	g.mu.Lock()
 	r := g.all[key]
