--- a/review/standin-3/platform/gang.go
+++ b/review/standin-3/platform/gang.go
@@ -15,6 +15,7 @@
 	size    int
 	members map[string]*worker // by task
 	begun   bool
+	fails   bool // some member was started on a failing worker
 }
 
 // gangs holds the runs of gangs on all workers, by step and run.
@@ -29,8 +30,9 @@
 	return task[:strings.LastIndexByte(task, '.')] + "/" + strconv.FormatInt(run, 10)
 }
 
-// join adds a member that a worker has started. Its caller holds the worker's mu, so it ends no run itself.
-func (g *gangs) join(w *worker, task string, run int64, s taskSpec) {
+// join adds a member that a worker has started, and that fails if the worker does so. Its caller holds the worker's mu, so it
+// ends no run itself.
+func (g *gangs) join(w *worker, task string, run int64, s taskSpec, fails bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := gangKey(task, run)
@@ -41,16 +43,13 @@
 		time.AfterFunc(gangWait, func() { g.endIf(key, run, func() bool { return !r.begun }, "alone", "alone") })
 	}
 	r.members[task] = w
+	r.fails = r.fails || fails
 	if len(r.members) < r.size || r.begun {
 		return
 	}
 	r.begun = true
-	fails := false
-	for _, m := range r.members {
-		fails = fails || time.Now().Before(m.failsUntil)
-	}
 	after, how := time.Duration(s.WorkMs)*time.Millisecond, "done"
-	if fails {
+	if r.fails {
 		after, how = failAfter, "broken"
 	}
 	time.AfterFunc(after, func() { g.endIf(key, run, func() bool { return true }, how, "failed") })
--- a/review/standin-3/platform/worker.go
+++ b/review/standin-3/platform/worker.go
@@ -103,8 +103,8 @@
 	nextEnd    int64
 	changed    chan struct{}
 	seq        int64
-	// failsUntil is until when the worker fails all that it starts.
-	failsUntil time.Time
+	// fails is set while the worker fails all that it starts.
+	fails bool
 }
 
 // failAfter is how long a run works that fails by its worker's fault.
@@ -266,12 +266,12 @@
 			w.end(task, "done")
 		}
 	})
-	a.fails = time.Now().Before(w.failsUntil)
+	a.fails = w.fails
 	w.runs[q.Task] = a
 	w.rec.runStarted(q.Task, q.Run, w.id)
 	if spec.Gang > 0 {
 		a.timer.Stop() // the gang ends it
-		gangRuns.join(w, q.Task, q.Run, spec)
+		gangRuns.join(w, q.Task, q.Run, spec, a.fails)
 	}
 	return http.StatusOK, w.reply()
 }
