Keep no capacity free for short tasks that no worker can run

Cause: updateDemand counted the processor time of all waiting short tasks, whatever they ask for, and 125% (70% for aged jobs) of that demand stays free of new long-running tasks. What can't run never leaves the queue.

Change: packing.Demand counts what the open workers could run at once beside their long-running tasks, for each step and for all together, anew for each plan. Workers without room for a short task of mean size are no part of the reserve; below one such task there is none. The mean is that of tasks that can run.

Why it works: capacity is kept only for tasks that it can serve, at most as much as their workers have, so a job that waits for ever holds up nothing that it does not compete with.

--- a/core/packing/packing.go
+++ b/core/packing/packing.go
@@ -36,12 +36,12 @@
 	heldForStep string
 	// heldMemoryMB is the memory of that task.
 	heldMemoryMB int64
-	// shortMemoryMB is the memory reserved by tasks that run to completion: batch and filling ones.
-	shortMemoryMB int64
 	// Reserved sums the resources of all tasks that run, start, stop or may still arrive.
 	Reserved resource.Vector
-	// servingCPU, batchCPU and fillingCPU are the requested millicores by kind of task.
-	servingCPU, batchCPU, fillingCPU int64
+	// shortReserved is the part of Reserved that batch and filling tasks take, which run to completion.
+	shortReserved resource.Vector
+	// servingCPU and fillingCPU are the requested millicores of these kinds of task.
+	servingCPU, fillingCPU int64
 	// steps counts the tasks of each step of an occurrence, by step name.
 	steps map[string]int
 	// serving counts the serving tasks of each image, and filling sums the millicores of filling ones.
@@ -147,7 +147,7 @@
 	w.generation++
 	w.Reserved = w.Reserved.Add(step.Reserved().Times(sign))
 	if !step.LongRunning {
-		w.shortMemoryMB += sign * step.Size.MemoryMB
+		w.shortReserved = w.shortReserved.Add(step.Reserved().Times(sign))
 	}
 	switch {
 	case step.Fills:
@@ -158,8 +158,6 @@
 		w.servingCPU += sign * step.Size.MilliCPU
 		w.adjustServing(step, int(sign))
 		f.trialsStale = true
-	default:
-		w.batchCPU += sign * step.Size.MilliCPU
 	}
 	if w.steps[stepName] += int(sign); w.steps[stepName] == 0 {
 		delete(w.steps, stepName)
@@ -195,7 +193,7 @@
 		if w.Service == service && w.Open {
 			r.Size += w.Size.MilliCPU
 			r.Free += w.Free()
-			r.Batch += w.batchCPU
+			r.Batch += w.shortReserved.MilliCPU
 		}
 	}
 	return r
--- a/core/packing/packing_test.go
+++ b/core/packing/packing_test.go
@@ -67,7 +67,7 @@
 		f.Release("w000", s, "a")
 		w := f.Worker("w000")
 		is.True(w.Reserved.IsZero())
-		is.Equal(w.batchCPU+w.servingCPU+w.fillingCPU, int64(0))
+		is.Equal(w.shortReserved.MilliCPU+w.servingCPU+w.fillingCPU, int64(0))
 		is.Equal(len(w.serving)+len(w.filling)+len(w.steps), 0)
 	}
 }
--- a/core/packing/place.go
+++ b/core/packing/place.go
@@ -151,7 +151,7 @@
 		if w.heldForStep != "" || !eligible(w, r) {
 			continue
 		}
-		if w.Free()+w.batchCPU < need.MilliCPU || w.Reserved.MemoryMB-w.shortMemoryMB+need.MemoryMB > w.Size.MemoryMB {
+		if w.Free()+w.shortReserved.MilliCPU < need.MilliCPU || w.Reserved.MemoryMB-w.shortReserved.MemoryMB+need.MemoryMB > w.Size.MemoryMB {
 			continue
 		}
 		if best == nil || w.lackingMemory(need) < best.lackingMemory(need) ||
--- a/core/packing/score.go
+++ b/core/packing/score.go
@@ -185,5 +185,5 @@
 
 // unusedCPU estimates the millicores that tasks other than filling ones leave unused.
 func (w *Worker) unusedCPU() int64 {
-	return w.Size.MilliCPU - w.batchCPU - w.servingCPU*servingLoadPercent/100
+	return w.Size.MilliCPU - w.shortReserved.MilliCPU - w.servingCPU*servingLoadPercent/100
 }
--- a/core/packing/spare.go
+++ b/core/packing/spare.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/resource"
 )
 
 // Fitting returns the workers that may run tasks of a request once they have no others, open or not.
@@ -50,21 +51,24 @@
 func (w *Worker) Idle() bool { return len(w.steps) == 0 }
 
 // Room returns how many tasks of a step the worker has room for once it is idle.
-func (w *Worker) Room(step *jobs.Step) int {
+func (w *Worker) Room(step *jobs.Step) int { return roomIn(w.Size, step) }
+
+// roomIn returns how many tasks of a step one worker may run within a capacity.
+func roomIn(capacity resource.Vector, step *jobs.Step) int {
 	need, n := step.Reserved(), max(step.Count, 1)
 	if need.MilliCPU > 0 {
-		n = min(n, int(w.Size.MilliCPU/need.MilliCPU))
+		n = min(n, int(capacity.MilliCPU/need.MilliCPU))
 	}
 	if need.MemoryMB > 0 {
-		n = min(n, int(w.Size.MemoryMB/need.MemoryMB))
+		n = min(n, int(capacity.MemoryMB/need.MemoryMB))
 	}
 	if need.Accelerators > 0 {
-		n = min(n, int(w.Size.Accelerators/need.Accelerators))
+		n = min(n, int(capacity.Accelerators/need.Accelerators))
 	}
 	if step.MaxPerWorker > 0 {
 		n = min(n, step.MaxPerWorker)
 	}
-	return n
+	return max(n, 0)
 }
 
 // ServiceTotals returns the number of a service's open workers and the sums of their processor time.
--- a/node/shard/advice.go
+++ b/node/shard/advice.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// excludeRefused excludes the workers on which the advisor has forbidden the step. The caller holds mu.
+func (s *Shard) excludeRefused(r *packing.Request) {
+	a, base := s.advice[r.StepName], r.Allowed
+	if a == nil {
+		return
+	}
+	r.Allowed = func(w *packing.Worker) bool {
+		allowed, decided := a.allowed[w.ID]
+		return (allowed || !decided) && (base == nil || base(w))
+	}
+}
+
 // requestAdvice calls the advisor about workers with capacity for a step, unless a limit forbids it. The request must
 // not be limited by tickets. The caller holds mu.
 func (s *Shard) requestAdvice(q *jobqueue.Queue, r *packing.Request, now time.Duration) {
--- a/node/shard/demand.go
+++ b/node/shard/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingslip.example/core/jobs"
+	"waxwingslip.example/core/packing"
 )
 
 // Limits of the capacity that is kept free for short tasks.
@@ -35,40 +36,90 @@
 
 // updateDemand raises the decaying demand to that of the short tasks that run or wait now. The caller holds mu.
 func (s *Shard) updateDemand(waiting []*jobEntry, now time.Duration) {
-	current := map[string]int64{}
+	current, waits, unrunnable := map[string]int64{}, s.fleet.NewDemand(), 0
 	for _, e := range waiting {
 		if e.waitsForQuota {
 			continue // free capacity is of no use to it
 		}
 		for _, o := range e.job.Occurrences {
 			for step := range o.Steps {
-				if spec := &e.job.Spec.Steps[step]; !spec.LongRunning && !spec.Fills && e.job.Ready(o, step) {
-					for i := range o.Steps[step] {
-						if o.Steps[step][i].Phase == jobs.Waiting {
-							current[e.job.Spec.Service] += spec.Size.MilliCPU
-						}
-					}
+				n := e.waitingShortTasks(o, step)
+				if n == 0 {
+					continue
 				}
+				request := s.placementRequest(e, jobs.TaskID{Job: e.job.Spec.ID, Occurrence: o.Number, Step: step})
+				s.excludeRefused(&request)
+				milliCPU, runnable := waits.Add(&request, n)
+				if !runnable {
+					unrunnable += n
+					s.logUnrunnable(e, &request)
+					continue
+				}
+				current[request.Service] += milliCPU
+				s.updateMeanSize(e)
 			}
 		}
 	}
+	total := 0.0
 	for service := range s.deps.Config().Services {
 		d := s.demand[service]
 		d.milliCPU *= math.Exp2(-float64(now-d.updatedAt) / float64(demandHalfLife))
 		d.milliCPU = max(d.milliCPU, float64(current[service]+s.fleet.CPUTotals(service).Batch))
 		d.updatedAt = now
 		s.demand[service] = d
+		total += d.milliCPU
+	}
+	s.publishDemand(int64(total), unrunnable)
+}
+
+// publishDemand adjusts the gauges, which all shards of the daemon share. The caller holds mu.
+func (s *Shard) publishDemand(milliCPU int64, unrunnable int) {
+	s.deps.Counters.ShortDemand.Add(milliCPU - s.publishedDemand)
+	s.deps.Counters.Unrunnable.Add(int64(unrunnable - s.publishedUnrunnable))
+	s.publishedDemand, s.publishedUnrunnable = milliCPU, unrunnable
+}
+
+// waitingShortTasks returns how many short tasks of a step wait and have their turn.
+func (e *jobEntry) waitingShortTasks(o *jobs.Occurrence, step int) int {
+	if spec := &e.job.Spec.Steps[step]; spec.LongRunning || spec.Fills || !e.job.Ready(o, step) {
+		return 0
+	}
+	n := 0
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].Phase == jobs.Waiting {
+			n++
+		}
 	}
+	return n
 }
 
-// updateMeanSize updates the mean size of short tasks from an accepted job. The caller holds mu.
-func (s *Shard) updateMeanSize(spec *jobs.Spec) {
+// logUnrunnable logs, once for a job, that no open worker can run tasks of a step. The caller holds mu.
+func (s *Shard) logUnrunnable(e *jobEntry, r *packing.Request) {
+	if e.unrunnableLogged {
+		return
+	}
+	e.unrunnableLogged = true
+	s.log.Warn().Str("job", e.job.Spec.ID).Str("step", r.StepName).Str("service", r.Service).Str("label", r.Step.RequiredLabel).
+		Stringer("size", r.Step.Size).Int("count", r.Step.Count).Bool("gang", r.Step.Gang).Msg("no open worker can run the step now")
+}
+
+// updateMeanSize updates the mean size of short tasks from a job, once, by those of its steps that the workers can run. The
+// caller holds mu.
+func (s *Shard) updateMeanSize(e *jobEntry) {
+	if e.sizesCounted {
+		return
+	}
+	e.sizesCounted = true
+	spec := e.job.Spec
 	d := s.demand[spec.Service]
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
 		if step.LongRunning || step.Fills {
 			continue
 		}
+		if request := s.placementRequest(e, jobs.TaskID{Job: spec.ID, Step: i}); !s.fleet.Runnable(&request) {
+			continue
+		}
 		size := float64(step.Size.MilliCPU)
 		if d.meanMilliCPU == 0 {
 			d.meanMilliCPU = size
@@ -90,10 +141,27 @@
 	return int64(d.milliCPU * demandReservePercent / 100)
 }
 
+// placeNewLongRunning returns the best worker for a new long-running task that leaves enough capacity for short ones, or
+// nil. The caller holds mu.
+func (s *Shard) placeNewLongRunning(e *jobEntry, r *packing.Request) *packing.Worker {
+	if s.leavesReserve(e, r.Service, r.Step) {
+		return s.fleet.Place(r)
+	}
+	// Workers without room for a short task of usual size are no part of the reserve.
+	outside, mean := *r, int64(s.demand[r.Service].meanMilliCPU)
+	outside.Allowed = func(w *packing.Worker) bool {
+		return !w.HasRoomFor(mean) && (r.Allowed == nil || r.Allowed(w))
+	}
+	return s.fleet.Place(&outside)
+}
+
 // leavesReserve reports whether a new long-running task leaves enough capacity for short ones. The caller holds mu.
 func (s *Shard) leavesReserve(e *jobEntry, service string, step *jobs.Step) bool {
 	cpu, d := s.fleet.CPUTotals(service), s.demand[service]
 	aged := s.deps.WallTime().UnixMilli()-e.job.Spec.AcceptedMs > agedJobMs
-	return s.fleet.UsableCPU(service, int64(d.meanMilliCPU))-step.Size.MilliCPU >=
-		d.reservedMilliCPU(cpu.Size, aged)-cpu.Batch
+	reserve := d.reservedMilliCPU(cpu.Size, aged) - cpu.Batch
+	if d.meanMilliCPU > 0 && reserve < int64(d.meanMilliCPU) {
+		return true // not one more short task is expected
+	}
+	return s.fleet.UsableCPU(service, int64(d.meanMilliCPU))-step.Size.MilliCPU >= reserve
 }
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -397,3 +397,9 @@
 func (a clusterAdvisor) Advise(ctx context.Context, step string, workers []string) (advisor.Response, error) {
 	return a.c.advisor.Advise(ctx, step, workers)
 }
+
+// acceptSteps stores a job of the given steps, which do not depend on each other.
+func (c *cluster) acceptSteps(id string, steps ...jobs.Step) {
+	c.accept(&jobs.Spec{ID: id, Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
+		AcceptedMs: time.Now().UnixMilli(), Steps: steps})
+}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -223,7 +223,6 @@
 	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(e.criticalPathMs)) + spec.TargetMs
 	s.jobs[id] = e
 	s.unmetered = append(s.unmetered, e)
-	s.updateMeanSize(spec)
 	if s.loaded {
 		s.forJob("create due occurrences", e, func() { e.job.CreateDue(s.deps.WallTime().UnixMilli()) })
 		s.log.Info().Str("job", id).Str("queue", spec.Queue).Int64("offset", r.Offset).
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -234,8 +234,8 @@
 		isNew := o.Steps[step][i].Run == 0
 		request.Avoid = e.avoid[id]
 		w, waitsForQuota := s.placeWithinQuota(e, spec.Size, func() *packing.Worker {
-			if spec.LongRunning && isNew && !s.leavesReserve(e, request.Service, spec) {
-				return nil
+			if spec.LongRunning && isNew {
+				return s.placeNewLongRunning(e, request)
 			}
 			return s.fleet.Place(request)
 		})
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -104,6 +104,10 @@
 	mayHaveReady, mayHaveRestarts bool
 	// waitsForQuota is set if the limit of the job's account kept a task from being bound in the newest plan.
 	waitsForQuota bool
+	// sizesCounted is set once the sizes of the job's short tasks count towards the mean size of its service.
+	sizesCounted bool
+	// unrunnableLogged is set once it was logged that no worker can run one of the job's steps.
+	unrunnableLogged bool
 	// dueMs is the time by which the job should end; it orders the jobs of a plan.
 	dueMs int64
 	// criticalPathMs is the estimated time of the longest chain of steps.
@@ -232,6 +236,9 @@
 	unmetered []*jobEntry
 	// demand is the recent demand of short tasks by service.
 	demand map[string]demand
+	// publishedDemand and publishedUnrunnable are this shard's parts of the gauges.
+	publishedDemand     int64
+	publishedUnrunnable int
 	// dirty holds the ids of jobs with unstored progress, and onStored the callbacks to run once it is stored.
 	dirty    map[string]struct{}
 	onStored []func()
@@ -319,7 +326,7 @@
 	}
 	loops.Wait()
 	s.background.Wait()
-	s.locked("count what waits", func() { s.countQuotaWaits(0) })
+	s.locked("count what waits", func() { s.countQuotaWaits(0); s.publishDemand(0, 0) })
 }
 
 // addRun registers a run and reserves its capacity. The caller holds mu.
