Store the progress of large jobs in records of bounded size

Ends were not acknowledged.

Cause: the progress of a job was one record, which grows with its tasks and their checkpoints. Above 262,144 bytes the store answers 400, which counted as a refusal that can pass: the append was repeated for ever, and all commits of the shard wait behind it.

Evidence: the stand-in counts 60 refused appends of one record; with the record left out, the rest of the commit is taken. Ruled out: the limit of one call (appends are divided at an eighth of it); a slow store (it answers 503, and takes the records later).

Change: progress above 128 KiB is a head and parts of 32 tasks, long checkpoints are parts of their own, and a change stores the parts that it changes. Parts come before the head; what an owner killed between two appends did not conclude, the next one concludes. A checkpoint above 128 KiB is not kept, and its run goes on. Answers 400 and 413 are an error of their own, after which a record is found by halving and left out; a job whose progress it is is set aside, with the reason stored before anything that waits for the commit happens. The same holds for moved jobs, for commands in a group, and for worker ids that make keys too long.

Why it works: no record of a job can exceed 160 KiB, whatever the job has, since each holds at most 32 tasks of bounded size or one bounded checkpoint. A record that is refused for good all the same holds up only its own job.

Mixed versions: records of one piece load as before and smaller jobs are still stored so.

A change of one task of 4,000 stores one of 125 parts.

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -86,6 +86,10 @@
 	Begun bool `cbor:"10,keyasint,omitempty"`
 	// MoveOffset is the offset at which the job was added to the commands of the shard MovedTo; 0 if it is not known.
 	MoveOffset int64 `cbor:"11,keyasint,omitempty"`
+	// InParts is set if the tasks are stored as parts, which AddParts adds.
+	InParts bool `cbor:"12,keyasint,omitempty"`
+	// SetAside is why nothing of the job runs any more, since the store never takes its progress; empty for other jobs.
+	SetAside string `cbor:"13,keyasint,omitempty"`
 }
 
 // TaskRun identifies a run of a task of a job.
@@ -192,10 +196,11 @@
 }
 
 // SaveCheckpoint records a newer checkpoint of a task. That of one member of a gang holds for all of them, since they have
-// to resume from the same. It has no effect on a task that is done: reports of its runs may come later.
+// to resume from the same. It has no effect on a task that is done: reports of its runs may come later. Nor has one of more
+// than MaxCheckpointBytes: the task would resume from the checkpoint before.
 func (j *Job) SaveCheckpoint(id TaskID, checkpoint string) {
 	t := j.Task(id)
-	if t == nil || t.Phase == Done {
+	if t == nil || t.Phase == Done || len(checkpoint) > MaxCheckpointBytes {
 		return
 	}
 	if !j.Spec.Steps[id.Step].Gang {
--- a/core/jobs/stored.go
+++ b/core/jobs/stored.go
@@ -19,7 +19,7 @@
 	if err := cbor.Unmarshal(data, p); err != nil {
 		return nil, errors.Wrap(err, "decode progress")
 	}
-	p.Begun = p.Begun || p.showsRun()
+	p.Begun = p.Begun || p.SetAside == "" && p.showsRun()
 	return p, nil
 }
 
--- a/external/jobqueue/jobqueue.go
+++ b/external/jobqueue/jobqueue.go
@@ -112,6 +112,9 @@
 // ErrUnknownJob means that no such job exists.
 var ErrUnknownJob = errors.New("no such job")
 
+// ErrTooLarge means that the command cannot be stored, also later.
+var ErrTooLarge = errors.New("the job is too large to be stored")
+
 // ErrUncertain means that it is not known whether a command took effect.
 var ErrUncertain = errors.New("it is not known whether the command took effect")
 
--- a/external/jobworker/fake/client.go
+++ b/external/jobworker/fake/client.go
@@ -166,7 +166,7 @@
 // checkpoint returns the newest checkpoint of a run, empty before the first.
 func (a *activeRun) checkpoint(task string) string {
 	if every := a.outcome.CheckpointEvery; every > 0 && time.Since(a.startedAt) >= every {
-		return fmt.Sprintf("%s#%d", task, time.Since(a.startedAt)/every)
+		return fmt.Sprintf("%-*s", a.outcome.CheckpointBytes, fmt.Sprintf("%s#%d", task, time.Since(a.startedAt)/every))
 	}
 	return ""
 }
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -29,6 +29,8 @@
 	Paced bool
 	// CheckpointEvery is the time between the checkpoints that the worker reports for the run; 0 for none.
 	CheckpointEvery time.Duration
+	// CheckpointBytes is the least length of these checkpoints.
+	CheckpointBytes int
 	// Tail, if set, returns the tail latency to report while paced runs use that much processor time.
 	Tail func(millicores int64) int64
 }
--- a/external/keyedlog/fake/store.go
+++ b/external/keyedlog/fake/store.go
@@ -36,6 +36,11 @@
 	partitions map[keyedlog.Partition]*partition
 	changed    chan struct{} // closed and replaced with each append
 	fault      func(caller, method string, p keyedlog.Partition) Fault
+	// sizesLimited is set if records that the platform's store never takes are rejected, but for those of unlimitedCaller.
+	sizesLimited    bool
+	unlimitedCaller string
+	// rejects reports whether the store never takes a record; nil means none.
+	rejects func(caller string, r keyedlog.Record) bool
 }
 
 type partition struct {
@@ -54,6 +59,28 @@
 // deduplicatedAppends is the number of a writer's latest appends whose repeats are recognised.
 const deduplicatedAppends = 5
 
+// Limits of the platform's store in bytes.
+const (
+	// MaxRecordBytes limits the content of a record: a byte, the key and the value.
+	MaxRecordBytes = 262_144
+	// maxCallBytes limits the records of one append.
+	maxCallBytes = 2_097_152
+	// maxKeyBytes limits a key, whose length is one byte.
+	maxKeyBytes = 255
+)
+
+// checkSizes returns an error if the platform's store never takes the records.
+func checkSizes(records []keyedlog.Record) error {
+	total := 0
+	for i := range records {
+		n := 1 + len(records[i].Key) + len(records[i].Value)
+		if total += n; n > MaxRecordBytes || total > maxCallBytes || len(records[i].Key) > maxKeyBytes {
+			return errors.Wrapf(keyedlog.ErrRejected, "record %q has %d bytes, the call at least %d", records[i].Key, n, total)
+		}
+	}
+	return nil
+}
+
 // New returns an empty store.
 func New() *Store {
 	return &Store{partitions: map[keyedlog.Partition]*partition{}, changed: make(chan struct{})}
@@ -66,6 +93,36 @@
 	s.fault = f
 }
 
+// LimitSizes makes the store reject records of the sizes that the platform's store never takes, but for those of one caller.
+func (s *Store) LimitSizes(except string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sizesLimited, s.unlimitedCaller = true, except
+}
+
+// Reject sets the function that reports whether the store never takes a record of a caller; nil means none.
+func (s *Store) Reject(f func(caller string, r keyedlog.Record) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = f
+}
+
+// checkTaken returns an error if the store never takes the records.
+func (v *view) checkTaken(records []keyedlog.Record) error {
+	v.mu.Lock()
+	limited, rejects := v.sizesLimited && v.caller != v.unlimitedCaller, v.rejects
+	v.mu.Unlock()
+	for i := range records {
+		if rejects != nil && rejects(v.caller, records[i]) {
+			return errors.Wrapf(keyedlog.ErrRejected, "record %q", records[i].Key)
+		}
+	}
+	if limited {
+		return checkSizes(records)
+	}
+	return nil
+}
+
 // As returns the store for one caller, so that faults can depend on the caller.
 func (s *Store) As(caller string) keyedlog.Store { return &view{s, caller} }
 
@@ -107,6 +164,9 @@
 
 // Append implements keyedlog.Store.
 func (v *view) Append(ctx context.Context, a keyedlog.Append) (int64, error) {
+	if err := v.checkTaken(a.Records); err != nil {
+		return 0, err
+	}
 	f := v.faultOf("append", a.Partition)
 	if err := f.applyBeforeCall(ctx); err != nil {
 		return 0, err
--- a/external/keyedlog/keyedlog.go
+++ b/external/keyedlog/keyedlog.go
@@ -70,6 +70,9 @@
 var (
 	// ErrRefused means that the call had no effect and may succeed later.
 	ErrRefused = errors.New("store refused the call")
+	// ErrRejected means that the call had no effect and that the store never takes these records, such as ones that are
+	// too large.
+	ErrRejected = errors.New("store never takes the records")
 	// ErrOffsetMismatch means that the partition did not end at the given offset.
 	ErrOffsetMismatch = errors.New("partition ends elsewhere")
 	// ErrFenced means that a newer epoch of the writer exists.
--- a/node/hosted/commands.go
+++ b/node/hosted/commands.go
@@ -39,6 +39,8 @@
 	Uncertain bool   `cbor:"2,keyasint"`
 	TookMs    int64  `cbor:"3,keyasint"`
 	Reason    string `cbor:"4,keyasint"`
+	// Rejected is set if the store never takes the command.
+	Rejected bool `cbor:"5,keyasint,omitempty"`
 }
 
 // storeFunc has the owner of a shard store a command.
@@ -97,6 +99,9 @@
 		if err == nil {
 			return route, nil
 		}
+		if errors.Is(err, keyedlog.ErrRejected) {
+			return route, err
+		}
 		uncertain = uncertain || errors.Is(err, ledger.ErrUncertain)
 		if errors.Is(err, ledger.ErrNoResponse) {
 			c.slow.Store(true)
@@ -144,6 +149,8 @@
 		return nil
 	case resp.Uncertain:
 		return errors.Wrap(ledger.ErrNoResponse, resp.Reason)
+	case resp.Rejected:
+		return errors.Wrap(keyedlog.ErrRejected, resp.Reason)
 	}
 	return errors.Wrap(keyedlog.ErrRefused, resp.Reason)
 }
@@ -155,7 +162,8 @@
 	start := c.now()
 	err := c.groups[req.Shard].Append(ctx, keyedlog.Record{Key: req.Key, Value: req.Value})
 	resp := storeResponse{Stored: err == nil, Uncertain: errors.Is(err, ledger.ErrUncertain),
-		TookMs: (c.now() - start).Milliseconds()}
+		Rejected: errors.Is(err, keyedlog.ErrRejected),
+		TookMs:   (c.now() - start).Milliseconds()}
 	if err != nil {
 		resp.Reason = err.Error()
 	}
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -88,6 +88,9 @@
 		a.d.metrics.Counter("jobs_uncertain").Inc()
 		return errors.Wrap(jobqueue.ErrUncertain, err.Error())
 	}
+	if errors.Is(err, keyedlog.ErrRejected) {
+		return errors.Wrap(jobqueue.ErrTooLarge, err.Error())
+	}
 	a.d.metrics.Counter("jobs_refused").Inc()
 	return &jobqueue.RefusedError{Reason: "the store cannot be reached: " + err.Error(), RetryAfter: outageRetryAfter}
 }
--- a/node/ledger/group.go
+++ b/node/ledger/group.go
@@ -93,12 +93,23 @@
 		}
 		// The callers' contexts end at different times, so none of them limits the call.
 		err := g.appender.Attempt(context.Background(), g.partition, records, groupAttempt)
+		if errors.Is(err, keyedlog.ErrRejected) && len(batch) > 1 {
+			g.appendEach(batch)
+			continue
+		}
 		for _, p := range batch {
 			p.done <- err
 		}
 	}
 }
 
+// appendEach appends the records of a rejected call one by one, so that a record that the store never takes fails alone.
+func (g *GroupAppender) appendEach(batch []*pendingRecord) {
+	for _, p := range batch {
+		p.done <- g.appender.Attempt(context.Background(), g.partition, []keyedlog.Record{p.record}, groupAttempt)
+	}
+}
+
 // nextBatch removes the records of the next call from pending. If there are none, it clears appending and returns nil.
 func (g *GroupAppender) nextBatch() []*pendingRecord {
 	g.mu.Lock()
--- a/node/ledger/group_test.go
+++ b/node/ledger/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +79,35 @@
 		is.Equal(calls, 5) // the first alone, two full ones, and each large record alone
 	})
 }
+
+// Guards against a record that the store never takes and that fails those of other callers in the same call, or is repeated
+// until their time is up.
+func TestRejectedRecordFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := storefake.New()
+		store.Reject(func(_ string, r keyedlog.Record) bool { return r.Key == "bad" })
+		store.SetFault(func(string, string, keyedlog.Partition) storefake.Fault {
+			return storefake.Fault{Delay: 10 * time.Millisecond}
+		})
+		timed := NewTimedStore(store.As("d"))
+		appender := NewAtLeastOnceAppender(timed)
+		g := NewGroupAppender(appender, keyedlog.Partition{Topic: "t"})
+		var group sync.WaitGroup
+		for _, key := range []string{"first", "good", "bad", "good2"} {
+			group.Go(func() {
+				err := g.Append(t.Context(), keyedlog.Record{Key: key, Value: []byte("v")})
+				is.Equal(errors.Is(err, keyedlog.ErrRejected), key == "bad")
+				is.Equal(err != nil, key == "bad")
+			})
+			synctest.Wait()
+		}
+		group.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		start, bad := time.Now(), []keyedlog.Record{{Key: "bad", Value: []byte("v")}}
+		is.True(errors.Is(appender.Append(ctx, keyedlog.Partition{Topic: "t"}, bad), keyedlog.ErrRejected))
+		is.True(errors.Is(NewWriter(timed, keyedlog.Partition{Topic: "t"}, "w", 1).Append(ctx, bad), keyedlog.ErrRejected))
+		is.True(time.Since(start) < time.Second)
+	})
+}
--- a/node/ledger/writer.go
+++ b/node/ledger/writer.go
@@ -59,8 +59,8 @@
 }
 
 // Append adds records and retries until the store confirms or rejects them. Without records it only raises the epoch.
-// It fails if a newer epoch exists, if the sequence number does not follow, or if the context ends; after that last
-// error, the records may or may not be added.
+// It fails if a newer epoch exists, if the sequence number does not follow, if the store never takes the records, or if the
+// context ends; after that last error, the records may or may not be added.
 func (w *Writer) Append(ctx context.Context, records []keyedlog.Record) error {
 	var retry Backoff
 	for n := 0; ; n++ {
@@ -71,7 +71,8 @@
 				w.writer.Sequence++
 			}
 			return nil
-		case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence):
+		case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence),
+			errors.Is(err, keyedlog.ErrRejected):
 			return err
 		case ctx.Err() != nil:
 			return errors.Wrapf(err, "append to %s/%d given up", w.partition.Topic, w.partition.Number)
@@ -106,7 +107,7 @@
 // ErrNoResponse is the ErrUncertain of a call that timed out.
 var ErrNoResponse = errors.WithMessage(ErrUncertain, "no answer in time")
 
-// Append adds records and retries until an attempt succeeds or the context ends.
+// Append adds records and retries until an attempt succeeds, the store rejects the records for good, or the context ends.
 func (a *AtLeastOnceAppender) Append(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record) error {
 	var retry Backoff
 	uncertain := false
@@ -115,6 +116,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, keyedlog.ErrRejected) {
+			return err
+		}
 		uncertain = uncertain || errors.Is(err, ErrUncertain)
 		if retry.Sleep(ctx); ctx.Err() != nil {
 			if uncertain && !errors.Is(err, ErrUncertain) {
@@ -135,7 +139,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, keyedlog.ErrRefused):
+	case errors.Is(err, keyedlog.ErrRefused), errors.Is(err, keyedlog.ErrRejected):
 		return err
 	case ctx.Err() != nil:
 		return errors.Wrap(ErrNoResponse, err.Error())
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -41,10 +41,11 @@
 // commit stores the progress of all dirty jobs and reports false if the shard is lost.
 func (s *Shard) commit() bool {
 	b := s.takeUnstored()
+	appends := progressAppend{s: s, rejected: map[string]struct{}{}}
 	for records := b.records; len(records) > 0; {
 		n := chunkLen(records)
 		startedAt := s.deps.Now()
-		if err := s.writer.Append(s.ctx, records[:n]); err != nil {
+		if err := appends.append(records[:n]); err != nil {
 			s.log.Warn().Err(err).Int("records", len(records)).Msg("storing progress failed, giving up the shard")
 			return false
 		}
@@ -55,13 +56,21 @@
 	return true
 }
 
+// deletedJob is a job whose records have yet to be deleted.
+type deletedJob struct {
+	id string
+	// progressKeys are the keys of its progress in ProgressTopic, and arrivedKeys those in JobsTopic of the parts of the
+	// progress with which it was moved here.
+	progressKeys, arrivedKeys []string
+}
+
 // unstored is what the next commit stores, with what is to be done once it is stored.
 type unstored struct {
 	records   []keyedlog.Record
 	states    map[string]jobs.State
 	callbacks []func()
 	// deleted are jobs whose command records are deleted after the commit.
-	deleted []string
+	deleted []deletedJob
 }
 
 // takeUnstored returns everything that is not stored yet and marks it as taken.
@@ -73,8 +82,8 @@
 	b.records = append(b.records, s.learnedRecord()...)
 	b.records = append(b.records, s.moveRecords()...)
 	b.records = append(b.records, s.settledRecords()...)
-	for _, id := range s.progressTombstones {
-		b.records = append(b.records, keyedlog.Record{Key: id})
+	for _, key := range s.progressTombstones {
+		b.records = append(b.records, keyedlog.Record{Key: key})
 	}
 	s.progressTombstones, s.onStored, s.deletedJobs = nil, nil, nil
 	return b
@@ -120,16 +129,18 @@
 			delete(s.dirty, id)
 			continue
 		}
-		value, err := jobs.EncodeProgress(&e.job.Progress)
+		stored, err := s.progressRecords(e)
 		if err != nil {
 			// Progress holds only numbers and strings, so this is a programming error.
 			s.log.Error().Err(err).Str("job", id).Msg("progress of job cannot be encoded")
 			continue
 		}
 		delete(s.dirty, id)
-		records = append(records, keyedlog.Record{Key: id, Value: value})
+		records = append(records, stored...)
 		states[id] = e.job.State()
-		bytes += len(value)
+		for i := range stored {
+			bytes += len(stored[i].Value)
+		}
 	}
 	s.deps.Counters.StoredBytes.Add(int64(bytes))
 	return records, states
@@ -152,26 +163,31 @@
 
 // deleteRecords deletes the records of jobs past their retention. If that fails, a later commit, or the next owner,
 // deletes them.
-func (s *Shard) deleteRecords(ids []string) {
+func (s *Shard) deleteRecords(deleted []deletedJob) {
 	var commands []keyedlog.Record
-	for _, id := range ids {
-		commands = append(commands, keyedlog.Record{Key: acceptedPrefix + id}, keyedlog.Record{Key: cancelledPrefix + id},
-			keyedlog.Record{Key: arrivedPrefix + id})
+	for _, d := range deleted {
+		commands = append(commands, keyedlog.Record{Key: acceptedPrefix + d.id}, keyedlog.Record{Key: cancelledPrefix + d.id},
+			keyedlog.Record{Key: arrivedPrefix + d.id})
+		for _, key := range d.arrivedKeys {
+			commands = append(commands, keyedlog.Record{Key: key})
+		}
 	}
 	_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 		Partition: keyedlog.Partition{Topic: JobsTopic, Number: s.number}, Records: commands})
 	if err != nil {
-		s.log.Warn().Err(err).Int("jobs", len(ids)).Msg("deleting records of ended jobs failed, retrying")
+		s.log.Warn().Err(err).Int("jobs", len(deleted)).Msg("deleting records of ended jobs failed, retrying")
 		ctxtime.Sleep(s.ctx, deleteRetryDelay)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.deletedJobs = append(s.deletedJobs, ids...)
+		s.deletedJobs = append(s.deletedJobs, deleted...)
 		signal(s.commitSignal)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progressTombstones = append(s.progressTombstones, ids...)
+	for _, d := range deleted {
+		s.progressTombstones = append(s.progressTombstones, d.progressKeys...)
+	}
 	signal(s.commitSignal)
 }
 
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -79,6 +79,7 @@
 				Services: map[string]jobqueue.Service{service: {Name: service}}},
 		}
 		c.operatorStore = c.store.As("operator")
+		c.store.LimitSizes("operator")
 		for i := range workers {
 			c.addWorker(fmt.Sprintf("w%d", i))
 		}
@@ -403,3 +404,10 @@
 	c.accept(&jobs.Spec{ID: id, Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
 		AcceptedMs: time.Now().UnixMilli(), Steps: steps})
 }
+
+// setAppendsRefused makes the store refuse the appends of all daemons to the topic of progress, or take them again.
+func (c *cluster) setAppendsRefused(refused bool) {
+	c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
+		return storefake.Fault{Refuse: refused && caller != "operator" && method == "append" && p.Topic == shard.ProgressTopic}
+	})
+}
--- a/node/shard/holding.go
+++ b/node/shard/holding.go
@@ -158,6 +158,11 @@
 		if err == nil {
 			return offset, true
 		}
+		if errors.Is(err, keyedlog.ErrRejected) {
+			s.deps.Counters.RecordsRejected.Inc()
+			s.log.Error().Err(err).Str("key", records[0].Key).Int("of_shard", number).Msg("the store never takes a record, it is left out")
+			return 0, false
+		}
 		s.log.Warn().Err(err).Str("key", records[0].Key).Int("of_shard", number).Msg("storing a move failed, retrying")
 		backoff.Sleep(s.ctx)
 	}
--- a/node/shard/jobmove.go
+++ b/node/shard/jobmove.go
@@ -46,12 +46,12 @@
 	if e == nil || !s.mayMove(e, waited) {
 		return
 	}
-	progress, err := jobs.EncodeProgress(&e.job.Progress)
+	progress, parts, err := e.job.EncodeStored()
 	if err != nil || !e.job.Move(to, s.deps.WallTime().UnixMilli()) {
 		s.log.Error().Err(err).Str("job", id).Msg("job cannot move")
 		return
 	}
-	e.job.MovedProgress = progress
+	e.job.MovedProgress, e.movingParts = progress, parts
 	s.log.Info().Str("job", id).Int("to", to).Msg("job moves to another shard")
 	s.deps.Counters.JobsMoved.Inc()
 	s.markDirty(e)
@@ -68,6 +68,17 @@
 	}
 	id := e.job.Spec.ID
 	// The progress is read with the job, or before it.
+	var records []keyedlog.Record
+	for _, p := range e.movingParts {
+		records = append(records, keyedlog.Record{Key: arrivedPrefix + id + "/" + p.Name, Value: p.Value})
+	}
+	for len(records) > 0 {
+		n := chunkLen(records)
+		if _, ok := s.appendUntilStored(e.job.MovedTo, records[:n]...); !ok {
+			return
+		}
+		records = records[n:]
+	}
 	progress := keyedlog.Record{Key: arrivedPrefix + id, Value: e.job.MovedProgress}
 	offset, ok := s.appendUntilStored(e.job.MovedTo, progress, AcceptRecord(id, spec))
 	if !ok {
@@ -76,6 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.job.MoveAnnounced, e.job.MovedProgress, e.job.MoveOffset = true, nil, offset+1 // of the second record
+	e.movingParts = nil
 	s.markDirty(e)
 	s.passOnCancel(e)
 }
@@ -105,26 +117,35 @@
 
 // applyArrived applies the progress of a job that was moved to this shard. The caller holds mu.
 func (s *Shard) applyArrived(r keyedlog.Record) error {
+	key := r.Key[len(arrivedPrefix):]
+	if id, name, isPart := cutLast(key); isPart {
+		s.arrived.of(id).parts[name] = r.Value
+		return nil
+	}
 	p, err := jobs.DecodeProgress(r.Value)
 	if err != nil {
 		return errors.WithMessage(err, "moved job")
 	}
-	s.arrived[r.Key[len(arrivedPrefix):]] = p
+	s.arrived.of(key).hasHead, s.arrived.of(key).head = true, p
 	return nil
 }
 
 // restoreArrived gives a job of another home shard the progress with which it was moved here. The caller holds mu.
 func (s *Shard) restoreArrived(e *jobEntry) error {
-	p := s.arrived[e.job.Spec.ID]
-	if p == nil {
+	arrived := s.arrived[e.job.Spec.ID]
+	if arrived == nil || !arrived.hasHead {
 		// Without it, tasks that are done would run again.
 		return errors.New("the progress with which the job was moved is missing")
 	}
-	if err := p.Validate(e.job.Spec); err != nil {
+	p, err := arrived.complete(e.job.Spec)
+	if err != nil {
 		return errors.WithMessage(err, "progress with which the job was moved")
 	}
 	e.job.Progress = *p
 	e.storedState = e.job.State()
+	for name := range arrived.parts {
+		arrived.parts[name] = nil // only the names are needed, to delete the records
+	}
 	return nil
 }
 
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -24,7 +24,7 @@
 		s.log.Warn().Err(err).Msg("raising the writer epoch of the progress topic failed")
 		return false
 	}
-	stored := map[string]*jobs.Progress{}
+	stored := progressReader{}
 	progress := ledger.NewFollower(s.deps.Store, keyedlog.Partition{Topic: ProgressTopic, Number: s.number},
 		func(records []keyedlog.Record, _ bool) { s.decodeProgress(records, stored) })
 	if !s.retry("load progress", progress.Load) || !s.retry("load jobs", s.jobsFollower.Load) {
@@ -33,27 +33,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, p := range stored {
-		e := s.jobs[id]
-		if e == nil {
-			s.deletedJobs = append(s.deletedJobs, id) // the job's record is deleted before its progress
-			continue
-		}
-		if e.setAside != "" {
-			continue
-		}
-		// Without its progress, tasks of the job that are running or done would be started again.
-		if p == nil {
-			s.setAside(e, errors.New("stored progress cannot be decoded"))
-			continue
-		}
-		if err := p.Validate(e.job.Spec); err != nil {
-			s.setAside(e, errors.WithMessage(err, "stored progress"))
-			continue
-		}
-		e.job.Progress = *p
-		e.storedState = e.job.State()
-		e.mayHaveRestarts = true
-		s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
+		s.restoreProgress(id, p)
 	}
 	s.applyCancels()
 	s.createDueOccurrences()
@@ -65,6 +45,42 @@
 	return true
 }
 
+// restoreProgress gives a job the progress that was stored. The caller holds mu.
+func (s *Shard) restoreProgress(id string, p *storedProgress) {
+	e := s.jobs[id]
+	if e == nil {
+		// The job's record is deleted before its progress.
+		d := deletedJob{id: id, progressKeys: []string{id}}
+		for name := range p.parts {
+			d.progressKeys = append(d.progressKeys, partKey(id, name))
+		}
+		s.deletedJobs = append(s.deletedJobs, d)
+		return
+	}
+	defer func() { e.adoptParts(p) }()
+	if e.setAside != "" || !p.hasHead {
+		return // parts without a head belong to a change of which nothing took effect
+	}
+	progress, err := p.complete(e.job.Spec)
+	if err != nil {
+		// Without its progress, tasks of the job that are running or done would be started again.
+		if p.head != nil && p.head.SetAside != "" {
+			e.job.Progress = *p.head
+			e.storedState = e.job.State()
+		}
+		s.setAside(e, err)
+		return
+	}
+	e.job.Progress = *progress
+	if e.job.InParts {
+		e.job.Reconcile(s.deps.WallTime().UnixMilli())
+		s.markDirty(e)
+	}
+	e.storedState = e.job.State()
+	e.mayHaveRestarts = true
+	s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
+}
+
 // retry repeats a step until it succeeds or the shard is lost.
 func (s *Shard) retry(step string, f func(context.Context) error) bool {
 	var backoff ledger.Backoff
@@ -87,11 +103,17 @@
 	return false
 }
 
-// decodeProgress decodes the progress of jobs; nil stands for a record that cannot be decoded.
-func (s *Shard) decodeProgress(records []keyedlog.Record, into map[string]*jobs.Progress) {
+// decodeProgress decodes the records of ProgressTopic and adds the progress of jobs to into.
+func (s *Shard) decodeProgress(records []keyedlog.Record, into progressReader) {
 	for _, r := range records {
+		if strings.HasPrefix(r.Key, partPrefix) {
+			into.addPart(r.Key, r.Value)
+			continue
+		}
 		if r.Value == nil {
-			delete(into, r.Key)
+			if p := into[r.Key]; p != nil {
+				p.hasHead, p.head = false, nil
+			}
 			continue
 		}
 		if r.Key == learnedKey {
@@ -110,7 +132,7 @@
 		if err != nil {
 			s.log.Error().Err(err).Str("job", r.Key).Int64("offset", r.Offset).Msg("stored progress of job cannot be decoded")
 		}
-		into[r.Key] = p
+		into.of(r.Key).hasHead, into.of(r.Key).head = true, p
 	}
 }
 
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -141,6 +141,7 @@
 	}
 	s.recordBegun(r.id)
 	if listedRun.Checkpoint != "" && listedRun.Checkpoint != r.checkpoint {
+		s.countTooLong(r, listedRun.Checkpoint)
 		r.checkpoint = listedRun.Checkpoint
 		if e := s.jobs[r.id.Job]; e != nil {
 			e.job.SaveCheckpoint(r.id, listedRun.Checkpoint)
@@ -164,6 +165,17 @@
 	return r
 }
 
+// countTooLong counts and logs, once for a run, a checkpoint that is too long to be kept. The caller holds mu.
+func (s *Shard) countTooLong(r *run, checkpoint string) {
+	if len(checkpoint) <= jobs.MaxCheckpointBytes || r.checkpointTooLong {
+		return
+	}
+	r.checkpointTooLong = true
+	s.deps.Counters.CheckpointsTooLong.Inc()
+	s.log.Warn().Str("job", r.id.Job).Str("task", r.name).Int64("run", r.number).Int("bytes", len(checkpoint)).
+		Int("limit", jobs.MaxCheckpointBytes).Msg("checkpoint is too long, the one before is kept")
+}
+
 // settleUnlisted settles a run that the worker neither lists nor reported as ended. Only a report requested after the
 // worker's response to the start or stop counts.
 func (s *Shard) settleUnlisted(r *run, sentAt time.Duration) {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -121,6 +121,10 @@
 	cancelRequested, cancelPassedOn bool
 	// setAside is why nothing of the job is planned or recorded any more; empty for other jobs.
 	setAside string
+	// storedParts holds the hashes of the stored parts of the job's progress by name. movingParts holds the
+	// parts with which the job moves away, until its new shard can read them.
+	storedParts map[string]uint64
+	movingParts []jobs.Part
 	// retryAt is the earliest time at which a failed task may run again, and avoid the worker that it failed on.
 	retryAt map[jobs.TaskID]time.Duration
 	avoid   map[jobs.TaskID]string
@@ -166,6 +170,8 @@
 	listed        bool
 	// checkpoint is the newest one that the worker reported.
 	checkpoint string
+	// checkpointTooLong is set once a checkpoint was too long to be kept.
+	checkpointTooLong bool
 	// account is the client account whose limit the run counts towards; empty for none.
 	account string
 }
@@ -214,7 +220,7 @@
 	// absentSince is since when workers with a settled incarnation have been gone.
 	absentSince map[string]time.Duration
 	// arrived holds the progress with which jobs were moved to this shard, by the job's id.
-	arrived map[string]*jobs.Progress
+	arrived progressReader
 	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
 	shortages map[string]*shortage
 	plans     int
@@ -243,8 +249,9 @@
 	dirty    map[string]struct{}
 	onStored []func()
 	// deletedJobs are jobs whose records have yet to be deleted.
-	deletedJobs []string
-	// progressTombstones are jobs of which only the progress record is left to delete.
+	deletedJobs []deletedJob
+	// progressTombstones are the keys in ProgressTopic that are left to delete, once the other records of their jobs are
+	// deleted.
 	progressTombstones []string
 
 	// sweptAt is when the newest sweep began. stalledAt is the end of the newest period in which this daemon did not
@@ -274,7 +281,7 @@
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
 		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
 		settled: map[string]settledIncarnation{}, unstoredSettled: map[string]struct{}{}, usedFences: map[string]int64{}, absentSince: map[string]time.Duration{},
-		unstoredMoves: map[string]struct{}{}, arrived: map[string]*jobs.Progress{}, shortages: map[string]*shortage{},
+		unstoredMoves: map[string]struct{}{}, arrived: progressReader{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
 		meter: fairshare.NewMeter(), commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 		quotaSignal: make(chan struct{}, 1), quotas: quotas{accounts: map[string]*accountQuota{}, waiting: map[string]int{}},
@@ -413,9 +420,20 @@
 
 // removeJob removes a job and its records. The caller holds mu.
 func (s *Shard) removeJob(id string) {
+	d := deletedJob{id: id, progressKeys: []string{id}}
+	if e := s.jobs[id]; e != nil {
+		for name := range e.storedParts {
+			d.progressKeys = append(d.progressKeys, partKey(id, name))
+		}
+	}
+	if a := s.arrived[id]; a != nil {
+		for name := range a.parts {
+			d.arrivedKeys = append(d.arrivedKeys, arrivedPrefix+id+"/"+name)
+		}
+	}
 	delete(s.jobs, id)
 	delete(s.dirty, id)
 	delete(s.arrived, id)
-	s.deletedJobs = append(s.deletedJobs, id)
+	s.deletedJobs = append(s.deletedJobs, d)
 	signal(s.commitSignal)
 }
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"reflect"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/core/lease"
 	"waxwingslip.example/core/packing"
 	"waxwingslip.example/external/jobworker"
@@ -132,6 +134,10 @@
 		s.log.Warn().Err(err).Int64("offset", r.Offset).Msg("registry entry cannot be decoded, it is ignored")
 		return
 	}
+	if len(info.ID) > jobs.MaxWorkerIDBytes || strings.HasPrefix(info.ID, "/") {
+		s.log.Warn().Int64("offset", r.Offset).Int("bytes", len(info.ID)).Msg("registry entry has an id that cannot be stored, it is ignored")
+		return
+	}
 	s.entries[info.ID] = info
 	if _, held := s.heldWorker(info.ID); !held {
 		return
--- a/node/shard/worker_calls.go
+++ b/node/shard/worker_calls.go
@@ -52,7 +52,7 @@
 	if s.runs[r.name] != r {
 		return
 	}
-	if w == nil || e == nil || e.job.Outcome != jobs.Unfinished || !s.auth.MayStart() {
+	if w == nil || e == nil || e.job.Outcome != jobs.Unfinished || e.setAside != "" || !s.auth.MayStart() {
 		s.endRun(r, jobs.EndNotStarted, "", "the start was not sent")
 		return
 	}
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -121,6 +121,8 @@
 	{"shard_commit_time", TypeHistogram, "us", "Time to store changes of progress."},
 	{"shard_panics", TypeCounter, "errors", "Unexpected errors that were contained in a shard; the log has their stacks."},
 	{"shard_jobs_set_aside", TypeCounter, "jobs", "Jobs whose records cannot be used or led to an unexpected error. Nothing of them runs any more."},
+	{"shard_records_rejected", TypeCounter, "records", "Records that the store never takes. They are left out; the job of one is set aside. The log has their keys."},
+	{"shard_checkpoints_too_long", TypeCounter, "runs", "Runs with a checkpoint above 131,072 bytes, which is not kept: the task would resume from the one before."},
 	{"shard_workers_restarted", TypeCounter, "workers", "Restarts of workers under their ids."},
 	{"shard_workers_lent", TypeCounter, "workers", "Workers moved to other shards, which could not place their tasks."},
 	{"shard_jobs_moved", TypeCounter, "jobs", "Jobs moved to other shards, whose workers alone may run them and cannot move."},
