Make the cancelling of a job that is not known binding

Cause: Cancel answers 410 if the owner does not know the id, and stored nothing. An append that a cut had held up reached the store seconds later and met nothing.

Ruled out: a cancellation that is lost while records are read. Where no owner answers it was stored, and held.

Change: the cancellation is stored with the caller's account under a key of its own before the answer. The owner cancels jobs of that account that are accepted under the id within 5 minutes, before a task is bound, and hides them, so that GET stays 410. It binds the caller's own account only; a daemon stores at most 512 in that time, 128 of one account, and refuses more with 429. After storing a POST, a daemon asks the owner whether the id was cancelled, and answers 503 then.

Why it works: what is on its way is met by a record that precedes it in the same log, whichever daemon owns the shard when it arrives. The record goes only after the jobs that it cancelled.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -40,16 +40,18 @@
 
 // Daemon serves callers and runs the shards that it owns.
 type Daemon struct {
-	settings  *Settings
-	deps      Dependencies
-	store     *ledger.TimedStore
-	log       zerolog.Logger
-	now       func() time.Duration
-	metrics   *telemetry.Registry
-	control   *control
-	commands  *commandStore
-	peers     *peer.Transport
-	shardDeps *shard.Dependencies
+	settings *Settings
+	deps     Dependencies
+	store    *ledger.TimedStore
+	log      zerolog.Logger
+	now      func() time.Duration
+	metrics  *telemetry.Registry
+	control  *control
+	commands *commandStore
+	// earlyCancels limits the cancellations of unknown jobs that are stored.
+	earlyCancels *earlyCancels
+	peers        *peer.Transport
+	shardDeps    *shard.Dependencies
 
 	draining atomic.Bool
 	// closesAt is the boot time in ns at which a draining daemon closes callers' connections; 0 before it drains.
@@ -79,6 +81,7 @@
 	store.Observe(log, ledger.NewCounters(d.metrics))
 	d.feed = newControlFeed(store, deps.Layout, d.control, deps.Now, func() bool { return d.ownedShard(0) != nil }, d.metrics)
 	d.commands = newCommandStore(store, settings.Store.Partitions, deps.Now, d.ownerStore)
+	d.earlyCancels = &earlyCancels{now: deps.Now, at: map[earlyCancelKey]time.Duration{}}
 	d.shardDeps = &shard.Dependencies{
 		Store: store, Workers: deps.Workers, Advisor: deps.Advisor, Config: d.control.Config,
 		ZoneOutOfService: d.control.ZoneOutOfService,
--- a/node/hosted/jobapi.go
+++ b/node/hosted/jobapi.go
@@ -67,6 +67,11 @@
 		log.Err(err).Msg("job not accepted")
 		return err
 	}
+	if err := a.refuseIfCancelled(ctx, n, spec); err != nil {
+		log.Err(err).Msg("job not accepted")
+		a.d.metrics.Counter("jobs_refused").Inc()
+		return err
+	}
 	log.Msg("job accepted")
 	a.d.metrics.Counter("jobs_accepted").Inc()
 	a.d.metrics.Histogram("jobs_accept_time").Record(took)
@@ -109,6 +114,8 @@
 		if err := a.checkStoredJob(ctx, id, scope, refused); err != nil {
 			return err
 		}
+	case errors.Is(err, jobqueue.ErrUnknownJob):
+		return a.cancelUnknown(ctx, shardOf(id, shards), id, scope)
 	case err != nil:
 		return err
 	case state == jobs.StateCancelled || state == jobs.StateCompleted || state == jobs.StateFailed:
@@ -223,6 +230,8 @@
 	methodWaiting = "queue.waiting"
 	methodMove    = "shard.move"
 	methodLend    = "shard.lend"
+	// methodCancelledEarly is not known to earlier builds. Their owners know no early cancellations.
+	methodCancelledEarly = "job.cancelled_early"
 )
 
 // stateQuery asks for the state of a job. Earlier builds send no scope, and ignore that of others.
@@ -268,6 +277,13 @@
 		}
 		return ownedShard.StateFor(ctx, q.Job, q.Scope)
 	})
+	peer.HandleCall(s, methodCancelledEarly, func(ctx context.Context, _ string, q acceptanceQuery) (bool, error) {
+		ownedShard, err := d.requireOwnedShard(q.Shard)
+		if err != nil {
+			return false, err
+		}
+		return ownedShard.CancelledEarly(ctx, q.Job, q.Account)
+	})
 	count := func(q waitingQuery) (shard.Count, error) {
 		ownedShard, err := d.requireOwnedShard(q.Shard)
 		if err != nil {
--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -148,7 +148,7 @@
 
 // publishState makes a stored state visible to callers. The caller holds mu.
 func (s *Shard) publishState(e *jobEntry, state jobs.State) {
-	if e.storedState == state {
+	if e.storedState == state || e.hidden {
 		return
 	}
 	e.storedState = state
--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -10,6 +10,7 @@
 	Paces, StoredBytes, WorkersRestarted            *telemetry.Counter
 	Panics, SetAside, WorkersLent, JobsMoved        *telemetry.Counter
 	RecordsRejected, CheckpointsTooLong             *telemetry.Counter
+	CancelledEarly                                  *telemetry.Counter
 	QuotaAppends                                    *telemetry.Counter
 	WaitForQuota, Unrunnable, ShortDemand           *telemetry.Gauge
 	Commit, StartDelay, Plan                        *telemetry.Histogram
@@ -27,7 +28,8 @@
 		StoredBytes: r.Counter("shard_stored_bytes"), WorkersRestarted: r.Counter("shard_workers_restarted"), Panics: r.Counter("shard_panics"),
 		SetAside: r.Counter("shard_jobs_set_aside"), WorkersLent: r.Counter("shard_workers_lent"),
 		RecordsRejected: r.Counter("shard_records_rejected"), CheckpointsTooLong: r.Counter("shard_checkpoints_too_long"),
-		JobsMoved: r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
+		CancelledEarly: r.Counter("shard_jobs_cancelled_early"),
+		JobsMoved:      r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
 		WaitForQuota: r.Gauge("shard_tasks_wait_for_quota"),
 		Unrunnable:   r.Gauge("shard_tasks_unrunnable"), ShortDemand: r.Gauge("shard_short_demand"), Commit: r.Histogram("shard_commit_time"),
 		StartDelay: r.Histogram("shard_start_delay_time"), Plan: r.Histogram("shard_plan_time"),
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -76,7 +76,9 @@
 		e.job.Reconcile(s.deps.WallTime().UnixMilli())
 		s.markDirty(e)
 	}
-	e.storedState = e.job.State()
+	if e.hidden = e.hidden && !e.job.Begun; !e.hidden {
+		e.storedState = e.job.State()
+	}
 	e.mayHaveRestarts = true
 	s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
 }
@@ -156,12 +158,13 @@
 }
 
 // applyCommands applies the commands of callers.
-func (s *Shard) applyCommands(records []keyedlog.Record, _ bool) {
+func (s *Shard) applyCommands(records []keyedlog.Record, reset bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var cancelled []string // applied last, since pages are sorted by key, not by time
+	s.applyEarlyCancels(records, reset) // first, since pages are sorted by key, not by time
+	var cancelled []string              // applied last, for the same reason
 	for _, r := range records {
-		// Applied first, for the same reason: progress is needed where the job is accepted.
+		// Applied before acceptances, for the same reason: progress is needed where the job is accepted.
 		if r.Value != nil && strings.HasPrefix(r.Key, arrivedPrefix) {
 			if err := s.applyArrived(r); err != nil {
 				s.log.Error().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("progress of moved job cannot be used")
@@ -209,10 +212,12 @@
 func (s *Shard) acceptJob(r keyedlog.Record) error {
 	id := r.Key[len(acceptedPrefix):]
 	if e := s.jobs[id]; e != nil {
-		if e.storedState == jobs.StateUnknown {
+		switch {
+		case e.hidden: // it stays cancelled
+		case e.storedState == jobs.StateUnknown:
 			e.storedState = jobs.StateCancelled // it was cancelled before it was accepted
 			nameOwner(e.job.Spec, r.Value)
-		} else {
+		default:
 			s.keepAccount(e, r.Value)
 		}
 		return nil
@@ -244,6 +249,7 @@
 	e.criticalPathMs, e.longRunning = spec.ChainMs(), spec.LongRunning()
 	e.dueMs = spec.AcceptedMs + int64(spec.Stretch*float64(e.criticalPathMs)) + spec.TargetMs
 	s.jobs[id] = e
+	s.cancelIfEarly(e)
 	s.unmetered = append(s.unmetered, e)
 	if s.loaded {
 		s.forJob("create due occurrences", e, func() { e.job.CreateDue(s.deps.WallTime().UnixMilli()) })
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -119,6 +119,8 @@
 	// cancelRequested is set once a cancellation was read, and cancelPassedOn once this owner passes it on to the shard to
 	// which the job moved.
 	cancelRequested, cancelPassedOn bool
+	// hidden is set for a job that was cancelled before it was accepted. Callers were told that there is no such job.
+	hidden bool
 	// setAside is why nothing of the job is planned or recorded any more; empty for other jobs.
 	setAside string
 	// storedParts holds the hashes of the stored parts of the job's progress by name. movingParts holds the
@@ -221,6 +223,8 @@
 	absentSince map[string]time.Duration
 	// arrived holds the progress with which jobs were moved to this shard, by the job's id.
 	arrived progressReader
+	// earlyCancels holds the cancellations of jobs that were not known, by the job's id and the record's key.
+	earlyCancels map[string]map[string]*heldEarlyCancel
 	// shortages holds the steps with tasks that could not be placed in the newest plan, by name. plans counts the plans.
 	shortages map[string]*shortage
 	plans     int
@@ -281,7 +285,7 @@
 		runs:     map[string]*run{}, runsByWorker: map[string]map[string]*run{}, demand: map[string]demand{},
 		entries: map[string]jobworker.Info{}, taken: map[string]holding{}, moved: map[string]move{},
 		settled: map[string]settledIncarnation{}, unstoredSettled: map[string]struct{}{}, usedFences: map[string]int64{}, absentSince: map[string]time.Duration{},
-		unstoredMoves: map[string]struct{}{}, arrived: progressReader{}, shortages: map[string]*shortage{},
+		unstoredMoves: map[string]struct{}{}, arrived: progressReader{}, earlyCancels: map[string]map[string]*heldEarlyCancel{}, shortages: map[string]*shortage{},
 		advice: map[string]*advice{}, moveTargets: map[string]*run{}, dirty: map[string]struct{}{},
 		meter: fairshare.NewMeter(), commitSignal: make(chan struct{}, 1), planSignal: make(chan struct{}, 1),
 		quotaSignal: make(chan struct{}, 1), quotas: quotas{accounts: map[string]*accountQuota{}, waiting: map[string]int{}},
@@ -392,6 +396,7 @@
 	s.createDueOccurrences()
 	s.pruneEndedJobs()
 	s.pruneSettled(now)
+	s.pruneEarlyCancels(now)
 	s.pruneAdvice()
 }
 
