Bound what is stored of learned images

Cause: the state of the model of interference is one record in the append that holds the progress of jobs. The model kept every image for good, and 333,000 bytes are more than the store takes; the append was repeated for ever.

Evidence: the refused key is "learned"; no job is large. Ruled out: records of jobs.

Change: at most 64 KiB are encoded, the pairs with the most observations first, and the model forgets images that were not observed for long.

Why it works: the size is bounded where the record is made, whatever images callers name. The next owner learns the rest again.

TestLearnedIsBounded tests limits that did not exist before, so it cannot run on the earlier code; the case itself failed there.

--- a/core/pressure/learned.go
+++ b/core/pressure/learned.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -35,21 +36,71 @@
 	restoredLoadWeight = 50
 )
 
-// Learned returns the state of the model for storing.
+// Limits of the encoded state in bytes. The store takes no record above 262,144 bytes.
+const (
+	// MaxLearnedBytes is more than the size of the encoded state.
+	MaxLearnedBytes = 64 << 10
+	// learnedImageBytes and learnedPairBytes are the sizes of entries without the names of images.
+	learnedImageBytes = 32
+	learnedPairBytes  = 28
+	learnedBaseBytes  = 16
+)
+
+// Learned returns the state of the model for storing. Of more than fits into MaxLearnedBytes it leaves out the pairs with the
+// fewest observations, and images without a pair.
 func (m *Model) Learned() Learned {
-	var learned Learned
-	for _, name := range slices.Sorted(maps.Keys(m.images)) {
+	bytes := learnedBaseBytes
+	images := map[string]*LearnedImage{}
+	imageOf := func(name string) (image *LearnedImage, cost int) {
+		if images[name] != nil {
+			return images[name], 0
+		}
 		im := m.images[name]
-		entry := LearnedImage{Name: name, BaseMs: im.baseMs, Load: im.estimator.factors[0]}
-		for _, filling := range slices.Sorted(maps.Keys(im.estimator.index)) {
-			i := im.estimator.index[filling]
+		return &LearnedImage{Name: name, BaseMs: im.baseMs, Load: im.estimator.factors[0]}, learnedImageBytes + len(name)
+	}
+	for _, p := range m.observedPairs() {
+		image, cost := imageOf(p.serving)
+		if cost += learnedPairBytes + len(p.Filling); bytes+cost > MaxLearnedBytes {
+			continue
+		}
+		bytes += cost
+		images[p.serving] = image
+		image.Pairs = append(image.Pairs, p.LearnedPair)
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.images)) {
+		if image, cost := imageOf(name); cost > 0 && bytes+cost <= MaxLearnedBytes {
+			bytes += cost
+			images[name] = image
+		}
+	}
+	var learned Learned
+	for _, name := range slices.Sorted(maps.Keys(images)) {
+		slices.SortFunc(images[name].Pairs, func(a, b LearnedPair) int { return cmp.Compare(a.Filling, b.Filling) })
+		learned.Images = append(learned.Images, *images[name])
+	}
+	return learned
+}
+
+// observedPair is a pair of images with observations.
+type observedPair struct {
+	serving string
+	LearnedPair
+}
+
+// observedPairs returns all pairs with observations, those with the most first.
+func (m *Model) observedPairs() []observedPair {
+	var pairs []observedPair
+	for serving, im := range m.images {
+		for filling, i := range im.estimator.index {
 			if weight := im.estimator.normal[i][i] - priorWeight; weight > 0 {
-				entry.Pairs = append(entry.Pairs, LearnedPair{filling, im.estimator.factors[i], weight})
+				pairs = append(pairs, observedPair{serving, LearnedPair{filling, im.estimator.factors[i], weight}})
 			}
 		}
-		learned.Images = append(learned.Images, entry)
 	}
-	return learned
+	slices.SortFunc(pairs, func(a, b observedPair) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.serving, b.serving), cmp.Compare(a.Filling, b.Filling))
+	})
+	return pairs
 }
 
 // Restore replaces the state of the model by that of another one.
@@ -57,7 +108,7 @@
 	clear(m.images)
 	clear(m.classes)
 	for _, entry := range learned.Images {
-		im := &servingImage{baseMs: entry.BaseMs, estimator: newEstimator()}
+		im := &servingImage{baseMs: entry.BaseMs, estimator: newEstimator(), observedAt: m.observations}
 		im.estimator.setPrior(0, entry.Load, restoredLoadWeight)
 		for _, p := range entry.Pairs {
 			if i := im.estimator.column(p.Filling); i > 0 {
--- a/core/pressure/pressure.go
+++ b/core/pressure/pressure.go
@@ -34,11 +34,15 @@
 type servingImage struct {
 	baseMs    float64 // tail at no utilization
 	estimator *estimator
+	// observedAt is the number of observations of the model at the newest one of the image.
+	observedAt int
 }
 
 // Model predicts the interference between images from past reports. It is not safe for concurrent use.
 type Model struct {
 	images map[string]*servingImage
+	// observations counts those of all images.
+	observations int
 	// others sums what models of other shards have learned, by pair.
 	others map[Pair]evidence
 	// classes holds the classes of pairs since the last change of the model. A plan asks for each pair on each worker.
@@ -97,12 +101,39 @@
 func (m *Model) imageFor(name string, targetMs float64) *servingImage {
 	im := m.images[name]
 	if im == nil {
-		im = &servingImage{baseMs: baseTailShare * targetMs, estimator: newEstimator()}
+		m.forgetImages()
+		im = &servingImage{baseMs: baseTailShare * targetMs, estimator: newEstimator(), observedAt: m.observations}
 		m.images[name] = im
 	}
 	return im
 }
 
+// Limits of the images that a model keeps. Callers name images, and each new version of a program may be one.
+const (
+	// maxImages limits the serving images.
+	maxImages = 256
+	// maxUnobserved is the number of observations of others after which an image is forgotten: half an hour at 50 reports a
+	// second.
+	maxUnobserved = 100_000
+)
+
+// forgetImages makes room for one more image: it removes those that were not observed for long and, if there are still too
+// many, the one that was not observed for longest.
+func (m *Model) forgetImages() {
+	oldest := ""
+	for name, im := range m.images {
+		if m.observations-im.observedAt > maxUnobserved {
+			delete(m.images, name)
+		} else if first := m.images[oldest]; first == nil || im.observedAt < first.observedAt ||
+			im.observedAt == first.observedAt && name < oldest {
+			oldest = name
+		}
+	}
+	if len(m.images) >= maxImages {
+		delete(m.images, oldest)
+	}
+}
+
 // utilization returns the utilization that a serving task sees, derived from its tail.
 func (im *servingImage) utilization(tailMs float64) float64 {
 	return max(0, 1-im.baseMs/max(tailMs, im.baseMs))
@@ -125,6 +156,8 @@
 
 func (m *Model) observe(s *Serving, filling []Filling) {
 	im := m.imageFor(s.Image, s.TargetMs)
+	m.observations++
+	im.observedAt = m.observations
 	im.estimator.observe(min(im.utilization(s.TailMs), saturatedUtilization), filling)
 }
 
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -1,11 +1,14 @@
 package pressure
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 )
 
@@ -204,6 +207,41 @@
 	is.True(m.Tolerates(Pair{"s", "heavy"}))
 }
 
+// Guards against a state that outgrows a record of the store, after which the shard stores nothing any more: callers name
+// images, and each new version of a program may be one.
+func TestLearnedIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := NewModel(2 * time.Second)
+	long := strings.Repeat("n", 200)
+	observe := func(serving, rounds int) {
+		for range rounds {
+			for f := range 40 {
+				m.Observe([]Serving{{Image: fmt.Sprint("s", serving, long), TargetMs: targetMs, TailMs: 5}},
+					[]Filling{{Image: fmt.Sprint("f", f, long), Share: 0.1}})
+			}
+		}
+	}
+	for serving := range 2 * maxImages {
+		observe(serving, 1)
+	}
+	observe(2*maxImages, 20) // the pairs with the most observations
+	is.Equal(len(m.images), maxImages)
+	learned := m.Learned()
+	data, err := cbor.Marshal(learned)
+	is.NoErr(err)
+	is.True(len(data) <= MaxLearnedBytes)
+	is.True(len(data) > MaxLearnedBytes*8/10)
+	next := NewModel(2 * time.Second)
+	next.Restore(learned)
+	for f := range 40 {
+		is.True(next.Seen(Pair{fmt.Sprint("s", 2*maxImages, long), fmt.Sprint("f", f, long)}))
+	}
+	is.True(m.images[fmt.Sprint("s", 0, long)] == nil) // the image that was not observed for longest
+	m.observations += maxUnobserved + 1
+	observe(0, 1)
+	is.Equal(len(m.images), 1)
+}
+
 func BenchmarkObserve(b *testing.B) {
 	m := trainedModel()
 	serving := []Serving{{Image: "s", TargetMs: targetMs, TailMs: 12}}
