Load the records of a shard without a total time limit

Cause: one attempt to list the records of a topic was limited to 4 s in all, and each began anew, so a list that takes 6 s was never read while the owner kept its claim.

Evidence: the owner's log repeats the failure each 4 s, with context deadline exceeded. Ruled out: single pages, which arrive in time; the store.

Change: only the time without progress is limited, per page, as the store's client does already. A list that is cut off goes on after the pages that were read.

Why it works: each attempt adds pages, so the list ends whatever its size, as long as the link moves anything.

TestLoadGoesOnAfterCut and TestOwnerLoadsManyJobsOverSlowLink failed before.

--- a/node/ledger/follower.go
+++ b/node/ledger/follower.go
@@ -29,6 +29,18 @@
 	next   int64      // offset of the first record that is not applied
 	loaded bool
 	behind bool // the newest Poll did not reach the end of the partition
+	// listed is what an attempt to list the newest records had read when it was cut off; nil if there is none. The next attempt
+	// goes on there: a list that takes longer than the connection lasts would never be read otherwise.
+	listed *listing
+}
+
+// listing is a list of the newest records of a partition, of which the first pages have been read.
+type listing struct {
+	records []keyedlog.Record
+	// end is the end of the partition when the first page was read. The pages are not one snapshot; records that are newer
+	// are read again.
+	end   int64
+	after string // the key after which the next page begins
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -36,30 +48,49 @@
 	return &Follower{store: store, partition: partition, apply: apply}
 }
 
-// Load reads the newest record of every key.
+// Load reads the newest record of every key. If it fails, the next call goes on after the pages that were read.
 func (f *Follower) Load(ctx context.Context) error {
-	var records []keyedlog.Record
-	end, after := int64(-1), ""
-	for {
-		page, err := f.store.Newest(ctx, f.partition, after)
+	l := f.takeListing()
+	for done := false; !done; done = l.after == "" {
+		page, err := f.store.Newest(ctx, f.partition, l.after)
 		if err != nil {
+			f.keepListing(l)
 			return errors.Wrapf(err, "load %s/%d", f.partition.Topic, f.partition.Number)
 		}
-		if end < 0 {
-			end = page.End // pages are not one snapshot; records newer than the first page are read again
-		}
-		records = append(records, page.Records...)
-		if after = page.Next; after == "" {
-			break
+		if l.end < 0 {
+			l.end = page.End
 		}
+		l.records = append(l.records, page.Records...)
+		l.after = page.Next
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	err := f.applyContained(records, true)
-	f.next, f.loaded, f.behind = end, true, false
+	err := f.applyContained(l.records, true)
+	f.next, f.loaded, f.behind = l.end, true, false
 	return errors.Wrapf(err, "load %s/%d", f.partition.Topic, f.partition.Number)
 }
 
+// takeListing returns the list that an earlier call began, or an empty one.
+func (f *Follower) takeListing() *listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.listed
+	f.listed = nil
+	if l == nil {
+		l = &listing{end: -1}
+	}
+	return l
+}
+
+// keepListing keeps a list that was cut off. Of two that were read at the same time it keeps the longer one.
+func (f *Follower) keepListing(l *listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(l.records) > 0 && (f.listed == nil || len(f.listed.records) < len(l.records)) {
+		f.listed = l
+	}
+}
+
 // applyContained applies records. If that ends with a panic, it applies them one by one and leaves out those that lead
 // to one, so that a record which cannot be handled does not hide those after it. It returns the newest such panic. The
 // caller holds mu.
--- a/node/ledger/follower_test.go
+++ b/node/ledger/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -48,3 +49,42 @@
 	is.NoErr(f.Poll(context.Background(), 0))
 	is.True(seen["e"])
 }
+
+// Guards against a list that is begun anew after each cut, and so never read if it takes longer than connections last.
+func TestLoadGoesOnAfterCut(t *testing.T) {
+	is := is.New(t)
+	p := keyedlog.Partition{Topic: "keyed.t"}
+	fake := storefake.New()
+	var records []keyedlog.Record
+	for i := range 400 {
+		records = append(records, keyedlog.Record{Key: fmt.Sprintf("k%03d", i), Value: []byte("v")})
+	}
+	_, err := fake.As("operator").Append(t.Context(), keyedlog.Append{Partition: p, Records: records})
+	is.NoErr(err)
+	calls := 0
+	fake.SetFault(func(_, method string, _ keyedlog.Partition) storefake.Fault {
+		calls++
+		return storefake.Fault{Refuse: method == "newest" && calls%3 == 0} // two pages a connection
+	})
+	newest := map[string]string{}
+	f := ledger.NewFollower(ledger.NewTimedStore(fake.As("d")), p, func(records []keyedlog.Record, reset bool) {
+		if reset {
+			clear(newest)
+		}
+		for _, r := range records {
+			newest[r.Key] = string(r.Value)
+		}
+	})
+	failed := 0
+	for f.Load(t.Context()) != nil {
+		if failed++; failed == 1 { // a record that was listed changes
+			_, err := fake.As("operator").Append(t.Context(), keyedlog.Append{Partition: p, Records: []keyedlog.Record{{Key: "k000", Value: []byte("new")}}})
+			is.NoErr(err)
+		}
+		is.True(failed < 10)
+	}
+	is.True(failed > 0)
+	is.NoErr(f.Poll(t.Context(), 0))
+	is.Equal(len(newest), 400)
+	is.Equal(newest["k000"], "new")
+}
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -14,9 +13,6 @@
 	"waxwingslip.example/node/ledger"
 )
 
-// loadTimeout limits one attempt to read all records of a topic.
-const loadTimeout = 4 * time.Second
-
 // load fences off appends of the previous owner and reads all jobs. It reports false if the shard is lost.
 func (s *Shard) load() bool {
 	startedAt := s.deps.Now()
@@ -83,13 +79,12 @@
 	s.forJob("adopt runs", e, func() { s.adoptRuns(e) })
 }
 
-// retry repeats a step until it succeeds or the shard is lost.
+// retry repeats a step until it succeeds or the shard is lost. The step limits the time without progress itself: a list of many
+// records takes as long as the link needs.
 func (s *Shard) retry(step string, f func(context.Context) error) bool {
 	var backoff ledger.Backoff
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, loadTimeout)
-		err := f(ctx)
-		cancel()
+		err := f(s.ctx)
 		if err == nil {
 			return true
 		}
--- a/node/shard/progress_test.go
+++ b/node/shard/progress_test.go
@@ -261,3 +261,27 @@
 	})
 	time.Sleep(time.Until(until))
 }
+
+// Guards against an owner that never loads its shard because the list of the jobs takes longer than one attempt may: no
+// accepted job is known any more.
+func TestOwnerLoadsManyJobsOverSlowLink(t *testing.T) {
+	runCluster(t, 4, 2, longCheckpoints(10), func(c *cluster, is *is.I) {
+		d := c.owner()
+		for i := range 300 {
+			c.accept(&jobs.Spec{ID: fmt.Sprint("job", i), Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
+				Payload: strings.Repeat("p", jobs.MaxSpecBytes), AcceptedMs: time.Now().UnixMilli(), Steps: []jobs.Step{{Count: 1, Size: tinyTask}}})
+		}
+		link := storefake.NewLink(150_000) // bytes a second: eight seconds for the jobs
+		c.store.SetFault(func(caller, method string, p keyedlog.Partition) storefake.Fault {
+			if method == "newest" && p.Topic == shard.JobsTopic {
+				return storefake.Fault{Link: link}
+			}
+			return storefake.Fault{}
+		})
+		d.cancel()
+		d.done.Wait()
+		c.waitUntil("all jobs are known", 30*time.Second, func() bool {
+			return c.state("job0") != jobs.StateUnknown && c.state("job299") != jobs.StateUnknown
+		})
+	})
+}
