Read reports whatever the length of their checkpoints

Workers whose tasks saved checkpoints of 300,000 bytes counted as silent; their tasks were lost, and moved to the next worker with the same result, until short jobs had no worker left.

Cause: a response of more than 4 MiB fails, and the report lists the checkpoint of each task, whose length no page limits. Each renewal fails then: a step that cannot succeed, on the path before the records of review/7.

Evidence: the owner's log has "answer has more than 4194304 bytes" for one worker after the other. Ruled out: records (none was refused).

Change: while a report is read, checkpoints above 128 KiB, or beyond 2 MiB of the report, are emptied and counted (shard_checkpoints_dropped); their tasks keep the ones before.

Why it works: what is kept of a report is bounded as it is read, and the rest of it, runs and ends, is used.

--- a/external/jobworker/jobworker.go
+++ b/external/jobworker/jobworker.go
@@ -80,6 +80,8 @@
 	Ended       []End
 	// Truncated is true if more ends may follow once those listed are acknowledged.
 	Truncated bool
+	// CheckpointsDropped counts the checkpoints that were too long, or together too much, to be read. They are empty.
+	CheckpointsDropped int
 }
 
 // Client sends requests to workers. After an error that wraps none of this package's errors, the request may or may
--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -9,7 +9,7 @@
 	Lost, Stops, LeaseRenewals, LeaseRenewalsFailed *telemetry.Counter
 	Paces, StoredBytes, WorkersRestarted            *telemetry.Counter
 	Panics, SetAside, WorkersLent, JobsMoved        *telemetry.Counter
-	RecordsRejected, CheckpointsTooLong             *telemetry.Counter
+	RecordsRejected, CheckpointsDropped             *telemetry.Counter
 	CancelledEarly                                  *telemetry.Counter
 	QuotaAppends                                    *telemetry.Counter
 	WaitForQuota, Unrunnable, ShortDemand           *telemetry.Gauge
@@ -27,7 +27,7 @@
 		LeaseRenewalsFailed: r.Counter("shard_holds_failed"), Paces: r.Counter("shard_paces"),
 		StoredBytes: r.Counter("shard_stored_bytes"), WorkersRestarted: r.Counter("shard_workers_restarted"), Panics: r.Counter("shard_panics"),
 		SetAside: r.Counter("shard_jobs_set_aside"), WorkersLent: r.Counter("shard_workers_lent"),
-		RecordsRejected: r.Counter("shard_records_rejected"), CheckpointsTooLong: r.Counter("shard_checkpoints_too_long"),
+		RecordsRejected: r.Counter("shard_records_rejected"), CheckpointsDropped: r.Counter("shard_checkpoints_dropped"),
 		CancelledEarly: r.Counter("shard_jobs_cancelled_early"),
 		JobsMoved:      r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
 		WaitForQuota: r.Gauge("shard_tasks_wait_for_quota"),
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -10,6 +10,7 @@
 // applyReport compares a worker's report with the expected runs. The request for it was sent at sentAt. The caller
 // holds mu.
 func (s *Shard) applyReport(w *worker, report jobworker.Report, sentAt time.Duration) {
+	s.countDropped(w, report.CheckpointsDropped)
 	recorded := w.recordedEnd
 	for i := range report.Ended {
 		e := &report.Ended[i]
@@ -141,7 +142,6 @@
 	}
 	s.recordBegun(r.id)
 	if listedRun.Checkpoint != "" && listedRun.Checkpoint != r.checkpoint {
-		s.countTooLong(r, listedRun.Checkpoint)
 		r.checkpoint = listedRun.Checkpoint
 		if e := s.jobs[r.id.Job]; e != nil {
 			e.job.SaveCheckpoint(r.id, listedRun.Checkpoint)
@@ -165,15 +165,14 @@
 	return r
 }
 
-// countTooLong counts and logs, once for a run, a checkpoint that is too long to be kept. The caller holds mu.
-func (s *Shard) countTooLong(r *run, checkpoint string) {
-	if len(checkpoint) <= jobs.MaxCheckpointBytes || r.checkpointTooLong {
-		return
-	}
-	r.checkpointTooLong = true
-	s.deps.Counters.CheckpointsTooLong.Inc()
-	s.log.Warn().Str("job", r.id.Job).Str("task", r.name).Int64("run", r.number).Int("bytes", len(checkpoint)).
-		Int("limit", jobs.MaxCheckpointBytes).Msg("checkpoint is too long, the one before is kept")
+// countDropped counts the checkpoints that were too long to be read, and logs the first of a worker. The caller holds mu.
+func (s *Shard) countDropped(w *worker, dropped int) {
+	s.deps.Counters.CheckpointsDropped.Add(int64(dropped))
+	if dropped > 0 && !w.checkpointsDropped {
+		s.log.Warn().Str("worker", w.info.ID).Int("checkpoints", dropped).Int("limit", jobs.MaxCheckpointBytes).
+			Msg("checkpoints are too long, those before are kept")
+	}
+	w.checkpointsDropped = dropped > 0
 }
 
 // settleUnlisted settles a run that the worker neither lists nor reported as ended. Only a report requested after the
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -172,8 +172,6 @@
 	listed        bool
 	// checkpoint is the newest one that the worker reported.
 	checkpoint string
-	// checkpointTooLong is set once a checkpoint was too long to be kept.
-	checkpointTooLong bool
 	// account is the client account whose limit the run counts towards; empty for none.
 	account string
 }
--- a/node/shard/worker.go
+++ b/node/shard/worker.go
@@ -64,6 +64,8 @@
 	// fillingSeenAt is when filling tasks last used a relevant share of the worker, and measurementsIgnoredUntil is when
 	// its measurements count again.
 	fillingSeenAt, measurementsIgnoredUntil time.Duration
+	// checkpointsDropped is set if the newest report had checkpoints that were too long to be read.
+	checkpointsDropped bool
 	// objectiveMissed is set while a serving task on the worker is over its objective.
 	objectiveMissed bool
 	// unreachable is set if the newest renewal failed.
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -126,7 +126,7 @@
 	{"shard_jobs_set_aside", TypeCounter, "jobs", "Jobs whose records cannot be used or led to an unexpected error. Nothing of them runs any more."},
 	{"shard_jobs_cancelled_early", TypeCounter, "jobs", "Jobs whose acceptance was stored after they had been cancelled as unknown. They never run, and callers don't see them."},
 	{"shard_records_rejected", TypeCounter, "records", "Records that the store never takes. They are left out; the job of one is set aside. The log has their keys."},
-	{"shard_checkpoints_too_long", TypeCounter, "runs", "Runs with a checkpoint above 131,072 bytes, which is not kept: the task would resume from the one before."},
+	{"shard_checkpoints_dropped", TypeCounter, "checkpoints", "Checkpoints in reports that are not kept, since they have more than 131,072 bytes, or all of a report more than 2 MiB: the task would resume from the one before."},
 	{"shard_workers_restarted", TypeCounter, "workers", "Restarts of workers under their ids."},
 	{"shard_workers_lent", TypeCounter, "workers", "Workers moved to other shards, which could not place their tasks."},
 	{"shard_jobs_moved", TypeCounter, "jobs", "Jobs moved to other shards, whose workers alone may run them and cannot move."},
