Divide appends that delete the records of many jobs

Deletions of all jobs that are due went into one append. They are divided now, at the boundary of a job, and the division of appends counts keys, too.

A rejected record of a job that is being removed no longer gives up the shard, and the mean size of short tasks counts for the service that runs them, as their demand does.

--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -111,7 +111,7 @@
 func chunkLen(records []keyedlog.Record) int {
 	bytes := 0
 	for i := range records {
-		if bytes += len(records[i].Value); bytes > maxAppendBytes && i > 0 {
+		if bytes += len(records[i].Key) + len(records[i].Value); bytes > maxAppendBytes && i > 0 {
 			return i
 		}
 	}
@@ -164,6 +164,19 @@
 // deleteRecords deletes the records of jobs past their retention. If that fails, a later commit, or the next owner,
 // deletes them.
 func (s *Shard) deleteRecords(deleted []deletedJob) {
+	for len(deleted) > 0 {
+		n := min(len(deleted), maxJobsDeletedAtOnce)
+		s.deleteRecordsAtOnce(deleted[:n])
+		deleted = deleted[n:]
+	}
+}
+
+// maxJobsDeletedAtOnce keeps an append that deletes the records of jobs below the limit of the store for one call, also if each
+// has 4,000 tasks with long checkpoints. Many jobs may be due after an outage.
+const maxJobsDeletedAtOnce = 8
+
+// deleteRecordsAtOnce deletes the records of some jobs together: the next owner must not find some of a job without the others.
+func (s *Shard) deleteRecordsAtOnce(deleted []deletedJob) {
 	var commands []keyedlog.Record
 	for _, d := range deleted {
 		commands = append(commands, keyedlog.Record{Key: acceptedPrefix + d.id}, keyedlog.Record{Key: cancelledPrefix + d.id},
--- a/node/shard/demand.go
+++ b/node/shard/demand.go
@@ -111,22 +111,20 @@
 	}
 	e.sizesCounted = true
 	spec := e.job.Spec
-	d := s.demand[spec.Service]
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		if step.LongRunning || step.Fills {
-			continue
-		}
-		if request := s.placementRequest(e, jobs.TaskID{Job: spec.ID, Step: i}); !s.fleet.Runnable(&request) {
+		request := s.placementRequest(e, jobs.TaskID{Job: spec.ID, Step: i})
+		if step.LongRunning || step.Fills || !s.fleet.Runnable(&request) {
 			continue
 		}
+		d := s.demand[request.Service]
 		size := float64(step.Size.MilliCPU)
 		if d.meanMilliCPU == 0 {
 			d.meanMilliCPU = size
 		}
 		d.meanMilliCPU += meanSizeWeight * (size - d.meanMilliCPU)
+		s.demand[request.Service] = d
 	}
-	s.demand[spec.Service] = d
 }
 
 // reservedMilliCPU returns the CPU capacity that is kept for short tasks in a service of a size. Aged jobs of
--- a/node/shard/earlycancel.go
+++ b/node/shard/earlycancel.go
@@ -130,7 +130,13 @@
 		}
 	}
 	if len(expired) > 0 {
-		s.runInBackground("delete early cancellations", func() { s.appendUntilStored(s.number, expired...) })
+		s.runInBackground("delete early cancellations", func() {
+			for len(expired) > 0 {
+				n := chunkLen(expired)
+				s.appendUntilStored(s.number, expired[:n]...)
+				expired = expired[n:]
+			}
+		})
 	}
 }
 
--- a/node/shard/progress.go
+++ b/node/shard/progress.go
@@ -191,10 +191,13 @@
 	if r.Key == learnedKey {
 		return nil, true
 	}
-	e := s.jobs[jobOfKey(r.Key)]
-	if !isProgressKey(r.Key) || e == nil || r.Value == nil {
+	if !isProgressKey(r.Key) {
 		return nil, false
 	}
+	e := s.jobs[jobOfKey(r.Key)]
+	if e == nil || r.Value == nil { // of a job that is removed, or a deletion
+		return nil, true
+	}
 	if e.setAside == "" {
 		s.setAside(e, cause)
 	}
