Borrow no workers for a gang that is larger than the fleet

Jobs of one shard took twice as long while another shard had a gang in hand that no fleet could run: half of the workers had moved there for it.

Cause: a shard asks others for workers as long as tasks wait that fit on some worker; that all members of a gang have to run at once was not looked at. Evidence: in the test, the log shows two of four workers moving for 81 tasks on 80 cores.

Change: the request is made only if the registry's workers could hold the whole gang. The registry is asked each time, so that new workers change the answer.

Also: a POST of an id that was cancelled while no owner answered is refused like one that was cancelled as unknown (TestAcceptanceAfterCancelWithoutOwner).

Measured: TestHopelessGangBorrowsNothing failed before ("condition not met after 1.9s: job short0 is completed"), passes now.

--- a/node/shard/borrow.go
+++ b/node/shard/borrow.go
@@ -157,7 +157,7 @@
 		}
 		sh.askAt = now + sh.pause
 		sh.pause = min(2*sh.pause, maxBorrowPause)
-		if len(needs) == maxBorrowRequests || !noneSuits && !sh.urgent() || !s.othersMaySuit(&sh.request, now) {
+		if len(needs) == maxBorrowRequests || !noneSuits && !sh.urgent() || !s.othersMaySuit(&sh.request, now) || !s.registryHolds(&sh.request) {
 			continue
 		}
 		n := Need{Shard: s.number, Service: sh.request.Service, Step: *sh.request.Step, Tasks: sh.waiting(), NoneSuits: noneSuits,
@@ -217,6 +217,22 @@
 	return found
 }
 
+// registryHolds reports whether the workers of all shards together could run the tasks of a request that have to run at the same
+// time. Workers that move here for a larger gang would be of no use to it, and are missed elsewhere. The caller holds mu.
+func (s *Shard) registryHolds(r *packing.Request) bool {
+	if !r.Step.Gang {
+		return true
+	}
+	room := 0
+	for id, info := range s.entries {
+		p := packing.Worker{ID: id, Kind: kindOf(info)}
+		if !info.Draining && p.Suits(r) {
+			room += p.Room(r.Step)
+		}
+	}
+	return room >= r.Step.Count
+}
+
 // borrow asks the owners of the other shards, one after the other, until they have workers for all tasks.
 func (s *Shard) borrow(n *dueNeed) {
 	shards, total, fitsIn := s.deps.Shards(), Loan{}, -1
--- a/node/shard/demand_test.go
+++ b/node/shard/demand_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -94,3 +95,24 @@
 		is.True(running <= 10) // half of the capacity
 	})
 }
+
+// Guards against a gang larger than the whole fleet for which its shard takes the workers of others, or keeps them free of
+// tasks, again and again.
+func TestHopelessGangBorrowsNothing(t *testing.T) {
+	size := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
+	outcome := lastingOrShortTask(map[string]resource.Vector{"short0": size, "short1": size, "short2": size, "short3": size, "short4": size, "short5": size})
+	runShards(t, 4, outcome, func(c *cluster, is *is.I) {
+		gang := func(number int, id string, step jobs.Step) {
+			c.acceptIn(number, &jobs.Spec{ID: id, Queue: "q", Service: service, MaxAttempts: 3, Stretch: 2, TargetMs: 1000,
+				AcceptedMs: time.Now().UnixMilli(), Steps: []jobs.Step{step}})
+		}
+		gang(0, "gang", jobs.Step{Count: 81, Size: size, Gang: true})
+		time.Sleep(10 * time.Second)
+		for i := range 6 {
+			id := fmt.Sprint("short", i)
+			gang(i%2, id, jobs.Step{Count: 40, Size: size}) // all workers of the shard at once
+			c.waitForState(id, jobs.StateCompleted, 1900*time.Millisecond)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
--- a/node/shard/earlycancel.go
+++ b/node/shard/earlycancel.go
@@ -159,13 +159,13 @@
 	}
 }
 
-// earlyState reports whether a job of the account is hidden, and whether its acceptance has been read.
-func (s *Shard) earlyState(id, account string) (hidden, read bool) {
+// earlyState reports whether a job of the account was cancelled before it was accepted, and whether its acceptance has been read.
+func (s *Shard) earlyState(id, account string) (cancelled, read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.jobs[id]
 	if e == nil || len(e.job.Spec.Steps) == 0 && e.storedState == jobs.StateUnknown {
 		return false, false // not accepted, or known by its cancellation only
 	}
-	return e.hidden && e.job.Spec.Account == account, true
+	return (e.hidden || e.cancelledFirst) && e.job.Spec.Account == account, true
 }
--- a/node/shard/earlycancel_test.go
+++ b/node/shard/earlycancel_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// Guards against callers who are told that a job is accepted although they cancelled it before, while no owner answered.
+func TestAcceptanceAfterCancelWithoutOwner(t *testing.T) {
+	runCluster(t, 2, 1, endlessTask, func(c *cluster, is *is.I) {
+		c.owner()
+		c.cancel("a")
+		time.Sleep(time.Second)
+		c.acceptFrom("a", "", nil)
+		is.True(c.cancelledEarly("a", ""))
+		is.Equal(c.state("a"), jobs.StateCancelled)
+		is.Equal(c.fleet.Starts(task("a", 0)), 0)
+	})
+}
+
 // Guards against a cancellation that does not hold for a job accepted before it, but read later than the question whether the
 // job exists.
 func TestCancelOfUnknownJobEndsAcceptedOne(t *testing.T) {
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -210,7 +210,7 @@
 		switch {
 		case e.hidden: // it stays cancelled
 		case e.storedState == jobs.StateUnknown:
-			e.storedState = jobs.StateCancelled // it was cancelled before it was accepted
+			e.storedState, e.cancelledFirst = jobs.StateCancelled, true
 			nameOwner(e.job.Spec, r.Value)
 		default:
 			s.keepAccount(e, r.Value)
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -119,6 +119,8 @@
 	// cancelRequested is set once a cancellation was read, and cancelPassedOn once this owner passes it on to the shard to
 	// which the job moved.
 	cancelRequested, cancelPassedOn bool
+	// cancelledFirst is set for a job whose cancellation was read before its acceptance.
+	cancelledFirst bool
 	// hidden is set for a job that was cancelled before it was accepted. Callers were told that there is no such job.
 	hidden bool
 	// setAside is why nothing of the job is planned or recorded any more; empty for other jobs.
