Ask owners about accepted jobs only while they hold early cancellations

Cause: asks the owner about each accepted job.

Change: the owner's record, which all daemons read, tells whether it holds cancellations of unknown jobs. Daemons ask only then, or if they stored one themselves.

Why it works: without such cancellations nothing can be refused.

--- a/node/hosted/daemon.go
+++ b/node/hosted/daemon.go
@@ -243,6 +243,10 @@
 		m := shardlease.New(shardlease.Options{
 			Store: d.store, Shard: n, Self: self, Now: d.now, Log: d.log, ClaimLock: claimLock,
 			Preference: func() int { return d.preference(n) }, FollowPause: d.followPause,
+			HoldsCancels: func() bool {
+				s := d.ownedShard(n)
+				return s == nil || s.HoldsEarlyCancels() // not known before the shard is loaded
+			},
 			Lead: func(ctx context.Context, ownership *shardlease.Ownership) { d.runShard(ctx, n, ownership) },
 		})
 		if d.draining.Load() {
--- a/node/hosted/earlycancel.go
+++ b/node/hosted/earlycancel.go
@@ -67,6 +67,37 @@
 	return true
 }
 
+// any reports whether a cancellation that this daemon began may bind.
+func (c *earlyCancels) any() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, at := range c.at {
+		if now-at < shard.EarlyCancelRetention {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHoldCancels reports whether the owner of a shard may hold cancellations of jobs that are not known, by its newest record
+// that this daemon has read. The question to the owner about each accepted job would be a cost for weak owners.
+func (d *Daemon) mayHoldCancels(n int) bool {
+	if d.earlyCancels.any() {
+		return true
+	}
+	if s := d.ownedShard(n); s != nil {
+		return s.HoldsEarlyCancels()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n >= len(d.leaseManagers) {
+		return false
+	}
+	o := d.leaseManagers[n].Owner()
+	return o != nil && o.HoldsCancels
+}
+
 // cancelUnknown stores the cancellation of a job that its owner does not know, and returns ErrUnknownJob once that binds.
 func (a *jobAPI) cancelUnknown(ctx context.Context, n int, id string, scope account.Scope) error {
 	if !a.d.earlyCancels.begin(id, scope) {
@@ -90,6 +121,9 @@
 
 // refuseIfCancelled returns a refusal of a job, whose acceptance is stored, if it was cancelled before: it never runs.
 func (a *jobAPI) refuseIfCancelled(ctx context.Context, n int, spec *jobs.Spec) error {
+	if !a.d.mayHoldCancels(n) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.d.limitToDrain(acceptanceCheckTimeout))
 	defer cancel()
 	var cancelled bool
--- a/node/hosted/earlycancel_test.go
+++ b/node/hosted/earlycancel_test.go
@@ -78,6 +78,26 @@
 	is.Equal(state, jobs.StatePending)
 }
 
+// Guards against callers who are told that a job is accepted although they cancelled it before at another daemon, and against a
+// question to the owner about each job while there is no such cancellation.
+func TestCancelOfUnknownJobAtAnotherDaemonBinds(t *testing.T) {
+	is := is.New(t)
+	d, store := newOwner(t)
+	api := &jobAPI{d}
+	is.True(!d.mayHoldCancels(0))
+	is.NoErr(api.Submit(t.Context(), newSpec("5c0e7a21d94b36f7", "a")))
+	const id = "5c0e7a21d94b36f8"
+	record, err := shard.EarlyCancelRecord(id, shard.EarlyCancel{CancelledMs: time.Now().UnixMilli()})
+	is.NoErr(err)
+	_, err = store.As("other").Append(t.Context(), keyedlog.Append{Partition: jobsPartition(0), Records: []keyedlog.Record{record}})
+	is.NoErr(err)
+	for start := time.Now(); !d.mayHoldCancels(0) && time.Since(start) < 5*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	var refused *jobqueue.RefusedError
+	is.True(errors.As(api.Submit(t.Context(), newSpec(id, "a")), &refused))
+}
+
 // Guards against an answer that a job does not exist although the cancellation could not be stored.
 func TestCancelOfUnknownJobThatIsNotStored(t *testing.T) {
 	is := is.New(t)
--- a/node/shard/earlycancel.go
+++ b/node/shard/earlycancel.go
@@ -64,6 +64,7 @@
 
 // applyEarlyCancels applies the records of early cancellations, and cancels the jobs that are known by now. The caller holds mu.
 func (s *Shard) applyEarlyCancels(records []keyedlog.Record, reset bool) {
+	defer func() { s.holdsEarlyCancels.Store(len(s.earlyCancels) > 0) }()
 	before := s.earlyCancels
 	if reset {
 		s.earlyCancels = map[string]map[string]*heldEarlyCancel{}
@@ -98,6 +99,10 @@
 	}
 }
 
+// HoldsEarlyCancels reports whether any early cancellation may bind a job. It takes no lock, so that callers may hold locks of
+// their own.
+func (s *Shard) HoldsEarlyCancels() bool { return s.holdsEarlyCancels.Load() }
+
 // cancelIfEarly cancels a job that was just read if an early cancellation binds it, and hides it from callers. The caller holds
 // mu.
 func (s *Shard) cancelIfEarly(e *jobEntry) {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -197,6 +197,8 @@
 	writer       *ledger.Writer
 
 	isLoaded atomic.Bool
+	// holdsEarlyCancels is set while earlyCancels is not empty.
+	holdsEarlyCancels atomic.Bool
 
 	// mu is held during calls of the functions in deps. These must not wait for a lock that is held during calls
 	// of the shard.
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -69,6 +69,9 @@
 	// FollowPause returns how long to leave the record of a live owner unread, zero for not at all. Each read of a daemon
 	// that hardly ever claims costs a call to the store for each renewal. Nil returns zero.
 	FollowPause func() time.Duration
+	// HoldsCancels is the value of Owner.HoldsCancels in this daemon's records; nil returns false. It may take locks, like
+	// Preference.
+	HoldsCancels func() bool
 	// Lead is called in a goroutine while the shard is owned. Its context ends when the shard is lost.
 	Lead func(ctx context.Context, ownership *Ownership)
 }
--- a/node/shardlease/owner.go
+++ b/node/shardlease/owner.go
@@ -27,6 +27,9 @@
 	// LeasesMs gives, in the record of a release, for some workers by their ids for how many milliseconds after the record
 	// was sent they may hold leases that this owner or one before it granted.
 	LeasesMs map[string]int64 `cbor:"9,keyasint,omitempty"`
+	// HoldsCancels is set while the owner holds cancellations of jobs that are not known. Other daemons ask it about the jobs
+	// that they accept only then.
+	HoldsCancels bool `cbor:"10,keyasint,omitempty"`
 }
 
 // earlierRenewals returns for how long after the record was sent earlier owners may renew workers' leases.
@@ -153,6 +156,7 @@
 	left := max(ownership.PreviousRenewalsUntil-m.opts.Now(), 0)
 	leftMs := millisecondsUp(left)
 	self.EarlierRenewalsMs = &leftMs
+	self.HoldsCancels = m.opts.HoldsCancels != nil && m.opts.HoldsCancels()
 	if released {
 		self.Successor = m.handOverTo()
 		self.LeasesMs = ownership.leasesMs(m.opts.Now())
