Bound the keys of accounts' shares and leave refused shares out alone

Callers of all accounts with limits would see their jobs stay pending on an idle fleet, in each shard with a job of one account whose escaped name has more than some 250 bytes (84 letters outside ASCII).

Cause: the name was part of the key of the account's share, which the store never takes then. The shares of all accounts are one append, it was repeated for ever, and quotaExchange.send had no case for a refusal for good.

Ruled out: the value of a share, which holds only numbers.

An append has a bounded number of bytes. One that is refused for good is given up, the next ones have half as many shares, and a share that is refused alone is left out, with a log line and shard_records_rejected, until the next owner tries again.

Why it works: no key can exceed the limit, whatever names the configuration has, and nothing waits behind a share that can't be stored.

--- a/core/account/account.go
+++ b/core/account/account.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
+	"iter"
+	"maps"
 
 	"waxwingslip.example/core/resource"
 )
@@ -52,6 +54,14 @@
 	return s.byName[name]
 }
 
+// Names returns the names of the accounts. It may be called on a nil set.
+func (s *Set) Names() iter.Seq[string] {
+	if s == nil {
+		return func(func(string) bool) {}
+	}
+	return maps.Keys(s.byName)
+}
+
 // Len returns the number of accounts. It may be called on a nil set.
 func (s *Set) Len() int {
 	if s == nil {
--- a/node/shard/quota.go
+++ b/node/shard/quota.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"waxwingslip.example/core/jobs"
@@ -12,7 +14,9 @@
 
 // quotas is what the shard holds of the limits of client accounts. The shard's mu guards it.
 type quotas struct {
-	accounts map[string]*accountQuota
+	accounts map[string]*accountQuota // by the accounts' ids
+	// longNames holds the names of the configuration's accounts whose ids are hashes, by these.
+	longNames map[string]string
 	// config is the configuration by which limits are set, and inForce is set if it has any.
 	config  *jobqueue.Config
 	inForce bool
@@ -27,6 +31,9 @@
 // accountQuota is what the shard holds of an account's limit.
 type accountQuota struct {
 	*quota.Account
+	id string
+	// name is empty if only the account's id is known: its shares were read, and the configuration does not hold it.
+	name  string
 	limit resource.Vector
 	// waiting is the number of tasks that wait by the current plan. waitLogged is set if the log says that some wait.
 	waiting    int
@@ -37,19 +44,45 @@
 // waitLogInterval is the shortest time between two log lines on tasks that wait for the limit of an account.
 const waitLogInterval = time.Second
 
-// quotaOf returns the state of an account. The caller holds mu.
+// quotaOf returns the state of an account by its name. The caller holds mu.
 func (s *Shard) quotaOf(name string) *accountQuota {
-	a := s.quotas.accounts[name]
+	a := s.quotaOfID(accountID(name))
+	if a.name == "" && name != "" {
+		a.name = name
+		s.setLimit(a)
+	}
+	return a
+}
+
+// quotaOfID returns the state of an account by its id. The caller holds mu.
+func (s *Shard) quotaOfID(id string) *accountQuota {
+	a := s.quotas.accounts[id]
 	if a == nil {
-		a = &accountQuota{Account: quota.New(s.number)}
-		s.quotas.accounts[name] = a
+		a = &accountQuota{Account: quota.New(s.number), id: id, name: s.accountName(id)}
+		s.quotas.accounts[id] = a
 		a.SetSynced(s.quotas.synced)
-		a.limit, _ = s.limitOf(name)
-		s.setLimit(name, a)
+		a.limit, _ = s.limitOf(a.name)
+		s.setLimit(a)
 	}
 	return a
 }
 
+// accountName returns the name of an account by its id; empty if it is not known. The caller holds mu.
+func (s *Shard) accountName(id string) string {
+	if name, ok := accountOfID(id); ok {
+		return name
+	}
+	return s.quotas.longNames[id]
+}
+
+// key returns the key of the account's share in a shard.
+func (a *accountQuota) key(shard int) string {
+	if a.name == "" {
+		return a.id + "/" + strconv.Itoa(shard)
+	}
+	return quotaKey(a.name, shard)
+}
+
 // limitOf returns the limit of an account in the configuration in force, and whether that holds the account. The caller
 // holds mu.
 func (s *Shard) limitOf(name string) (resource.Vector, bool) {
@@ -68,8 +101,8 @@
 
 // setLimit sets the limit of an account by the configuration in force. A share is used under another limit only once the
 // shares of all shards were read again. The caller holds mu.
-func (s *Shard) setLimit(name string, a *accountQuota) {
-	limit, known := s.limitOf(name)
+func (s *Shard) setLimit(a *accountQuota) {
+	limit, known := s.limitOf(a.name)
 	if !known {
 		a.SetUnknown()
 		return
@@ -91,8 +124,12 @@
 	q.config = config
 	before := q.inForce
 	q.inForce = config != nil && config.Accounts.AnyLimit()
-	for name, a := range q.accounts {
-		s.setLimit(name, a)
+	q.longNames = longNames(config)
+	for _, a := range q.accounts {
+		if a.name == "" {
+			a.name = s.accountName(a.id)
+		}
+		s.setLimit(a)
 		if !before {
 			a.SetSynced(false) // nothing was read meanwhile
 		}
@@ -105,6 +142,20 @@
 	}
 }
 
+// longNames returns the names of a configuration's accounts whose ids are hashes, by these.
+func longNames(config *jobqueue.Config) map[string]string {
+	names := map[string]string{}
+	if config == nil {
+		return names
+	}
+	for name := range config.Accounts.Names() {
+		if id := accountID(name); strings.HasPrefix(id, hashedPrefix) {
+			names[id] = name
+		}
+	}
+	return names
+}
+
 // reserveQuota counts a run. The caller holds mu.
 func (s *Shard) reserveQuota(r *run) {
 	if e := s.jobs[r.id.Job]; e != nil && e.job.Spec.Account != "" {
@@ -136,7 +187,7 @@
 // endQuotaPlan ends a plan and publishes what waits for limits. The caller holds mu.
 func (s *Shard) endQuotaPlan(now time.Duration) {
 	total, limited := 0, 0
-	for name, a := range s.quotas.accounts {
+	for _, a := range s.quotas.accounts {
 		a.EndPlan()
 		total += a.waiting
 		if a.Limited() {
@@ -148,7 +199,7 @@
 			if !waits {
 				message = "tasks no longer wait for the account's limit"
 			}
-			s.log.Info().Str("account", name).Int("tasks", a.waiting).Stringer("used", a.Used()).Stringer("share", a.Share()).
+			s.log.Info().Str("account", a.name).Int("tasks", a.waiting).Stringer("used", a.Used()).Stringer("share", a.Share()).
 				Stringer("limit", a.limit).Msg(message)
 		}
 	}
@@ -162,9 +213,9 @@
 // forgetAccounts removes the accounts that the configuration does not hold and of which nothing is left, so that their number
 // stays bounded. The caller holds mu.
 func (s *Shard) forgetAccounts() {
-	for name, a := range s.quotas.accounts {
-		if _, known := s.limitOf(name); !known && a.waiting == 0 && a.Empty() {
-			delete(s.quotas.accounts, name)
+	for id, a := range s.quotas.accounts {
+		if _, known := s.limitOf(a.name); !known && a.waiting == 0 && a.Empty() {
+			delete(s.quotas.accounts, id)
 		}
 	}
 }
--- a/node/shard/quotastore.go
+++ b/node/shard/quotastore.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -16,8 +16,8 @@
 	"waxwingslip.example/node/ledger"
 )
 
-// QuotaTopic holds the shares of the limits of client accounts, in partition 0. A key is the name of an account, escaped, and
-// the number of a shard. Only the shard's owner appends to it, under its epoch.
+// QuotaTopic holds the shares of the limits of client accounts, in partition 0, with the keys that quotaKey returns. Only a
+// shard's owner appends its shares, under its epoch.
 const QuotaTopic = "keyed.quota"
 
 const (
@@ -32,22 +32,6 @@
 
 var quotaPartition = keyedlog.Partition{Topic: QuotaTopic}
 
-func quotaKey(account string, shard int) string {
-	return url.PathEscape(account) + "/" + strconv.Itoa(shard)
-}
-
-func parseQuotaKey(key string) (account string, shard int, err error) {
-	escaped, number, _ := cutLast(key)
-	if account, err = url.PathUnescape(escaped); err != nil {
-		return "", 0, errors.Wrap(err, "account")
-	}
-	shard, err = strconv.Atoi(number)
-	if err == nil && quotaKey(account, shard) != key {
-		err = errors.New("key is not in its usual form")
-	}
-	return account, shard, errors.Wrap(err, "shard")
-}
-
 // quotaExchange stores the shares of one shard and reads those of all. One goroutine uses it.
 type quotaExchange struct {
 	s        *Shard
@@ -61,22 +45,26 @@
 	backoff time.Duration
 	onPoll  func(error)
 	// ownOffsets holds the offset of the newest record that was read of each account of this shard since the pending append
-	// was prepared.
+	// was prepared, by the accounts' ids.
 	ownOffsets map[string]int64
+	// maxRecords limits an append; 0 is no limit. It falls while records that the store never takes are searched for.
+	maxRecords int
+	// rejected holds the ids of the accounts whose shares the store never takes.
+	rejected map[string]struct{}
 }
 
 // quotaAppend is an append of which it is not known whether it takes effect. It is repeated unchanged until that is known: a
 // late one cannot take effect after a newer one then.
 type quotaAppend struct {
 	keyedlog.Append
-	entries map[string]quota.Entry
+	entries map[string]quota.Entry // by the accounts' ids
 	// mismatched is set once the store has answered that the partition ends elsewhere. An earlier attempt may have led to that.
 	mismatched bool
 }
 
 func newQuotaExchange(s *Shard) *quotaExchange {
 	x := &quotaExchange{s: s, writer: keyedlog.Writer{Name: "owner-" + strconv.Itoa(s.number), Epoch: s.epoch, Sequence: 1},
-		ownOffsets: map[string]int64{}, onPoll: ledger.LogDependency(s.log, "quota topic")}
+		ownOffsets: map[string]int64{}, rejected: map[string]struct{}{}, onPoll: ledger.LogDependency(s.log, "quota topic")}
 	x.follower = ledger.NewFollower(s.deps.Store, quotaPartition, x.apply)
 	return x
 }
@@ -173,10 +161,7 @@
 		if x.ownRecordAt(*p.At) {
 			x.finish()
 		} else {
-			for name := range p.entries {
-				x.s.quotaOf(name).Abandon()
-			}
-			x.pending = nil
+			x.abandon()
 		}
 	}
 	q := &x.s.quotas
@@ -204,23 +189,29 @@
 // caller holds the shard's mu.
 func (x *quotaExchange) decide() {
 	p := &quotaAppend{entries: map[string]quota.Entry{}}
-	conditional := false
-	for name, a := range x.s.quotas.accounts {
+	conditional, bytes := false, 0
+	for id, a := range x.s.quotas.accounts {
+		if _, rejected := x.rejected[id]; rejected {
+			continue
+		}
 		e, changed, raises := a.Next()
 		if !changed {
 			continue
 		}
-		r := keyedlog.Record{Key: quotaKey(name, x.s.number)}
+		r := keyedlog.Record{Key: a.key(x.s.number)}
 		if e != (quota.Entry{}) {
 			value, err := cbor.Marshal(e)
 			if err != nil {
-				x.s.log.Error().Err(err).Str("account", name).Msg("share cannot be encoded")
+				x.s.log.Error().Err(err).Str("account", a.name).Msg("share cannot be encoded")
 				continue
 			}
 			r.Value = value
 		}
+		if bytes += len(r.Key) + len(r.Value); len(p.Records) > 0 && (bytes > maxAppendBytes || len(p.Records) == x.maxRecords) {
+			break // the next round stores the others
+		}
 		a.Begin(e)
-		p.entries[name] = e
+		p.entries[id] = e
 		p.Records = append(p.Records, r)
 		conditional = conditional || raises
 	}
@@ -252,22 +243,52 @@
 		x.pending.mismatched = true // the next read shows whether an earlier attempt took effect
 	case errors.Is(err, keyedlog.ErrFenced), errors.Is(err, keyedlog.ErrSequence):
 		return err
+	case errors.Is(err, keyedlog.ErrRejected):
+		x.s.locked("leave out shares", func() { x.handleRejected(err) })
 	}
 	return nil
 }
 
+// handleRejected gives up an append of which the store never takes a record. The next ones have half as many records, until the
+// account of the record is alone and left out. The caller holds the shard's mu.
+func (x *quotaExchange) handleRejected(cause error) {
+	if n := len(x.pending.Records); n > 1 {
+		x.maxRecords = n / 2
+	} else {
+		r := &x.pending.Records[0]
+		x.s.deps.Counters.RecordsRejected.Inc()
+		x.s.log.Error().Err(cause).Str("key", r.Key).Int("bytes", len(r.Value)).
+			Msg("the store never takes a share of an account's limit, it is left out")
+		for id := range x.pending.entries {
+			x.rejected[id] = struct{}{}
+		}
+	}
+	x.abandon()
+}
+
+// abandon forgets the pending append, which had no effect. The caller holds the shard's mu.
+func (x *quotaExchange) abandon() {
+	for id := range x.pending.entries {
+		if a := x.s.quotas.accounts[id]; a != nil {
+			a.Abandon()
+		}
+	}
+	x.pending = nil
+}
+
 // finish uses the shares of the pending append, which took effect. The caller holds the shard's mu.
 func (x *quotaExchange) finish() {
-	for name, e := range x.pending.entries {
-		a := x.s.quotaOf(name)
+	for id, e := range x.pending.entries {
+		a := x.s.quotaOfID(id)
 		if before := a.Stored().Share; before != e.Share {
-			x.s.log.Debug().Str("account", name).Stringer("before", before).Stringer("share", e.Share).
+			x.s.log.Debug().Str("account", a.name).Stringer("before", before).Stringer("share", e.Share).
 				Msg("share of the account's limit changed")
 		}
 		a.SetOwn(e)
 	}
 	x.writer.Sequence++
 	x.pending = nil
+	x.maxRecords = min(2*x.maxRecords, math.MaxInt32)
 	signal(x.s.planSignal)
 }
 
@@ -282,7 +303,7 @@
 		}
 	}
 	for _, r := range records {
-		name, shard, err := parseQuotaKey(r.Key)
+		id, shard, err := parseQuotaKey(r.Key)
 		var e quota.Entry
 		if err == nil && r.Value != nil {
 			err = errors.Wrap(cbor.Unmarshal(r.Value, &e), "decode share")
@@ -297,11 +318,11 @@
 		}
 		switch {
 		case shard != s.number:
-			s.quotaOf(name).Observe(shard, e)
+			s.quotaOfID(id).Observe(shard, e)
 		case !x.loaded:
-			s.quotaOf(name).SetOwn(e)
+			s.quotaOfID(id).SetOwn(e)
 		default:
-			x.ownOffsets[name] = r.Offset
+			x.ownOffsets[id] = r.Offset
 		}
 	}
 }
