Bound how long long-running tasks wait for expected short ones

Callers saw a new long-running job stay pending for up to 9 s after a burst of short tasks had ended, with 60% of the service free.

Cause: 125% of the recent demand of short tasks is kept free of new long-running ones. The demand falls by half each 8 s, and the only way out was the job's age of 20 s.

Evidence: TestLongRunningTaskStartsSoonAfterBurst (bursts of 8 to 400 tasks of three sizes) failed before. Ruled out: chunks of free capacity, with which the wait never ends; the size of short tasks, which makes no difference.

Change: while under half of the service is in use, a new long-running task waits at most 1.5 s for the reserve; the rest of the 3 s is for its start. Above half the reserve holds as before, which TestLongRunningTasksLeaveReserveAboveHalf checks. shard_reserve_overruled counts the tasks.

Why it works: under half in use there is a worker with room, the wait is bounded by the check itself, and plans run each 200 ms.

--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -10,7 +10,7 @@
 	Paces, StoredBytes, WorkersRestarted            *telemetry.Counter
 	Panics, SetAside, WorkersLent, JobsMoved        *telemetry.Counter
 	RecordsRejected, CheckpointsDropped             *telemetry.Counter
-	CancelledEarly                                  *telemetry.Counter
+	CancelledEarly, ReserveOverruled                *telemetry.Counter
 	QuotaAppends                                    *telemetry.Counter
 	WaitForQuota, Unrunnable, ShortDemand           *telemetry.Gauge
 	Commit, StartDelay, Plan                        *telemetry.Histogram
@@ -28,7 +28,7 @@
 		StoredBytes: r.Counter("shard_stored_bytes"), WorkersRestarted: r.Counter("shard_workers_restarted"), Panics: r.Counter("shard_panics"),
 		SetAside: r.Counter("shard_jobs_set_aside"), WorkersLent: r.Counter("shard_workers_lent"),
 		RecordsRejected: r.Counter("shard_records_rejected"), CheckpointsDropped: r.Counter("shard_checkpoints_dropped"),
-		CancelledEarly: r.Counter("shard_jobs_cancelled_early"),
+		CancelledEarly: r.Counter("shard_jobs_cancelled_early"), ReserveOverruled: r.Counter("shard_reserve_overruled"),
 		JobsMoved:      r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
 		WaitForQuota: r.Gauge("shard_tasks_wait_for_quota"),
 		Unrunnable:   r.Gauge("shard_tasks_unrunnable"), ShortDemand: r.Gauge("shard_short_demand"), Commit: r.Histogram("shard_commit_time"),
--- a/node/shard/demand.go
+++ b/node/shard/demand.go
@@ -20,6 +20,10 @@
 	// agedJobMs is the age above which a job's new long-running tasks leave only agedReservePercent of the demand free.
 	agedJobMs          = 20_000
 	agedReservePercent = 70
+	// maxReserveWait is how long a new long-running task waits for capacity that is kept for short ones, if less than
+	// maxUsedPercent of the service is in use. It has to run within 3 s then; the rest is for the start.
+	maxReserveWait = 1500 * time.Millisecond
+	maxUsedPercent = 50
 )
 
 // demand is the CPU demand of a service's short tasks.
@@ -139,9 +143,9 @@
 	return int64(d.milliCPU * demandReservePercent / 100)
 }
 
-// placeNewLongRunning returns the best worker for a new long-running task that leaves enough capacity for short ones, or
-// nil. The caller holds mu.
-func (s *Shard) placeNewLongRunning(e *jobEntry, r *packing.Request) *packing.Worker {
+// placeNewLongRunning returns the best worker for a new long-running task that leaves enough capacity for short ones or has waited
+// for long enough, or nil. The caller holds mu.
+func (s *Shard) placeNewLongRunning(e *jobEntry, r *packing.Request, now time.Duration) *packing.Worker {
 	if s.leavesReserve(e, r.Service, r.Step) {
 		return s.fleet.Place(r)
 	}
@@ -150,7 +154,33 @@
 	outside.Allowed = func(w *packing.Worker) bool {
 		return !w.HasRoomFor(mean) && (r.Allowed == nil || r.Allowed(w))
 	}
-	return s.fleet.Place(&outside)
+	if w := s.fleet.Place(&outside); w != nil {
+		return w
+	}
+	if !s.reserveWaitOver(e, r, now) {
+		return nil
+	}
+	w := s.fleet.Place(r)
+	if w != nil {
+		s.deps.Counters.ReserveOverruled.Inc()
+	}
+	return w
+}
+
+// reserveWaitOver reports whether a long-running task no longer waits for expected short tasks: it has waited for maxReserveWait,
+// and little of the service is in use. The caller holds mu.
+func (s *Shard) reserveWaitOver(e *jobEntry, r *packing.Request, now time.Duration) bool {
+	cpu := s.fleet.CPUTotals(r.Service)
+	if (cpu.Size-cpu.Free)*100 >= cpu.Size*maxUsedPercent {
+		return false
+	}
+	if sh := s.shortages[r.StepName]; sh != nil && now-sh.since >= maxReserveWait {
+		return true
+	}
+	// The wait goes on where the owner changes. The time since the acceptance is the wait only of tasks that were ready then.
+	spec := e.job.Spec
+	age := time.Duration(s.deps.WallTime().UnixMilli()-spec.AcceptedMs) * time.Millisecond
+	return spec.Repeat == 0 && len(r.Step.After) == 0 && age >= maxReserveWait
 }
 
 // leavesReserve reports whether a new long-running task leaves enough capacity for short ones. The caller holds mu.
--- a/node/shard/demand_test.go
+++ b/node/shard/demand_test.go
@@ -116,3 +116,56 @@
 		}
 	})
 }
+
+// Guards against long-running tasks that wait for short ones which are no longer there: after a burst, capacity was kept free for
+// its next tasks for 9 s and longer, although under half of the service was in use.
+func TestLongRunningTaskStartsSoonAfterBurst(t *testing.T) {
+	first, lasting := resource.Vector{MilliCPU: 4000, MemoryMB: 100}, resource.Vector{MilliCPU: 800, MemoryMB: 100}
+	for name, burst := range map[string]struct {
+		size  int64
+		tasks int
+	}{
+		"fits at once":       {size: 2200, tasks: 8},
+		"twice the capacity": {size: 2200, tasks: 16},
+		"ten waves":          {size: 2200, tasks: 80},
+		"small tasks":        {size: 300, tasks: 400},
+		"one a worker":       {size: 6000, tasks: 20},
+	} {
+		short := resource.Vector{MilliCPU: burst.size, MemoryMB: 10}
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 4, 1, lastingOrShortTask(map[string]resource.Vector{"lasting": lasting, "first": first, "short": short}), func(c *cluster, is *is.I) {
+				c.owner()
+				c.acceptSteps("first", jobs.Step{Count: 4, Size: first, LongRunning: true, MaxPerWorker: 1})
+				c.waitUntil("first long-running tasks run", 25*time.Second, func() bool { return c.allRunning("first", 4) })
+				c.acceptSteps("short", jobs.Step{Count: burst.tasks, Size: short})
+				c.waitForState("short", jobs.StateCompleted, 60*time.Second)
+				// 40% of the service are in use, and there is room for each task many times over.
+				c.acceptSteps("lasting", jobs.Step{Count: 2, Size: lasting, LongRunning: true})
+				c.waitUntil("all long-running tasks run", 3*time.Second, func() bool { return c.allRunning("lasting", 2) })
+			})
+		})
+	}
+}
+
+// Guards against a job of many long-running tasks that takes what is kept for short tasks at once, or takes more than half of the
+// service after its wait.
+func TestLongRunningTasksLeaveReserveAboveHalf(t *testing.T) {
+	size := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
+	runCluster(t, 4, 1, lastingOrShortTask(map[string]resource.Vector{"lasting": size, "short": size}), func(c *cluster, is *is.I) {
+		c.owner()
+		c.acceptSteps("short", jobs.Step{Count: 80, Size: size})
+		c.waitForState("short", jobs.StateCompleted, 5*time.Second)
+		c.acceptSteps("lasting", jobs.Step{Count: 40, Size: size, LongRunning: true})
+		running := func() (n int) {
+			for i := range 40 {
+				n += c.fleet.Running(task("lasting", i))
+			}
+			return n
+		}
+		time.Sleep(time.Second)
+		is.True(running() <= 4)
+		time.Sleep(1500 * time.Millisecond)
+		n := running()
+		is.True(n >= 18 && n <= 21)
+	})
+}
--- a/node/shard/plan.go
+++ b/node/shard/plan.go
@@ -235,7 +235,7 @@
 		request.Avoid = e.avoid[id]
 		w, waitsForQuota := s.placeWithinQuota(e, spec.Size, func() *packing.Worker {
 			if spec.LongRunning && isNew {
-				return s.placeNewLongRunning(e, request)
+				return s.placeNewLongRunning(e, request, now)
 			}
 			return s.fleet.Place(request)
 		})
--- a/node/telemetry/table.go
+++ b/node/telemetry/table.go
@@ -133,6 +133,7 @@
 	{"shard_tasks_wait_for_quota", TypeGauge, "tasks", "Tasks that only the limits of their client accounts keep from starting."},
 	{"shard_tasks_unrunnable", TypeGauge, "tasks", "Waiting short tasks that no open worker could run if it ran no other short tasks. No capacity is kept for them."},
 	{"shard_short_demand", TypeGauge, "millicores", "Processor time that short tasks use, or used recently, or could use at once. A share of it is kept free of new long-running tasks."},
+	{"shard_reserve_overruled", TypeCounter, "tasks", "Long-running tasks that started in capacity kept for short ones, since they had waited and under half of the service was in use."},
 	{"quota_appends", TypeCounter, "calls", "Appends that store the shards' shares of the limits of client accounts, repeats included."},
 	{"control_offset", TypeGauge, "records", "Offset up to which the operators' records are in force."},
 	{"control_end", TypeGauge, "records", "Offset after the operators' newest record that is known. Above control_offset, the daemon is behind."},
