Bound the leases in the record of a release

Callers could see tasks of unreachable workers wait, or in the worst case run twice, after a shard of more than a thousand workers with long ids was given up while they were out of reach: the store never takes the record of the release, and the next owner knows nothing of longer leases.

Cause: an entry for each worker out of reach, without a limit.

Change: 128 KiB of entries, those with the longest leases, and one time for all others in a new field. The next owner takes it as the least for workers without an entry.

Why it works: the size is bounded where the record is made, and no worker's lease counts as shorter than it is.

Measured: TestReleaseWithManyLeases (3,000 workers with ids of 200 bytes) passes, and fails with the limit taken away: the shard is claimed without the release. node/shardlease and node/hosted pass with the race detector.

--- a/node/hosted/ownership.go
+++ b/node/hosted/ownership.go
@@ -135,6 +135,7 @@
 		leases.All = ownership.PreviousRenewalsUntil +
 			d.shardDeps.Limits.MaxWorkerLease*100/(100-lease.DriftPercent) + leaseExpiryMargin
 	}
+	leases.All = max(leases.All, ownership.OtherLeasesUntil)
 	s := shard.New(d.shardDeps, n, ownership.Epoch, ownership, leases)
 	d.mu.Lock()
 	d.shards[n] = s
--- a/node/shard/counters.go
+++ b/node/shard/counters.go
@@ -29,7 +29,7 @@
 		SetAside: r.Counter("shard_jobs_set_aside"), WorkersLent: r.Counter("shard_workers_lent"),
 		RecordsRejected: r.Counter("shard_records_rejected"), CheckpointsDropped: r.Counter("shard_checkpoints_dropped"),
 		CancelledEarly: r.Counter("shard_jobs_cancelled_early"), ReserveOverruled: r.Counter("shard_reserve_overruled"),
-		JobsMoved:      r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
+		JobsMoved: r.Counter("shard_jobs_moved"), QuotaAppends: r.Counter("quota_appends"),
 		WaitForQuota: r.Gauge("shard_tasks_wait_for_quota"),
 		Unrunnable:   r.Gauge("shard_tasks_unrunnable"), ShortDemand: r.Gauge("shard_short_demand"), Commit: r.Histogram("shard_commit_time"),
 		StartDelay: r.Histogram("shard_start_delay_time"), Plan: r.Histogram("shard_plan_time"),
--- a/node/shard/harness_test.go
+++ b/node/shard/harness_test.go
@@ -246,6 +246,7 @@
 			if ownership.PreviousRenewalsUntil > 0 {
 				leases.All = ownership.PreviousRenewalsUntil + maxWorkerLease*102/100
 			}
+			leases.All = max(leases.All, ownership.OtherLeasesUntil)
 			s := shard.New(deps, number, ownership.Epoch, ownership, leases)
 			d.setShard(s)
 			s.Run(ctx)
--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -285,8 +285,8 @@
 	at, owner := m.endOffset, m.owner
 	m.successor = ""
 	m.mu.Unlock()
-	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt),
-		LeasesUntil: leasesUntil(owner, previousSeenAt), now: m.opts.Now}
+	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt), now: m.opts.Now}
+	ownership.LeasesUntil, ownership.OtherLeasesUntil = leasesUntil(owner, previousSeenAt)
 	value, err := m.encodeOwner(ownership, false)
 	if err != nil {
 		m.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
--- a/node/shardlease/leases_test.go
+++ b/node/shardlease/leases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -83,3 +84,47 @@
 		is.True(ownership.LeasesUntil["usual"] >= 3*time.Second)
 	})
 }
+
+// Guards against a release that names so many workers that the store never takes it: the next owner then waits until it may claim
+// the shard anyway, and for leases of which it knows nothing. The longest leases are those that it must not miss.
+func TestReleaseWithManyLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, startedAt := storefake.New(), time.Now()
+		store.LimitSizes("")
+		now := func() time.Duration { return time.Since(startedAt) }
+		const workers = 3000
+		leases := map[string]time.Duration{}
+		first := shardlease.New(shardlease.Options{
+			Store: ledger.NewTimedStore(store.As("first")), Self: shardlease.Owner{Name: "first", Address: "first", Lifetime: 1},
+			Now: now, Log: zerolog.Nop(), Preference: func() int { return 0 },
+			Lead: func(ctx context.Context, o *shardlease.Ownership) {
+				<-ctx.Done()
+				for i := range workers {
+					leases[fmt.Sprintf("%0200d", i)] = now() + time.Duration(i)*10*time.Millisecond
+				}
+				o.SetReleasedLeases(leases)
+			},
+		})
+		ctx, end := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); first.Run(ctx) }()
+		time.Sleep(time.Second)
+		second := startProcess(t, store, now, "second", 2)
+		time.Sleep(time.Second)
+		first.Drain()
+		drainedAt := now()
+		ownership := <-second.leads
+		is.True(now()-drainedAt < shardlease.ClaimAfter) // by the release
+		for worker, at := range leases {
+			until, known := ownership.LeasesUntil[worker]
+			if !known {
+				until = ownership.OtherLeasesUntil
+			}
+			is.True(until >= at)
+		}
+		is.True(len(ownership.LeasesUntil) > 500)
+		end()
+		<-done
+	})
+}
--- a/node/shardlease/owner.go
+++ b/node/shardlease/owner.go
@@ -1,6 +1,9 @@
 package shardlease
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,8 +33,17 @@
 	// HoldsCancels is set while the owner holds cancellations of jobs that are not known. Other daemons ask it about the jobs
 	// that they accept only then.
 	HoldsCancels bool `cbor:"10,keyasint,omitempty"`
+	// OtherLeasesMs gives, in the record of a release, the same for all workers that LeasesMs has no room for.
+	OtherLeasesMs int64 `cbor:"11,keyasint,omitempty"`
 }
 
+const (
+	// maxLeasesBytes limits the encoded size of LeasesMs: the store takes no record above 262,144 bytes.
+	maxLeasesBytes = 128 << 10
+	// leaseEntryBytes is more than the encoded size of an entry without the worker's id.
+	leaseEntryBytes = 12
+)
+
 // earlierRenewals returns for how long after the record was sent earlier owners may renew workers' leases.
 func (o *Owner) earlierRenewals() time.Duration {
 	if o.EarlierRenewalsMs == nil {
@@ -47,6 +59,8 @@
 	PreviousRenewalsUntil time.Duration
 	// LeasesUntil gives, for some workers by their ids, until when they may hold leases of any earlier owner.
 	LeasesUntil map[string]time.Duration
+	// OtherLeasesUntil is until when further workers may hold leases of any earlier owner; zero if no more is known of them.
+	OtherLeasesUntil time.Duration
 
 	now func() time.Duration
 	// endOffset is the offset after the owner's newest record. Only the owner appends while it owns the shard, so a
@@ -67,15 +81,23 @@
 	o.releasedLeases = until
 }
 
-// leasesMs returns the released leases as times from now on.
-func (o *Ownership) leasesMs(now time.Duration) map[string]int64 {
+// leasesMs returns the released leases as times from now on: the longest ones by worker, and the longest of the others.
+func (o *Ownership) leasesMs(now time.Duration) (byWorker map[string]int64, others int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := map[string]int64{}
-	for worker, until := range o.releasedLeases {
-		out[worker] = millisecondsUp(max(until-now, 0))
+	workers := slices.SortedFunc(maps.Keys(o.releasedLeases), func(a, b string) int {
+		return cmp.Or(cmp.Compare(o.releasedLeases[b], o.releasedLeases[a]), cmp.Compare(a, b))
+	})
+	byWorker = map[string]int64{}
+	bytes := 0
+	for _, worker := range workers {
+		ms := millisecondsUp(max(o.releasedLeases[worker]-now, 0))
+		if bytes += len(worker) + leaseEntryBytes; bytes > maxLeasesBytes {
+			return byWorker, max(ms, 1) // the leases of all further workers are no longer
+		}
+		byWorker[worker] = ms
 	}
-	return out
+	return byWorker, 0
 }
 
 func millisecondsUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
@@ -135,10 +157,11 @@
 }
 
 // leasesUntil returns until when some workers may hold leases of the owner of the newest record, which was read at seenAt,
-// and of all owners before it. Only a release tells it: an owner that has not released the shard may reach workers again.
-func leasesUntil(o *Owner, seenAt time.Duration) map[string]time.Duration {
+// and of all owners before it. Only a release tells it: an owner that has not released the shard may reach workers again. others
+// is the same for further workers, and zero if the record names all that are known.
+func leasesUntil(o *Owner, seenAt time.Duration) (byWorker map[string]time.Duration, others time.Duration) {
 	if o == nil || !o.Released {
-		return nil
+		return nil, 0
 	}
 	out := map[string]time.Duration{}
 	for worker, ms := range o.LeasesMs {
@@ -146,7 +169,10 @@
 			out[worker] = seenAt + time.Duration(ms)*time.Millisecond
 		}
 	}
-	return out
+	if ms := o.OtherLeasesMs; ms > 0 && ms <= maxLeasesMs {
+		others = seenAt + time.Duration(ms)*time.Millisecond
+	}
+	return out, others
 }
 
 // encodeOwner encodes this daemon's record.
@@ -159,7 +185,7 @@
 	self.HoldsCancels = m.opts.HoldsCancels != nil && m.opts.HoldsCancels()
 	if released {
 		self.Successor = m.handOverTo()
-		self.LeasesMs = ownership.leasesMs(m.opts.Now())
+		self.LeasesMs, self.OtherLeasesMs = ownership.leasesMs(m.opts.Now())
 	}
 	return cbor.Marshal(self)
 }
