Count earlier renewals of leases from the newest record that was read

Cause: the next owner counted the 6 s in which an earlier owner may renew workers' leases from the end of the outage, although the earlier one's last renewal had been stored, and read, before it.

Evidence: TestOutageDoesNotExtendEarlierRenewals failed before for outages of 0.5, 4.5 and 20 s. Ruled out: a late claim, and entries of lost workers that stay in the registry.

Change: the time counts from when the newest record was first read.

Why it works: the claim takes effect only if nothing was appended since that record, so that the earlier owner sent its last successful renewal before. TestEarlierOwnerInOutageMayStillRenew checks that with renewals that are silent, lost, late or slow, and fails if the time is 2 s shorter.

--- a/node/shardlease/lease.go
+++ b/node/shardlease/lease.go
@@ -91,6 +91,7 @@
 	owner     *Owner
 	endOffset int64         // offset after the newest record read
 	seenAt    time.Duration // when the newest record was read, or the store became readable again
+	recordAt  time.Duration // when the newest record was read
 	ownerAt   time.Duration // when the owner, or its release, was read first
 	readable  bool
 	draining  bool
@@ -120,7 +121,8 @@
 		if r.Offset < m.endOffset {
 			continue
 		}
-		m.endOffset, m.seenAt = r.Offset+1, m.opts.Now()
+		now := m.opts.Now()
+		m.endOffset, m.seenAt, m.recordAt = r.Offset+1, now, now
 		if r.Key != ownerKey {
 			continue
 		}
@@ -191,8 +193,8 @@
 			ctxtime.Sleep(ctx, RenewInterval/2)
 			continue
 		}
-		if previousSeenAt, claim := m.decideClaim(); claim {
-			if ownership := m.claim(ctx, previousSeenAt); ownership != nil {
+		if m.decideClaim() {
+			if ownership := m.claim(ctx); ownership != nil {
 				m.lead(ctx, ownership)
 			}
 			m.active.Store(false)
@@ -234,9 +236,8 @@
 	m.readable = false
 }
 
-// decideClaim decides, after a read of the owner's record, whether to claim the shard. It sets active if so, and returns
-// when the newest record was read.
-func (m *Manager) decideClaim() (time.Duration, bool) {
+// decideClaim decides, after a read of the owner's record, whether to claim the shard. It sets active if so.
+func (m *Manager) decideClaim() bool {
 	m.opts.ClaimLock.Lock()
 	defer m.opts.ClaimLock.Unlock()
 	preference := m.opts.Preference()
@@ -248,10 +249,10 @@
 	}
 	m.preference = preference
 	if m.draining || m.claimIn() > 0 {
-		return 0, false
+		return false
 	}
 	m.active.Store(true)
-	return m.seenAt, true
+	return true
 }
 
 // claimIn returns the time until the shard may be claimed if no record is read before. The caller holds mu.
@@ -280,13 +281,16 @@
 }
 
 // claim appends this daemon's record if nothing was appended since the newest record read. It returns nil on failure.
-func (m *Manager) claim(ctx context.Context, previousSeenAt time.Duration) *Ownership {
+//
+// That it takes effect proves that no renewal was stored since that record, however long the store could not be read. The earlier
+// owner sent its last successful renewal before the record was read, and its time to renew workers' leases counts from there.
+func (m *Manager) claim(ctx context.Context) *Ownership {
 	m.mu.Lock()
-	at, owner := m.endOffset, m.owner
+	at, owner, recordAt := m.endOffset, m.owner, m.recordAt
 	m.successor = ""
 	m.mu.Unlock()
-	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, previousSeenAt), now: m.opts.Now}
-	ownership.LeasesUntil, ownership.OtherLeasesUntil = leasesUntil(owner, previousSeenAt)
+	ownership := &Ownership{Epoch: at + 1, PreviousRenewalsUntil: m.renewalsUntil(owner, recordAt), now: m.opts.Now}
+	ownership.LeasesUntil, ownership.OtherLeasesUntil = leasesUntil(owner, recordAt)
 	value, err := m.encodeOwner(ownership, false)
 	if err != nil {
 		m.opts.Log.Error().Err(err).Msg("owner record cannot be encoded")
--- a/node/shardlease/owner.go
+++ b/node/shardlease/owner.go
@@ -143,34 +143,34 @@
 	return o.Released || o.Name == self.Name && o.Address == self.Address && o.Lifetime != self.Lifetime
 }
 
-// renewalsUntil returns until when the owner of the newest record, which was read at seenAt, and all owners before it may
+// renewalsUntil returns until when the owner of the newest record, which was read at readAt, and all owners before it may
 // renew workers' leases; zero without an owner. That the newest owner has ended says nothing of those before it: one that
 // is cut off from the store goes on until its grace is over.
-func (m *Manager) renewalsUntil(o *Owner, seenAt time.Duration) time.Duration {
+func (m *Manager) renewalsUntil(o *Owner, readAt time.Duration) time.Duration {
 	switch {
 	case o == nil:
 		return 0
 	case m.hasEnded(o):
-		return seenAt + o.earlierRenewals() // it made its last call to a worker before that
+		return readAt + o.earlierRenewals() // it made its last call to a worker before that
 	}
-	return seenAt + WorkerLeaseGrace // not shorter than what is left to those before it
+	return readAt + WorkerLeaseGrace // not shorter than what is left to those before it
 }
 
-// leasesUntil returns until when some workers may hold leases of the owner of the newest record, which was read at seenAt,
+// leasesUntil returns until when some workers may hold leases of the owner of the newest record, which was read at readAt,
 // and of all owners before it. Only a release tells it: an owner that has not released the shard may reach workers again. others
 // is the same for further workers, and zero if the record names all that are known.
-func leasesUntil(o *Owner, seenAt time.Duration) (byWorker map[string]time.Duration, others time.Duration) {
+func leasesUntil(o *Owner, readAt time.Duration) (byWorker map[string]time.Duration, others time.Duration) {
 	if o == nil || !o.Released {
 		return nil, 0
 	}
 	out := map[string]time.Duration{}
 	for worker, ms := range o.LeasesMs {
 		if ms >= 0 && ms <= maxLeasesMs {
-			out[worker] = seenAt + time.Duration(ms)*time.Millisecond
+			out[worker] = readAt + time.Duration(ms)*time.Millisecond
 		}
 	}
 	if ms := o.OtherLeasesMs; ms > 0 && ms <= maxLeasesMs {
-		others = seenAt + time.Duration(ms)*time.Millisecond
+		others = readAt + time.Duration(ms)*time.Millisecond
 	}
 	return out, others
 }
