Judge whether a task stands still by its own progress

Cause: a percentage that did not change for 5% of the estimate closed the worker for 3 s, at each report.

Ruled out: tasks that hang, and failures.

Change: after the first change of its percentage a task may stay at one for three times its slowest point; the limit of one that an earlier owner started is four times as long before that, and each move doubles it. Tasks that stand still close at most half of a service's workers in a shard.

Why it works: a healthy task shows its own pace within one point, and until then no more than half of the workers are closed, whatever tasks do.

--- a/external/jobworker/fake/client.go
+++ b/external/jobworker/fake/client.go
@@ -63,7 +63,7 @@
 	a.timer = time.AfterFunc(o.Duration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w.runs[s.Task] != a || o.UntilStopped {
+		if w.runs[s.Task] != a || o.UntilStopped || o.StallsAfter > 0 {
 			return
 		}
 		kind := jobs.EndDone
@@ -155,7 +155,11 @@
 	for task, a := range w.runs {
 		percent := 100
 		if !a.outcome.UntilStopped && a.outcome.Duration > 0 {
-			percent = int(100 * time.Since(a.startedAt) / a.outcome.Duration)
+			elapsed := time.Since(a.startedAt)
+			if stalls := a.outcome.StallsAfter; stalls > 0 {
+				elapsed = min(elapsed, stalls)
+			}
+			percent = int(100 * elapsed / a.outcome.Duration)
 		}
 		r.Running = append(r.Running, jobworker.Run{Task: task, Run: a.number, Percent: min(percent, 100),
 			Checkpoint: a.checkpoint(task), Measurement: w.measurement(task)})
--- a/external/jobworker/fake/worker.go
+++ b/external/jobworker/fake/worker.go
@@ -31,6 +31,8 @@
 	CheckpointEvery time.Duration
 	// CheckpointBytes is the least length of these checkpoints.
 	CheckpointBytes int
+	// StallsAfter is the time after which the run makes no more progress and does not end; 0 for never.
+	StallsAfter time.Duration
 	// Tail, if set, returns the tail latency to report while paced runs use that much processor time.
 	Tail func(millicores int64) int64
 }
--- a/node/shard/load.go
+++ b/node/shard/load.go
@@ -139,7 +139,7 @@
 		step := &e.job.Spec.Steps[id.Step]
 		r := &run{id: id, name: id.String(), number: t.Run, workerID: t.Worker, step: step, stepName: id.StepName(),
 			stage: running, percent: -1, pace: inheritedPace(step), checkpoint: t.Checkpoint,
-			boundAt: s.deps.Now(), progressAt: s.deps.Now()}
+			boundAt: s.deps.Now(), progressAt: s.deps.Now(), inherited: true}
 		s.addRun(r)
 	})
 }
--- a/node/shard/quarantine.go
+++ b/node/shard/quarantine.go
@@ -23,6 +23,7 @@
 	lastAt           time.Duration
 	quarantinedUntil time.Duration
 	quarantine       time.Duration
+	stalledUntil     time.Duration // the end of the quarantine for stalled tasks
 }
 
 func (f *failureWindow) recordSuccess() { f.consecutive, f.quarantine = 0, 0 }
@@ -39,7 +40,8 @@
 
 // quarantineStalled quarantines the worker because a task on it makes no progress.
 func (f *failureWindow) quarantineStalled(now time.Duration) {
-	f.quarantinedUntil = max(f.quarantinedUntil, now+stallQuarantine)
+	f.stalledUntil = now + stallQuarantine
+	f.quarantinedUntil = max(f.quarantinedUntil, f.stalledUntil)
 }
 
 func (f *failureWindow) quarantined(now time.Duration) bool { return now < f.quarantinedUntil }
--- a/node/shard/report.go
+++ b/node/shard/report.go
@@ -151,9 +151,7 @@
 		// The job ended before the worker was known, or the previous owner's stop was lost.
 		s.stopRun(w, r)
 	}
-	if listedRun.Percent != r.percent {
-		r.percent, r.progressAt = listedRun.Percent, s.deps.Now()
-	}
+	r.recordProgress(listedRun.Percent, s.deps.Now())
 	s.moveIfStalled(w, r)
 	r.measurement = listedRun.Measurement
 	switch {
--- a/node/shard/shard.go
+++ b/node/shard/shard.go
@@ -132,6 +132,8 @@
 	// retryAt is the earliest time at which a failed task may run again, and avoid the worker that it failed on.
 	retryAt map[jobs.TaskID]time.Duration
 	avoid   map[jobs.TaskID]string
+	// stallMoves counts how often tasks were moved because they stood still.
+	stallMoves map[jobs.TaskID]int
 }
 
 // stage is the progress of a run's start or stop.
@@ -159,6 +161,12 @@
 	boundAt     time.Duration
 	percent     int
 	progressAt  time.Duration
+	// percentReported is set once the worker has reported a percentage, and slowestPoint is the longest time that a percentage
+	// point has taken since; 0 before the first change.
+	percentReported bool
+	slowestPoint    time.Duration
+	// inherited is set for a run that an earlier owner started.
+	inherited   bool
 	measurement int64 // jobworker.Run.Measurement of the newest report
 	// pace is the newest percentage sent to the worker, or unknownPace.
 	pace int
