Leave out a refused deletion of an ended job alone

The records of ended jobs stayed stored, and an append was repeated each 2 s for ever, if the store never took the deletion of one of them. No caller saw it.

Cause: deletions of up to eight jobs are one append, and any refusal was repeated.

Change: refusals for good are halved until the refused job is alone; that one is logged, counted and left to the next owner. What was learned for other shards is logged and counted, too.

--- a/node/shard/commit.go
+++ b/node/shard/commit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"waxwingslip.example/core/jobs"
 	"waxwingslip.example/external/keyedlog"
 	"waxwingslip.example/node/ctxtime"
@@ -187,6 +189,17 @@
 	}
 	_, err := s.deps.Store.Append(s.ctx, keyedlog.Append{
 		Partition: keyedlog.Partition{Topic: JobsTopic, Number: s.number}, Records: commands})
+	if errors.Is(err, keyedlog.ErrRejected) {
+		if n := len(deleted); n > 1 {
+			s.deleteRecordsAtOnce(deleted[:n/2])
+			s.deleteRecordsAtOnce(deleted[n/2:])
+			return
+		}
+		s.deps.Counters.RecordsRejected.Inc()
+		s.log.Error().Err(err).Str("job", deleted[0].id).Int("records", len(commands)).
+			Msg("the store never takes the deletion of an ended job, its records are left")
+		return
+	}
 	if err != nil {
 		s.log.Warn().Err(err).Int("jobs", len(deleted)).Msg("deleting records of ended jobs failed, retrying")
 		ctxtime.Sleep(s.ctx, deleteRetryDelay)
--- a/node/shard/learned.go
+++ b/node/shard/learned.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"waxwingslip.example/core/pressure"
 	"waxwingslip.example/external/keyedlog"
@@ -119,8 +120,13 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, shareTimeout)
 	defer cancel()
-	if _, err := s.deps.Store.Append(ctx, keyedlog.Append{Partition: learnedPartition,
-		Records: []keyedlog.Record{{Key: strconv.Itoa(s.number), Value: value}}}); err != nil {
+	_, err = s.deps.Store.Append(ctx, keyedlog.Append{Partition: learnedPartition,
+		Records: []keyedlog.Record{{Key: strconv.Itoa(s.number), Value: value}}})
+	switch {
+	case errors.Is(err, keyedlog.ErrRejected):
+		s.deps.Counters.RecordsRejected.Inc()
+		s.log.Error().Err(err).Int("bytes", len(value)).Msg("the store never takes what was learned about images, it is not shared")
+	case err != nil:
 		s.log.Debug().Err(err).Msg("what was learned about images is not shared")
 	}
 }
--- a/node/shard/progress_test.go
+++ b/node/shard/progress_test.go
@@ -285,3 +285,24 @@
 		})
 	})
 }
+
+// Guards against the deletion of one ended job that the store never takes, and with which the records of other ended jobs stay stored
+// for ever.
+func TestRejectedDeletionIsLeftOutAlone(t *testing.T) {
+	runCluster(t, 2, 1, longCheckpoints(10), func(c *cluster, is *is.I) {
+		c.owner()
+		c.store.Reject(func(caller string, r keyedlog.Record) bool {
+			return caller != "operator" && r.Value == nil && strings.Contains(r.Key, "refused")
+		})
+		ids := []string{"refused"}
+		for i := range 6 {
+			ids = append(ids, fmt.Sprint("usual", i))
+		}
+		for _, id := range ids {
+			c.acceptSteps(id, jobs.Step{Count: 1, Size: tinyTask})
+		}
+		c.waitForJobs(ids, 10*time.Second)
+		time.Sleep(3 * time.Minute) // longer than ended jobs are kept
+		c.expectNoRecords("usual")
+	})
+}
