Delete shares of removed accounts whose names nearly fill a key

The share of an account whose escaped name has 245 to 253 bytes stayed stored after the account was removed and its shard had a new owner. No caller saw it.

Cause: identifies such accounts by a hash, but stores their shares under the key that earlier builds used. The next owner had read the name with that key and did not keep it, so that it deleted the key with the hash.

Change: the name is kept where a key has it.

Measured: TestShareOfRemovedAccountWithLongNameIsDeleted, extended by a name of 250 bytes, failed before and passes now.

--- a/node/shard/quota.go
+++ b/node/shard/quota.go
@@ -47,13 +47,21 @@
 // quotaOf returns the state of an account by its name. The caller holds mu.
 func (s *Shard) quotaOf(name string) *accountQuota {
 	a := s.quotaOfID(accountID(name))
-	if a.name == "" && name != "" {
-		a.name = name
+	if a.learnName(name) {
 		s.setLimit(a)
 	}
 	return a
 }
 
+// learnName sets the name of an account of which only the id was known, and reports whether it did.
+func (a *accountQuota) learnName(name string) bool {
+	if a.name != "" || name == "" {
+		return false
+	}
+	a.name = name
+	return true
+}
+
 // quotaOfID returns the state of an account by its id. The caller holds mu.
 func (s *Shard) quotaOfID(id string) *accountQuota {
 	a := s.quotas.accounts[id]
--- a/node/shard/quotakey.go
+++ b/node/shard/quotakey.go
@@ -45,31 +45,30 @@
 	return hashedAccountID(account) + number
 }
 
-// parseQuotaKey returns the account's id and the shard of a key.
-func parseQuotaKey(key string) (id string, shard int, err error) {
+// parseQuotaKey returns the account's id, its name if the key has it, and the shard of a key.
+func parseQuotaKey(key string) (id, name string, shard int, err error) {
 	before, number, _ := cutLast(key)
 	if shard, err = strconv.Atoi(number); err != nil {
-		return "", 0, errors.Wrap(err, "shard")
+		return "", "", 0, errors.Wrap(err, "shard")
 	}
 	canonical := ""
 	if hash, hashed := strings.CutPrefix(before, hashedPrefix); hashed {
 		sum, decodeErr := hex.DecodeString(hash)
 		if decodeErr != nil || len(sum) != sha256.Size {
-			return "", 0, errors.New("account is not a hash")
+			return "", "", 0, errors.New("account is not a hash")
 		}
 		id = hashedPrefix + hex.EncodeToString(sum)
 		canonical = id + "/" + strconv.Itoa(shard)
 	} else {
-		account, err := url.PathUnescape(before)
-		if err != nil {
-			return "", 0, errors.Wrap(err, "account")
+		if name, err = url.PathUnescape(before); err != nil {
+			return "", "", 0, errors.Wrap(err, "account")
 		}
-		id, canonical = accountID(account), quotaKey(account, shard)
+		id, canonical = accountID(name), quotaKey(name, shard)
 	}
 	if canonical != key {
-		return "", 0, errors.New("key is not in its usual form")
+		return "", "", 0, errors.New("key is not in its usual form")
 	}
-	return id, shard, nil
+	return id, name, shard, nil
 }
 
 // accountOfID returns the name of an account by its id, and false if the id is a hash.
--- a/node/shard/quotarejected_test.go
+++ b/node/shard/quotarejected_test.go
@@ -103,10 +103,15 @@
 
 // Guards against shares of removed accounts with long names that stay stored for ever.
 func TestShareOfRemovedAccountWithLongNameIsDeleted(t *testing.T) {
-	long := strings.Repeat("é", 60)
+	for _, name := range []string{"usual", strings.Repeat("x", 250), strings.Repeat("é", 60)} {
+		t.Run(fmt.Sprint(len(name)), func(t *testing.T) { testShareOfRemovedAccount(t, name) })
+	}
+}
+
+func testShareOfRemovedAccount(t *testing.T, account string) {
 	runShards(t, 2, oneSecondTask, func(c *cluster, is *is.I) {
-		c.limitEach(6, long)
-		c.submitTasksAs(long, 0, "job", 6)
+		c.limitEach(6, account)
+		c.submitTasksAs(account, 0, "job", 6)
 		shares := func() (n int) {
 			page, err := c.operatorStore.Newest(t.Context(), keyedlog.Partition{Topic: shard.QuotaTopic}, "")
 			is.NoErr(err)
--- a/node/shard/quotastore.go
+++ b/node/shard/quotastore.go
@@ -303,7 +303,7 @@
 		}
 	}
 	for _, r := range records {
-		id, shard, err := parseQuotaKey(r.Key)
+		id, name, shard, err := parseQuotaKey(r.Key)
 		var e quota.Entry
 		if err == nil && r.Value != nil {
 			err = errors.Wrap(cbor.Unmarshal(r.Value, &e), "decode share")
@@ -316,11 +316,13 @@
 			s.log.Error().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("share of an account's limit cannot be used")
 			continue
 		}
+		a := s.quotaOfID(id)
+		a.learnName(name)
 		switch {
 		case shard != s.number:
-			s.quotaOfID(id).Observe(shard, e)
+			a.Observe(shard, e)
 		case !x.loaded:
-			s.quotaOfID(id).SetOwn(e)
+			a.SetOwn(e)
 		default:
 			x.ownOffsets[id] = r.Offset
 		}
