--- a/node/shard/demand_test.go
+++ b/node/shard/demand_test.go
@@ -65,17 +65,22 @@
 // Guards against free capacity that counts as none because one large short task ran once: nothing corrects the usual size of
 // short tasks after the traffic has ended.
 func TestFragmentsTakeLongRunningTasks(t *testing.T) {
-	short, first, size := resource.Vector{MilliCPU: 6200, MemoryMB: 100}, resource.Vector{MilliCPU: 4000, MemoryMB: 100},
-		resource.Vector{MilliCPU: 800, MemoryMB: 100}
-	runCluster(t, 4, 1, lastingOrShortTask(map[string]resource.Vector{"lasting": size, "first": first, "short": short}), func(c *cluster, is *is.I) {
-		c.owner()
-		c.acceptSteps("short", jobs.Step{Count: 1, Size: short})
-		c.waitForState("short", jobs.StateCompleted, 3*time.Second)
-		c.acceptSteps("first", jobs.Step{Count: 4, Size: first, LongRunning: true, MaxPerWorker: 1})
-		c.waitUntil("first long-running tasks run", 25*time.Second, func() bool { return c.allRunning("first", 4) })
-		c.acceptSteps("lasting", jobs.Step{Count: 2, Size: size, LongRunning: true})
-		c.waitUntil("all long-running tasks run", 5*time.Second, func() bool { return c.allRunning("lasting", 2) })
-	})
+	for name, used := range map[string]int64{"less than half in use": 4000, "more than half in use": 6000} {
+		t.Run(name, func(t *testing.T) {
+			short, first, size := resource.Vector{MilliCPU: 6200, MemoryMB: 100}, resource.Vector{MilliCPU: used, MemoryMB: 100},
+				resource.Vector{MilliCPU: 800, MemoryMB: 100}
+			sizes := map[string]resource.Vector{"lasting": size, "first": first, "short": short}
+			runCluster(t, 4, 1, lastingOrShortTask(sizes), func(c *cluster, is *is.I) {
+				c.owner()
+				c.acceptSteps("short", jobs.Step{Count: 1, Size: short})
+				c.waitForState("short", jobs.StateCompleted, 3*time.Second)
+				c.acceptSteps("first", jobs.Step{Count: 4, Size: first, LongRunning: true, MaxPerWorker: 1})
+				c.waitUntil("first long-running tasks run", 25*time.Second, func() bool { return c.allRunning("first", 4) })
+				c.acceptSteps("lasting", jobs.Step{Count: 2, Size: size, LongRunning: true})
+				c.waitUntil("all long-running tasks run", 3*time.Second, func() bool { return c.allRunning("lasting", 2) })
+			})
+		})
+	}
 }
 
 // Guards against a reserve that is no reserve any more: long-running tasks that are placed in a moment without waiting short
