--- a/cmd/soak/cluster_test.go
+++ b/cmd/soak/cluster_test.go
@@ -219,6 +219,16 @@
 	d.process, d.exited = cmd, exited
 }
 
+// logTail returns the end of the daemon's log.
+func (c *cluster) logTail(d *daemon) string {
+	const maxBytes = 4000
+	data, err := os.ReadFile(filepath.Join(c.dir, d.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-maxBytes):])
+}
+
 // signal sends a signal to the daemon's process.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -78,12 +78,16 @@
 }
 
 func waitReady(t *testing.T, c *cluster) {
+	status, text := 0, ""
 	for start := time.Now(); time.Since(start) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
-		if status, _ := c.callDaemon(0, "GET", "/q/", ""); status == 200 {
+		if status, text = c.callDaemon(0, "GET", "/q/", ""); status == 200 {
 			return
 		}
 	}
-	t.Fatal("the daemons do not serve requests")
+	for _, d := range c.daemons {
+		t.Logf("end of the log of %s:\n%s", d.name, c.logTail(d))
+	}
+	t.Fatalf("the daemons do not serve requests; the last answer was %d, %s", status, text)
 }
 
 // submitJob submits a job, with up to 5 attempts until one is accepted, and cancels it if it is a long-running one.
