--- a/node/shard/quotakey.go
+++ b/node/shard/quotakey.go
@@ -11,12 +11,12 @@
 )
 
 // The names of client accounts have any length, and keys of the store a limited one. An account is therefore identified by its
-// escaped name or, if that is long, by a hash of its name. No other record holds a name, so that each has a bounded size.
+// escaped name or, if that is long, by a hash of its name.
 
 const (
 	// maxQuotaKeyBytes is the longest key that the store takes.
 	maxQuotaKeyBytes = 255
-	// maxEscapedAccountBytes is the length of an escaped name that fits into a key with the number of any shard.
+	// maxEscapedAccountBytes is the length of an escaped name that fits into a key beside a slash and ten digits of a shard.
 	maxEscapedAccountBytes = maxQuotaKeyBytes - 11
 	// hashedPrefix marks ids that are hashes: an escaped name has no slash.
 	hashedPrefix = "/"
